--- /dev/null
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
@@ -0,0 +1,186 @@
+package org.cranberrygauge.controller;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonObject;
+import org.cranberrygauge.controller.order.OrderDesk;
+import org.cranberrygauge.controller.usage.UsageReporter;
+import org.cranberrygauge.decision.fleet.FleetPlanner;
+import org.cranberrygauge.decision.lease.LeaseKeeper;
+import org.cranberrygauge.decision.state.LogState;
+import org.cranberrygauge.model.configuration.ControlTimes;
+import org.cranberrygauge.model.record.LogRecord;
+import org.cranberrygauge.runtime.blackboard.Blackboard;
+import org.cranberrygauge.runtime.event.EventLog;
+import org.cranberrygauge.runtime.lifecycle.Program;
+import org.cranberrygauge.runtime.log.LogAppender;
+import org.cranberrygauge.runtime.log.LogFollower;
+import org.cranberrygauge.runtime.platform.HttpPlatform;
+import org.cranberrygauge.runtime.time.TimeSource;
+
+/**
+ * One controller, put together.
+ *
+ * <p>Started once and stopped once; decisions run on the context of the log follower.
+ */
+public final class Controller {
+
+    /** The time between two decisions in milliseconds. */
+    private static final long TICK_MILLIS = 100;
+
+    /** The time between two plans of the fleet in ticks. */
+    private static final int TICKS_PER_PLAN = 5;
+
+    /** The longest time a planned stop waits for the log in milliseconds. */
+    private static final long STOP_MILLIS = 1_000;
+
+    /** The settings. */
+    private final ControllerSettings settings;
+
+    /** The event log. */
+    private final EventLog events;
+
+    /** The sources of time. */
+    private final TimeSource time = TimeSource.System.INSTANCE;
+
+    /** The Vert.x instance. */
+    private final Vertx vertx;
+
+    /** The incarnation. */
+    private final String incarnation;
+
+    /** The blackboard. */
+    private final Blackboard blackboard;
+
+    /** The follower of the log. */
+    private final LogFollower follower;
+
+    /** The appender to the log. */
+    private final LogAppender appender;
+
+    /** Decides whether this controller holds the lease. */
+    private final LeaseKeeper lease;
+
+    /** Sends orders. */
+    private final OrderDesk orders;
+
+    /** Reports usage. */
+    private final UsageReporter usage;
+
+    /** Whether the lease was held at the last tick. */
+    private boolean held;
+
+    /** The number of ticks so far. */
+    private long ticks;
+
+    /** Whether a planned stop began. */
+    private volatile boolean stopping;
+
+    /**
+     * Creates a controller.
+     *
+     * @param settings The settings.
+     * @param events The event log.
+     */
+    public Controller(ControllerSettings settings, EventLog events) {
+        this.settings = settings;
+        this.events = events;
+        vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
+        incarnation = Program.incarnation(settings.hostName(), time.wallMillis());
+        blackboard = new Blackboard(time.monotonicMillis());
+        HttpPlatform platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
+        follower = new LogFollower(vertx, platform, blackboard, time, events);
+        appender = new LogAppender(vertx, platform, incarnation);
+        lease = new LeaseKeeper(
+                incarnation, settings.hostName(), ControlTimes.standard().leaseMillis(), time.monotonicMillis());
+        orders = new OrderDesk(
+                incarnation,
+                FleetPlanner.Minimum.INSTANCE,
+                lease,
+                blackboard,
+                follower,
+                appender,
+                platform,
+                time,
+                events);
+        usage = new UsageReporter(incarnation, lease, follower, appender, platform, time, events);
+    }
+
+    /**
+     * Starts the controller.
+     *
+     * @return Completes when it listens.
+     */
+    public Future<HttpServer> start() {
+        follower.addListener(orders::accept);
+        follower.start();
+        vertx.setPeriodic(TICK_MILLIS, timer -> follower.onContext(this::tick));
+        return vertx.createHttpServer(new HttpServerOptions()
+                        .setHost(settings.operationsAddress().host())
+                        .setPort(settings.operationsAddress().port()))
+                .requestHandler(this::answer)
+                .listen()
+                .onSuccess(server ->
+                        events.emit(new ControllerEvents.ControllerListening(incarnation, server.actualPort())));
+    }
+
+    /** Stops the controller and gives the lease back. */
+    public void stop() {
+        stopping = true;
+        long nowMillis = time.monotonicMillis();
+        if (lease.holds(nowMillis)) {
+            Future<Long> released = appender.append(
+                    new LogRecord.LeaseRelease(incarnation, lease.state().lastClaimOffset()));
+            while (!released.isComplete() && time.monotonicMillis() < nowMillis + STOP_MILLIS) {
+                Thread.onSpinWait();
+            }
+        }
+        follower.stop();
+        vertx.close();
+    }
+
+    /**
+     * Decides and acts once.
+     *
+     * @param state The state machines.
+     */
+    private void tick(LogState state) {
+        if (stopping || state.configuration().current().version() == 0) {
+            return;
+        }
+        long nowMillis = time.monotonicMillis();
+        lease.observe(nowMillis, state.lease());
+        lease.decide(nowMillis).ifPresent(appender::append);
+        boolean holds = lease.holds(nowMillis);
+        if (holds != held) {
+            held = holds;
+            events.emit(new ControllerEvents.LeaseChanged(
+                    incarnation, held, state.lease().holder(), lease.fencingNumber()));
+        }
+        if (!holds) {
+            return;
+        }
+        usage.tick(state);
+        if (ticks++ % TICKS_PER_PLAN == 0) {
+            orders.tick(state);
+        }
+    }
+
+    /**
+     * Answers a request of operations.
+     *
+     * @param request The request.
+     */
+    private void answer(HttpServerRequest request) {
+        JsonObject body = new JsonObject()
+                .put("controller", incarnation)
+                .put("holds_lease", lease.holds(time.monotonicMillis()))
+                .put("fencing_number", blackboard.log().lease().fencingNumber())
+                .put("log_offset", blackboard.position().offset());
+        request.response().putHeader("Content-Type", "application/json").end(body.toBuffer());
+    }
+}
--- /dev/null
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/ControllerEvents.java
@@ -0,0 +1,71 @@
+package org.cranberrygauge.controller;
+
+import org.cranberrygauge.runtime.event.Event;
+
+/** The events of a controller. */
+public final class ControllerEvents {
+
+    /** Prevents instances. */
+    private ControllerEvents() {}
+
+    /**
+     * The controller listens.
+     *
+     * @param controller The incarnation.
+     * @param operationsPort The port for operations.
+     */
+    public record ControllerListening(String controller, int operationsPort) implements Event {}
+
+    /**
+     * The controller could not start.
+     *
+     * @param reason The reason.
+     */
+    public record ControllerStartFailed(String reason) implements Event {}
+
+    /**
+     * The lease changed hands as seen by this controller.
+     *
+     * @param controller The incarnation.
+     * @param held Whether this controller holds it.
+     * @param holder The holder as the log states it.
+     * @param fencingNumber The fencing number.
+     */
+    public record LeaseChanged(String controller, boolean held, String holder, long fencingNumber) implements Event {}
+
+    /**
+     * An order was sent.
+     *
+     * @param orderId The identifier.
+     * @param pool The pool.
+     * @param desiredCount The number of backend servers that the pool shall have.
+     * @param fencingNumber The fencing number.
+     * @param reason The reason code.
+     */
+    public record OrderSent(String orderId, String pool, int desiredCount, long fencingNumber, String reason)
+            implements Event {}
+
+    /**
+     * An order ended.
+     *
+     * @param orderId The identifier.
+     * @param result The result.
+     */
+    public record OrderEnded(String orderId, String result) implements Event {}
+
+    /**
+     * An order was dropped before it was sent.
+     *
+     * @param orderId The identifier.
+     * @param reason The reason code.
+     */
+    public record OrderDropped(String orderId, String reason) implements Event {}
+
+    /**
+     * A usage window was reported.
+     *
+     * @param windowId The number of the window.
+     * @param lines The number of lines.
+     */
+    public record UsageReported(long windowId, int lines) implements Event {}
+}
--- /dev/null
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/usage/package-info.java
@@ -0,0 +1,2 @@
+/** Closing and reporting usage windows. */
+package org.cranberrygauge.controller.usage;
--- /dev/null
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/QueuedRequest.java
@@ -0,0 +1,23 @@
+package org.cranberrygauge.decision.admission;
+
+/**
+ * A request that waits for a start.
+ *
+ * @param requestId The identifier of the request.
+ * @param customer The name of the customer.
+ * @param customerWeight The weight of the customer.
+ * @param className The name of the class.
+ * @param target The model or service.
+ * @param estimatedTokens The estimated cost in tokens, prompt and output.
+ * @param arrivedAtMillis The monotonic time of its arrival.
+ * @param deadlineMillis The monotonic time after which it is refused.
+ */
+public record QueuedRequest(
+        long requestId,
+        String customer,
+        int customerWeight,
+        String className,
+        String target,
+        long estimatedTokens,
+        long arrivedAtMillis,
+        long deadlineMillis) {}
--- /dev/null
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Which waiting request starts next and which is refused. */
+package org.cranberrygauge.decision.admission;
--- /dev/null
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/drain/package-info.java
@@ -0,0 +1,2 @@
+/** Backend servers that get no new work. */
+package org.cranberrygauge.decision.drain;
--- /dev/null
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/membership/Members.java
@@ -0,0 +1,78 @@
+package org.cranberrygauge.decision.membership;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.cranberrygauge.model.record.LogRecord.GatewayJoined;
+import org.cranberrygauge.model.record.LogRecord.GatewayLeft;
+
+/**
+ * The gateways that joined and did not leave, as they stand in the log.
+ *
+ * <p>Invariants: a host has at most one member, since a new incarnation on a host replaces the old one; the same log
+ * prefix gives the same members in every reader. Immutable and safe for use by several threads.
+ *
+ * @param byHost The members by host.
+ */
+public record Members(Map<String, GatewayMember> byHost) {
+
+    /** Copies the map. */
+    public Members {
+        byHost = Map.copyOf(byHost);
+    }
+
+    /**
+     * Returns the state before any join.
+     *
+     * @return The initial state.
+     */
+    public static Members initial() {
+        return new Members(Map.of());
+    }
+
+    /**
+     * Applies a join that was read from the log.
+     *
+     * @param joined The join.
+     * @return The state after it.
+     */
+    public Members apply(GatewayJoined joined) {
+        Map<String, GatewayMember> next = new HashMap<>(byHost);
+        next.put(
+                joined.host(),
+                new GatewayMember(joined.gateway(), joined.host(), joined.dataCentre(), joined.address()));
+        return new Members(next);
+    }
+
+    /**
+     * Applies the end of an incarnation that was read from the log.
+     *
+     * @param left The end.
+     * @return The state after it.
+     */
+    public Members apply(GatewayLeft left) {
+        Map<String, GatewayMember> next = new HashMap<>(byHost);
+        next.values().removeIf(member -> member.gateway().equals(left.gateway()));
+        return new Members(next);
+    }
+
+    /**
+     * Returns the member that runs on a host.
+     *
+     * @param host The host.
+     * @return The member, or nothing.
+     */
+    public Optional<GatewayMember> onHost(String host) {
+        return Optional.ofNullable(byHost.get(host));
+    }
+
+    /**
+     * Returns all members.
+     *
+     * @return The members.
+     */
+    public Collection<GatewayMember> all() {
+        return byHost.values();
+    }
+}
--- /dev/null
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Which gateways are alive and whether this one may admit requests. */
+package org.cranberrygauge.decision.membership;
--- /dev/null
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Whether a failed request may be tried again. */
+package org.cranberrygauge.decision.retry;
--- /dev/null
+++ b/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the systems around the product, and the replay of traces against it. */
+package org.cranberrygauge.emulator;
--- /dev/null
+++ b/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/platform/PlatformStandIn.java
@@ -0,0 +1,271 @@
+package org.cranberrygauge.emulator.platform;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.cranberrygauge.emulator.web.FaultSwitch;
+import org.cranberrygauge.emulator.web.StandInServer;
+import org.cranberrygauge.model.backend.BackendServer;
+import org.cranberrygauge.model.backend.ListedBackendServer;
+import org.cranberrygauge.model.backend.NetworkAddress;
+import org.cranberrygauge.protocol.platform.Platform.Order;
+import org.cranberrygauge.protocol.platform.Platform.UsageReport;
+import org.cranberrygauge.protocol.platform.PlatformLog;
+import org.cranberrygauge.protocol.platform.PlatformMessages;
+
+/**
+ * The stand-in of the platform.
+ *
+ * <p>All exchanges run on one event loop.
+ */
+public final class PlatformStandIn {
+
+    /** The status of an answer during an outage. */
+    private static final int UNAVAILABLE = 503;
+
+    /** The time between two looks for new entries while a read waits in milliseconds. */
+    private static final long POLL_MILLIS = 5;
+
+    /** The Vert.x instance. */
+    private final Vertx vertx;
+
+    /** The log. */
+    private final LogStore log;
+
+    /** The backend servers that can be ordered. */
+    private final FleetStore fleet;
+
+    /** The usage reports in the order of their arrival. */
+    private final List<UsageReport> reports = new ArrayList<>();
+
+    /** The strength of each fault that is on. */
+    private final Map<Fault, Double> faults = new EnumMap<>(Fault.class);
+
+    /** The list as it was some time ago. */
+    private List<ListedBackendServer> laggingList = List.of();
+
+    /**
+     * Creates a stand-in.
+     *
+     * @param vertx The Vert.x instance.
+     * @param options The options.
+     */
+    public PlatformStandIn(Vertx vertx, Options options) {
+        this.vertx = vertx;
+        this.log = new LogStore(options.retentionMillis());
+        this.fleet = new FleetStore(options.checksFencing(), options.startMillis());
+        vertx.setPeriodic(options.listLagMillis(), timer -> laggingList = fleet.list(System.currentTimeMillis()));
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param address The address.
+     * @return The server.
+     */
+    public Future<HttpServer> listen(NetworkAddress address) {
+        Router router = StandInServer.router(vertx);
+        router.post(PlatformMessages.APPEND_PATH).handler(this::append);
+        router.get(PlatformMessages.RECORDS_PATH).handler(this::read);
+        router.get(PlatformMessages.BACKEND_SERVERS_PATH).handler(this::list);
+        router.post(PlatformMessages.BACKEND_SERVERS_PATH).handler(this::register);
+        router.post(PlatformMessages.ORDERS_PATH).handler(this::order);
+        router.get(PlatformMessages.ORDERS_PATH).handler(context -> StandInServer.answer(context, fleet.orders()));
+        router.post(PlatformMessages.USAGE_PATH).handler(this::report);
+        router.get(PlatformMessages.USAGE_PATH).handler(context -> StandInServer.answer(context, reports));
+        router.post("/faults").handler(this::switchFault);
+        return StandInServer.listen(vertx, router, address);
+    }
+
+    /**
+     * Takes an append.
+     *
+     * @param context The exchange.
+     */
+    private void append(RoutingContext context) {
+        if (isOn(Fault.LOG_OUTAGE)) {
+            StandInServer.answer(context, UNAVAILABLE, new StandInServer.Problem("log outage"));
+            return;
+        }
+        PlatformMessages.AppendRequest request = StandInServer.body(context, PlatformMessages.AppendRequest.class);
+        if (request == null) {
+            return;
+        }
+        long offset = log.append(System.currentTimeMillis(), request.payload());
+        afterEffect(context, new PlatformMessages.AppendAnswer(offset));
+    }
+
+    /**
+     * Answers a read, once there is an entry or the wait is over.
+     *
+     * @param context The exchange.
+     */
+    private void read(RoutingContext context) {
+        long after = Long.parseLong(context.request().getParam("after", "0"));
+        int limit = Integer.parseInt(context.request().getParam("limit", "500"));
+        long waitMillis = Long.parseLong(context.request().getParam("wait_millis", "0"));
+        log.expire(System.currentTimeMillis());
+        answerRead(context, after, limit, System.currentTimeMillis() + waitMillis);
+    }
+
+    /**
+     * Answers a read now or looks again later.
+     *
+     * @param context The exchange.
+     * @param after The offset after which to read.
+     * @param limit The highest number of entries.
+     * @param untilMillis The end of the wait in milliseconds of the epoch.
+     */
+    private void answerRead(RoutingContext context, long after, int limit, long untilMillis) {
+        if (isOn(Fault.LOG_OUTAGE) || isOn(Fault.LOG_READ_OUTAGE)) {
+            StandInServer.answer(context, UNAVAILABLE, new StandInServer.Problem("log outage"));
+            return;
+        }
+        PlatformLog.Page page = log.read(after, limit);
+        if (page.entries().isEmpty() && System.currentTimeMillis() < untilMillis) {
+            vertx.setTimer(POLL_MILLIS, timer -> answerRead(context, after, limit, untilMillis));
+            return;
+        }
+        StandInServer.answer(context, page);
+    }
+
+    /**
+     * Answers with the lagging list.
+     *
+     * @param context The exchange.
+     */
+    private void list(RoutingContext context) {
+        if (isOn(Fault.PLATFORM_OUTAGE)) {
+            StandInServer.answer(context, UNAVAILABLE, new StandInServer.Problem("platform outage"));
+            return;
+        }
+        StandInServer.answer(context, new PlatformMessages.BackendServerList(laggingList));
+    }
+
+    /**
+     * Registers a backend server that can be ordered.
+     *
+     * @param context The exchange.
+     */
+    private void register(RoutingContext context) {
+        Registration registration = StandInServer.body(context, Registration.class);
+        if (registration != null) {
+            fleet.register(registration.pool(), registration.server());
+            StandInServer.answer(context, registration);
+        }
+    }
+
+    /**
+     * Takes an order.
+     *
+     * @param context The exchange.
+     */
+    private void order(RoutingContext context) {
+        if (isOn(Fault.PLATFORM_OUTAGE)) {
+            StandInServer.answer(context, UNAVAILABLE, new StandInServer.Problem("platform outage"));
+            return;
+        }
+        Order order = StandInServer.body(context, Order.class);
+        if (order != null) {
+            afterEffect(context, fleet.order(System.currentTimeMillis(), order));
+        }
+    }
+
+    /**
+     * Takes a usage report.
+     *
+     * @param context The exchange.
+     */
+    private void report(RoutingContext context) {
+        if (isOn(Fault.PLATFORM_OUTAGE)) {
+            StandInServer.answer(context, UNAVAILABLE, new StandInServer.Problem("platform outage"));
+            return;
+        }
+        UsageReport report = StandInServer.body(context, UsageReport.class);
+        if (report != null) {
+            reports.add(report);
+            afterEffect(context, new StandInServer.Problem("acknowledged"));
+        }
+    }
+
+    /**
+     * Switches a fault.
+     *
+     * @param context The exchange.
+     */
+    private void switchFault(RoutingContext context) {
+        FaultSwitch change = StandInServer.body(context, FaultSwitch.class);
+        if (change == null) {
+            return;
+        }
+        String name = change.name().toUpperCase(Locale.ROOT);
+        if (name.startsWith("EVICT:")) {
+            fleet.evict(change.name().substring("EVICT:".length()), change.amount() > 0);
+        } else {
+            faults.put(Fault.valueOf(name), change.amount());
+        }
+        StandInServer.answer(context, change);
+    }
+
+    /**
+     * Answers after an effect, unless its answer shall be lost.
+     *
+     * @param context The exchange.
+     * @param answer The answer.
+     */
+    private void afterEffect(RoutingContext context, Object answer) {
+        if (isOn(Fault.LOST_ANSWERS)) {
+            faults.merge(Fault.LOST_ANSWERS, -1.0, Double::sum);
+            StandInServer.drop(context);
+            return;
+        }
+        StandInServer.answer(context, answer);
+    }
+
+    /**
+     * Tells whether a fault is on.
+     *
+     * @param fault The fault.
+     * @return Whether it is on.
+     */
+    private boolean isOn(Fault fault) {
+        return faults.getOrDefault(fault, 0.0) > 0;
+    }
+
+    /** The faults that can be switched. */
+    private enum Fault {
+        /** Appends and reads fail. */
+        LOG_OUTAGE,
+        /** Reads fail. */
+        LOG_READ_OUTAGE,
+        /** Lists, orders and reports fail. */
+        PLATFORM_OUTAGE,
+        /** The given number of answers are lost after their effect. */
+        LOST_ANSWERS
+    }
+
+    /**
+     * The options of the stand-in.
+     *
+     * @param retentionMillis The time for which log entries are kept in milliseconds.
+     * @param checksFencing Whether orders with an old fencing number are refused.
+     * @param startMillis The time a backend server takes to start in milliseconds.
+     * @param listLagMillis The lag of the list in milliseconds.
+     */
+    public record Options(long retentionMillis, boolean checksFencing, long startMillis, long listLagMillis) {}
+
+    /**
+     * The registration of a backend server that can be ordered.
+     *
+     * @param pool The name of the pool.
+     * @param server The backend server.
+     */
+    public record Registration(String pool, BackendServer server) {}
+}
--- /dev/null
+++ b/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/service/package-info.java
@@ -0,0 +1,2 @@
+/** The stand-in of a plain service. */
+package org.cranberrygauge.emulator.service;
--- /dev/null
+++ b/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/web/package-info.java
@@ -0,0 +1,2 @@
+/** What the stand-ins share of HTTP. */
+package org.cranberrygauge.emulator.web;
--- /dev/null
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallTools.java
@@ -0,0 +1,38 @@
+package org.cranberrygauge.gateway.call;
+
+import org.cranberrygauge.decision.retry.RetryBudget;
+import org.cranberrygauge.decision.usage.UsageCounter;
+import org.cranberrygauge.gateway.metrics.GatewayMetrics;
+import org.cranberrygauge.gateway.reservation.ReservationDesk;
+import org.cranberrygauge.gateway.schedule.BackendBoard;
+import org.cranberrygauge.gateway.schedule.Scheduler;
+import org.cranberrygauge.runtime.event.EventLog;
+import org.cranberrygauge.runtime.time.TimeSource;
+
+/**
+ * What every request of a gateway works with.
+ *
+ * @param scheduler The scheduler.
+ * @param board The backend servers.
+ * @param client The client of backend servers.
+ * @param desk The desk for reservations.
+ * @param retries The retry budget.
+ * @param usage The usage counter.
+ * @param metrics The metrics.
+ * @param events The event log.
+ * @param active The requests that wait or run.
+ * @param time The sources of time.
+ * @param gateway The incarnation of the gateway.
+ */
+public record CallTools(
+        Scheduler scheduler,
+        BackendBoard board,
+        BackendClient client,
+        ReservationDesk desk,
+        RetryBudget retries,
+        UsageCounter usage,
+        GatewayMetrics metrics,
+        EventLog events,
+        ActiveCalls active,
+        TimeSource time,
+        String gateway) {}
--- /dev/null
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallerReply.java
@@ -0,0 +1,155 @@
+package org.cranberrygauge.gateway.call;
+
+import io.vertx.core.Context;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonObject;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The answer to one caller.
+ *
+ * <p>Invariants: at most one final answer is sent; what arrives after it is dropped. Used on the context of the caller's
+ * connection.
+ */
+public final class CallerReply {
+
+    /** The header with the identifier of the request. */
+    public static final String REQUEST_ID_HEADER = "X-Request-Id";
+
+    /** The response. */
+    private final HttpServerResponse response;
+
+    /** The context of the connection. */
+    private final Context context;
+
+    /** The identifier of the request. */
+    private final String requestId;
+
+    /** Whether the final answer was sent or the caller is gone. */
+    private boolean closed;
+
+    /**
+     * Creates a reply.
+     *
+     * @param request The request.
+     * @param context The context of the connection.
+     * @param requestId The identifier of the request.
+     */
+    public CallerReply(HttpServerRequest request, Context context, String requestId) {
+        this.response = request.response();
+        this.context = context;
+        this.requestId = requestId;
+        response.putHeader(REQUEST_ID_HEADER, requestId);
+    }
+
+    /**
+     * Returns the context of the connection.
+     *
+     * @return The context.
+     */
+    public Context context() {
+        return context;
+    }
+
+    /**
+     * Returns the identifier of the request.
+     *
+     * @return The identifier.
+     */
+    public String requestId() {
+        return requestId;
+    }
+
+    /**
+     * Tells whether the final answer was sent or the caller is gone.
+     *
+     * @return Whether nothing more can be sent.
+     */
+    public boolean isClosed() {
+        return closed;
+    }
+
+    /**
+     * Runs an action when the caller goes away before its answer.
+     *
+     * @param action The action.
+     */
+    public void onVanished(Runnable action) {
+        response.closeHandler(gone -> {
+            if (!closed) {
+                closed = true;
+                action.run();
+            }
+        });
+    }
+
+    /**
+     * Sends a whole answer.
+     *
+     * @param status The status.
+     * @param contentType The content type.
+     * @param body The body.
+     */
+    public void answer(int status, String contentType, Buffer body) {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        response.setStatusCode(status).putHeader("Content-Type", contentType).end(body);
+    }
+
+    /**
+     * Sends a part of a stream.
+     *
+     * @param part The part.
+     */
+    public void stream(Buffer part) {
+        if (closed) {
+            return;
+        }
+        if (!response.headWritten()) {
+            response.setChunked(true)
+                    .putHeader("Content-Type", "text/event-stream")
+                    .putHeader("Cache-Control", "no-cache");
+        }
+        response.write(part);
+    }
+
+    /** Ends a stream. */
+    public void endStream() {
+        if (!closed) {
+            closed = true;
+            response.end();
+        }
+    }
+
+    /**
+     * Sends a failure, as an event if a stream has begun.
+     *
+     * @param failure The failure.
+     */
+    public void fail(RequestFailure failure) {
+        if (closed) {
+            return;
+        }
+        JsonObject error = new JsonObject()
+                .put("type", failure.code().httpStatus() < 500 ? "invalid_request_error" : "server_error")
+                .put("code", failure.code().text())
+                .put("message", failure.message())
+                .put("not_run", failure.notRun())
+                .put("request_id", requestId);
+        Buffer body = new JsonObject().put("error", error).toBuffer();
+        if (response.headWritten()) {
+            stream(Buffer.buffer("event: error\ndata: ").appendBuffer(body).appendString("\n\n"));
+            endStream();
+            return;
+        }
+        if (failure.retryAfterMillis() > 0) {
+            long seconds = TimeUnit.MILLISECONDS.toSeconds(failure.retryAfterMillis() + 999);
+            response.putHeader("Retry-After", String.valueOf(seconds));
+        }
+        answer(failure.code().httpStatus(), "application/json", body);
+    }
+}
--- /dev/null
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/ExchangeService.java
@@ -0,0 +1,99 @@
+package org.cranberrygauge.gateway.exchange;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+import org.cranberrygauge.decision.membership.PeerReport;
+import org.cranberrygauge.protocol.generated.GatewayExchange;
+import org.cranberrygauge.protocol.generated.GatewayReport;
+import org.cranberrygauge.protocol.generated.LogSlice;
+import org.cranberrygauge.protocol.generated.LogSliceEntry;
+import org.cranberrygauge.protocol.platform.PlatformLog.StoredEntry;
+import org.cranberrygauge.runtime.blackboard.Blackboard;
+import org.cranberrygauge.runtime.log.LogFollower;
+import org.cranberrygauge.runtime.time.TimeSource;
+
+/**
+ * What a gateway answers to its peers.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class ExchangeService implements GatewayExchange.Iface {
+
+    /** The blackboard. */
+    private final Blackboard blackboard;
+
+    /** The follower of the log. */
+    private final LogFollower follower;
+
+    /** Builds the report of this gateway. */
+    private final Supplier<GatewayReport> ownReport;
+
+    /** The sources of time. */
+    private final TimeSource time;
+
+    /**
+     * Creates the service.
+     *
+     * @param blackboard The blackboard.
+     * @param follower The follower of the log.
+     * @param ownReport Builds the report of this gateway.
+     * @param time The sources of time.
+     */
+    public ExchangeService(
+            Blackboard blackboard, LogFollower follower, Supplier<GatewayReport> ownReport, TimeSource time) {
+        this.blackboard = blackboard;
+        this.follower = follower;
+        this.ownReport = ownReport;
+        this.time = time;
+    }
+
+    @Override
+    public GatewayReport exchange(GatewayReport report) {
+        take(report);
+        return ownReport.get();
+    }
+
+    @Override
+    public GatewayReport status() {
+        return ownReport.get();
+    }
+
+    @Override
+    public LogSlice readLog(long afterOffset, int limit) {
+        List<LogSliceEntry> entries = new ArrayList<>();
+        for (StoredEntry entry : follower.keptAfter(afterOffset, limit)) {
+            entries.add(new LogSliceEntry(entry.offset(), entry.appendedAtMillis(), entry.payload()));
+        }
+        return new LogSlice(entries, blackboard.position().offset(), logAgeMillis());
+    }
+
+    /**
+     * Takes in the report of a peer.
+     *
+     * @param report The report.
+     */
+    public void take(GatewayReport report) {
+        blackboard
+                .peers()
+                .put(
+                        report.getHost(),
+                        new PeerReport(
+                                report.getGateway(),
+                                time.monotonicMillis(),
+                                report.getConfigurationVersion(),
+                                report.getLogOffset(),
+                                report.getLogAgeMillis(),
+                                report.getInFlight(),
+                                report.isDraining()));
+    }
+
+    /**
+     * Returns the time since this gateway read the log's end.
+     *
+     * @return The time in milliseconds.
+     */
+    private long logAgeMillis() {
+        return time.monotonicMillis() - blackboard.position().endReadAtMillis();
+    }
+}
--- /dev/null
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/PeerExchange.java
@@ -0,0 +1,60 @@
+package org.cranberrygauge.gateway.exchange;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.cranberrygauge.model.backend.NetworkAddress;
+import org.cranberrygauge.protocol.generated.GatewayReport;
+import org.cranberrygauge.runtime.blackboard.Blackboard;
+import org.cranberrygauge.runtime.log.LogFollower;
+import org.cranberrygauge.runtime.time.TimeSource;
+
+/**
+ * Exchanges reports with all peers, each on a thread of its own so that a frozen peer delays no other.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class PeerExchange {
+
+    /** The threads, one a peer. */
+    private final List<ScheduledExecutorService> threads = new ArrayList<>();
+
+    /**
+     * Starts to exchange.
+     *
+     * @param peers The addresses of the peers.
+     * @param intervalMillis The time between two exchanges with a peer in milliseconds.
+     * @param service The service that takes reports in.
+     * @param ownReport Builds the report of this gateway.
+     * @param blackboard The blackboard.
+     * @param follower The follower of the log.
+     * @param time The sources of time.
+     */
+    public PeerExchange(
+            List<NetworkAddress> peers,
+            long intervalMillis,
+            ExchangeService service,
+            Supplier<GatewayReport> ownReport,
+            Blackboard blackboard,
+            LogFollower follower,
+            TimeSource time) {
+        for (NetworkAddress peer : peers) {
+            PeerClient client = new PeerClient(peer, service, ownReport, blackboard, follower, time);
+            ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(work -> {
+                Thread created = new Thread(work, "exchange-" + peer);
+                created.setDaemon(true);
+                return created;
+            });
+            thread.scheduleWithFixedDelay(client::exchange, 0, intervalMillis, TimeUnit.MILLISECONDS);
+            threads.add(thread);
+        }
+    }
+
+    /** Stops to exchange. */
+    public void stop() {
+        threads.forEach(ScheduledExecutorService::shutdownNow);
+    }
+}
--- /dev/null
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/package-info.java
@@ -0,0 +1,2 @@
+/** The exchange with the other gateways. */
+package org.cranberrygauge.gateway.exchange;
--- /dev/null
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/AdmissionGate.java
@@ -0,0 +1,93 @@
+package org.cranberrygauge.gateway.http;
+
+import org.cranberrygauge.decision.membership.AdmissionFreshness;
+import org.cranberrygauge.model.error.CranberrygaugeException;
+import org.cranberrygauge.model.error.ErrorCode;
+import org.cranberrygauge.runtime.blackboard.Blackboard;
+import org.cranberrygauge.runtime.time.TimeSource;
+
+/**
+ * Tells whether this gateway admits requests now.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class AdmissionGate {
+
+    /** The blackboard. */
+    private final Blackboard blackboard;
+
+    /** The rule of freshness. */
+    private final AdmissionFreshness freshness;
+
+    /** The sources of time. */
+    private final TimeSource time;
+
+    /** The host of this gateway. */
+    private final String host;
+
+    /** Whether a planned stop began. */
+    private volatile boolean draining;
+
+    /**
+     * Creates a gate.
+     *
+     * @param blackboard The blackboard.
+     * @param freshness The rule of freshness.
+     * @param time The sources of time.
+     * @param host The host of this gateway.
+     */
+    public AdmissionGate(Blackboard blackboard, AdmissionFreshness freshness, TimeSource time, String host) {
+        this.blackboard = blackboard;
+        this.freshness = freshness;
+        this.time = time;
+        this.host = host;
+    }
+
+    /** Stops to admit, for a planned stop. */
+    public void drain() {
+        draining = true;
+    }
+
+    /**
+     * Tells whether a planned stop began.
+     *
+     * @return Whether it did.
+     */
+    public boolean isDraining() {
+        return draining;
+    }
+
+    /**
+     * Checks that requests may be admitted now.
+     *
+     * @throws CranberrygaugeException If they may not.
+     */
+    public void check() throws CranberrygaugeException {
+        if (draining) {
+            throw new CranberrygaugeException(ErrorCode.NOT_ADMITTING, "this gateway stops");
+        }
+        if (blackboard.log().configuration().current().version() == 0) {
+            throw new CranberrygaugeException(ErrorCode.NOT_ADMITTING, "this gateway has no configuration yet");
+        }
+        if (!freshness.mayAdmit(time.monotonicMillis(), view())) {
+            throw new CranberrygaugeException(
+                    ErrorCode.NOT_ADMITTING, "this gateway is cut off and may not know withdrawn keys");
+        }
+    }
+
+    /**
+     * Builds what the rule of freshness needs to know.
+     *
+     * @return The view.
+     */
+    private AdmissionFreshness.View view() {
+        long others = blackboard.log().members().all().stream()
+                .filter(member -> !member.host().equals(host))
+                .count();
+        return new AdmissionFreshness.View(
+                blackboard.position().endReadAtMillis(),
+                blackboard.configuration().times().freshnessMillis(),
+                blackboard.peers().values(),
+                (int) others);
+    }
+}
--- /dev/null
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** The metrics of a gateway. */
+package org.cranberrygauge.gateway.metrics;
--- /dev/null
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** The program between callers and backend servers. */
+package org.cranberrygauge.gateway;
--- /dev/null
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/reservation/package-info.java
@@ -0,0 +1,2 @@
+/** Reserving calls that run at most once. */
+package org.cranberrygauge.gateway.reservation;
--- /dev/null
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/PendingCall.java
@@ -0,0 +1,18 @@
+package org.cranberrygauge.gateway.schedule;
+
+import java.util.function.Consumer;
+import org.cranberrygauge.decision.admission.QueuedRequest;
+import org.cranberrygauge.decision.admission.Refusal;
+import org.cranberrygauge.decision.routing.RoutingRequest;
+import org.cranberrygauge.model.backend.BackendServer;
+
+/**
+ * A request that waits for a backend server.
+ *
+ * @param queued What admission needs to know.
+ * @param routing What routing needs to know.
+ * @param onStart Takes the backend server that it starts on.
+ * @param onRefused Takes the refusal.
+ */
+public record PendingCall(
+        QueuedRequest queued, RoutingRequest routing, Consumer<BackendServer> onStart, Consumer<Refusal> onRefused) {}
--- /dev/null
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/usage/package-info.java
@@ -0,0 +1,2 @@
+/** Sending counted usage to the log. */
+package org.cranberrygauge.gateway.usage;
--- /dev/null
+++ b/cranberrygauge-model/src/main/java/org/cranberrygauge/model/customer/package-info.java
@@ -0,0 +1,2 @@
+/** Customers and the digests of their keys. */
+package org.cranberrygauge.model.customer;
--- /dev/null
+++ b/cranberrygauge-model/src/main/java/org/cranberrygauge/model/error/package-info.java
@@ -0,0 +1,2 @@
+/** Checked exceptions with stable codes. */
+package org.cranberrygauge.model.error;
--- /dev/null
+++ b/cranberrygauge-model/src/main/java/org/cranberrygauge/model/service/package-info.java
@@ -0,0 +1,2 @@
+/** Tiers, service classes and routes. */
+package org.cranberrygauge.model.service;
--- /dev/null
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/OperatorMain.java
@@ -0,0 +1,117 @@
+package org.cranberrygauge.operator;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.cranberrygauge.model.error.CranberrygaugeException;
+import org.cranberrygauge.model.error.ErrorCode;
+import org.cranberrygauge.operator.command.ApplyCommand;
+import org.cranberrygauge.operator.command.Command;
+import org.cranberrygauge.operator.command.ExitStatus;
+import org.cranberrygauge.operator.command.GenerateCommand;
+import org.cranberrygauge.operator.command.StatusCommand;
+import org.cranberrygauge.runtime.lifecycle.Program;
+import org.cranberrygauge.runtime.setting.SettingException;
+import org.cranberrygauge.runtime.setting.SettingsParser;
+
+/**
+ * The entry point of the operators' command line.
+ *
+ * <p>Stateless.
+ */
+public final class OperatorMain {
+
+    /** The name of the program. */
+    private static final String NAME = "cranberrygauge";
+
+    /** Prevents instances. */
+    private OperatorMain() {}
+
+    /**
+     * Runs a command.
+     *
+     * @param arguments The command line.
+     */
+    public static void main(String[] arguments) {
+        System.exit(run(arguments).number());
+    }
+
+    /**
+     * Runs a command.
+     *
+     * @param arguments The command line.
+     * @return The exit status.
+     */
+    static ExitStatus run(String... arguments) {
+        Map<String, Command> commands = new LinkedHashMap<>();
+        commands.put("generate", new GenerateCommand());
+        commands.put("apply", new ApplyCommand());
+        commands.put("status", new StatusCommand());
+        GeneralSettings general = new GeneralSettings();
+        SettingsParser parser = new SettingsParser(NAME, System.getenv());
+        JCommander.Builder builder = JCommander.newBuilder()
+                .programName(NAME)
+                .addObject(general)
+                .defaultProvider(parser.environmentProvider());
+        commands.forEach(builder::addCommand);
+        JCommander commander = builder.build();
+        try {
+            parser.parse(commander, arguments);
+        } catch (SettingException exception) {
+            System.err.println(exception.getMessage());
+            return ExitStatus.USAGE;
+        }
+        if (general.version) {
+            System.out.println(NAME + " " + Program.version());
+            return ExitStatus.DONE;
+        }
+        if (general.help || commander.getParsedCommand() == null) {
+            commander.usage();
+            return general.help ? ExitStatus.DONE : ExitStatus.USAGE;
+        }
+        return run(commands.get(commander.getParsedCommand()));
+    }
+
+    /**
+     * Runs a command and tells its errors.
+     *
+     * @param command The command.
+     * @return The exit status.
+     */
+    private static ExitStatus run(Command command) {
+        try {
+            return command.run(System.out);
+        } catch (CranberrygaugeException exception) {
+            System.err.println(NAME + ": " + exception.getMessage());
+            return statusOf(exception.code());
+        }
+    }
+
+    /**
+     * Returns the exit status of an error.
+     *
+     * @param code The code of the error.
+     * @return The exit status.
+     */
+    private static ExitStatus statusOf(ErrorCode code) {
+        return switch (code) {
+            case INVALID_CONFIGURATION, INVALID_REQUEST -> ExitStatus.INVALID;
+            case CONFIGURATION_CONFLICT -> ExitStatus.CONFLICT;
+            case LOG_UNAVAILABLE, PLATFORM_UNAVAILABLE -> ExitStatus.OUTAGE;
+            default -> ExitStatus.INTERNAL;
+        };
+    }
+
+    /** The settings that need no command. */
+    private static final class GeneralSettings {
+
+        /** Whether to print the usage and exit. */
+        @Parameter(names = "--help", help = true, description = "Prints this help and exits")
+        private boolean help;
+
+        /** Whether to print the version and exit. */
+        @Parameter(names = "--version", help = true, description = "Prints the version and exits")
+        private boolean version;
+    }
+}
--- /dev/null
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/command/GenerateCommand.java
@@ -0,0 +1,63 @@
+package org.cranberrygauge.operator.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.TreeMap;
+import org.cranberrygauge.model.configuration.Configuration;
+import org.cranberrygauge.model.error.CranberrygaugeException;
+import org.cranberrygauge.model.error.ErrorCode;
+import org.cranberrygauge.operator.questionnaire.AnswerReader;
+import org.cranberrygauge.operator.questionnaire.ConfigurationGenerator;
+import org.cranberrygauge.operator.questionnaire.KeySource;
+import org.cranberrygauge.operator.questionnaire.Questionnaire;
+import org.cranberrygauge.protocol.JsonCodec;
+
+/**
+ * Generates a configuration from a questionnaire.
+ *
+ * <p>Filled in by the settings parser, and used by one thread.
+ */
+@Parameters(commandDescription = "Generates a configuration from a filled-in questionnaire")
+public final class GenerateCommand implements Command {
+
+    /** The questionnaire. */
+    @Parameter(names = "--questionnaire", required = true, description = "File with the answers, as YAML")
+    private Path questionnaire;
+
+    /** The configuration whose keys are kept. */
+    @Parameter(names = "--before", description = "File with the configuration whose keys are kept, as JSON")
+    private Path before;
+
+    /** The file for the configuration. */
+    @Parameter(names = "--output", required = true, description = "File for the configuration, as JSON")
+    private Path output;
+
+    /** The file for the new keys. */
+    @Parameter(names = "--keys-output", required = true, description = "File for the keys of new customers, as JSON")
+    private Path keysOutput;
+
+    @Override
+    public ExitStatus run(PrintStream printer) throws CranberrygaugeException {
+        Questionnaire answers = AnswerReader.read(questionnaire, Questionnaire.class);
+        ConfigurationGenerator generator = new ConfigurationGenerator(new KeySource.Secure());
+        try {
+            Configuration kept = before == null
+                    ? Configuration.empty()
+                    : JsonCodec.read(Files.readString(before), Configuration.class);
+            Configuration configuration = generator.generate(answers, kept);
+            Map<String, String> keys = new TreeMap<>(generator.newKeys());
+            Files.writeString(output, JsonCodec.write(configuration) + "\n");
+            Files.writeString(keysOutput, JsonCodec.write(keys) + "\n");
+            printer.println("generated " + output + " with " + keys.size() + " new keys in " + keysOutput);
+            return ExitStatus.DONE;
+        } catch (IOException exception) {
+            throw new CranberrygaugeException(
+                    ErrorCode.INVALID_CONFIGURATION, "a file can't be read or written: " + exception, exception);
+        }
+    }
+}
--- /dev/null
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/command/package-info.java
@@ -0,0 +1,2 @@
+/** The commands. */
+package org.cranberrygauge.operator.command;
--- /dev/null
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The command line of operators. */
+package org.cranberrygauge.operator;
--- /dev/null
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/questionnaire/AnswerReader.java
@@ -0,0 +1,98 @@
+package org.cranberrygauge.operator.questionnaire;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.stream.Collectors;
+import org.cranberrygauge.model.error.CranberrygaugeException;
+import org.cranberrygauge.model.error.ErrorCode;
+
+/**
+ * Reads YAML files, with errors that name file, line and field.
+ *
+ * <p>Stateless and safe for use by several threads.
+ */
+public final class AnswerReader {
+
+    /** The mapper, which is safe for use by several threads once built. */
+    private static final ObjectMapper MAPPER = YAMLMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+            .build();
+
+    /** Prevents instances. */
+    private AnswerReader() {}
+
+    /**
+     * Reads a file.
+     *
+     * @param file The file.
+     * @param type The type.
+     * @param <T> The type.
+     * @return The value.
+     * @throws CranberrygaugeException If the file can't be read.
+     */
+    public static <T> T read(Path file, Class<T> type) throws CranberrygaugeException {
+        try {
+            return read(file.toString(), Files.readString(file), type);
+        } catch (IOException exception) {
+            throw new CranberrygaugeException(
+                    ErrorCode.INVALID_CONFIGURATION, file + ": can't be read: " + exception.getMessage(), exception);
+        }
+    }
+
+    /**
+     * Reads a text.
+     *
+     * @param name The name that errors give to the text.
+     * @param text The text.
+     * @param type The type.
+     * @param <T> The type.
+     * @return The value.
+     * @throws CranberrygaugeException If the text can't be read.
+     */
+    public static <T> T read(String name, String text, Class<T> type) throws CranberrygaugeException {
+        try {
+            T value = MAPPER.readValue(text, type);
+            if (value == null) {
+                throw new CranberrygaugeException(ErrorCode.INVALID_CONFIGURATION, name + ": is empty");
+            }
+            return value;
+        } catch (JsonProcessingException exception) {
+            throw new CranberrygaugeException(ErrorCode.INVALID_CONFIGURATION, describe(name, exception), exception);
+        }
+    }
+
+    /**
+     * Describes an error.
+     *
+     * @param name The name of the text.
+     * @param exception The error.
+     * @return The description with line and field.
+     */
+    private static String describe(String name, JsonProcessingException exception) {
+        JsonLocation location = exception.getLocation();
+        String line = location == null ? "" : ":" + location.getLineNr();
+        String field = exception instanceof JsonMappingException mapping ? path(mapping) : "";
+        String message = exception.getOriginalMessage().lines().findFirst().orElse("can't be read");
+        return name + line + ": " + (field.isEmpty() ? "" : field + ": ") + message;
+    }
+
+    /**
+     * Writes the path of a field.
+     *
+     * @param exception The error.
+     * @return The path, such as classes[0].tier.
+     */
+    private static String path(JsonMappingException exception) {
+        return exception.getPath().stream()
+                .map(part -> part.getFieldName() == null ? "[" + part.getIndex() + "]" : "." + part.getFieldName())
+                .collect(Collectors.joining())
+                .replaceFirst("^\\.", "");
+    }
+}
--- /dev/null
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/questionnaire/ConfigurationGenerator.java
@@ -0,0 +1,264 @@
+package org.cranberrygauge.operator.questionnaire;
+
+import java.time.LocalTime;
+import java.time.format.DateTimeParseException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.cranberrygauge.decision.configuration.ConfigurationChecks;
+import org.cranberrygauge.decision.configuration.ConfigurationProblem;
+import org.cranberrygauge.model.backend.BackendKind;
+import org.cranberrygauge.model.backend.BackendServer;
+import org.cranberrygauge.model.backend.DataCentre;
+import org.cranberrygauge.model.backend.NetworkAddress;
+import org.cranberrygauge.model.backend.Supply;
+import org.cranberrygauge.model.configuration.CleaningWindow;
+import org.cranberrygauge.model.configuration.Configuration;
+import org.cranberrygauge.model.configuration.FleetPool;
+import org.cranberrygauge.model.customer.Customer;
+import org.cranberrygauge.model.customer.CustomerKey;
+import org.cranberrygauge.model.customer.KeyDigest;
+import org.cranberrygauge.model.error.CranberrygaugeException;
+import org.cranberrygauge.model.error.ErrorCode;
+import org.cranberrygauge.model.service.Repetition;
+import org.cranberrygauge.model.service.ServiceClass;
+import org.cranberrygauge.model.service.ServiceRoute;
+
+/**
+ * Generates a configuration from the answers of a team.
+ *
+ * <p>Invariants: customers that were there keep their keys; each new customer gets one key, which is told once. Used by
+ * one thread.
+ */
+public final class ConfigurationGenerator {
+
+    /** The name of a customer's first key. */
+    private static final String FIRST_KEY = "first";
+
+    /** The number of minutes in an hour. */
+    private static final int MINUTES_PER_HOUR = 60;
+
+    /** The source of new keys. */
+    private final KeySource keySource;
+
+    /** The new keys by customer. */
+    private final Map<String, String> newKeys = new LinkedHashMap<>();
+
+    /**
+     * Creates a generator.
+     *
+     * @param keySource The source of new keys.
+     */
+    public ConfigurationGenerator(KeySource keySource) {
+        this.keySource = keySource;
+    }
+
+    /**
+     * Generates a configuration.
+     *
+     * @param answers The answers.
+     * @param before The configuration in force, whose keys are kept.
+     * @return The configuration.
+     * @throws CranberrygaugeException If the answers do not fit together.
+     */
+    public Configuration generate(Questionnaire answers, Configuration before) throws CranberrygaugeException {
+        newKeys.clear();
+        Configuration configuration = new Configuration(
+                String.valueOf(answers.deployment()),
+                answers.dataCentres().stream()
+                        .map(name -> new DataCentre(name, answers.region()))
+                        .toList(),
+                answers.classes().stream()
+                        .map(ConfigurationGenerator::serviceClass)
+                        .toList(),
+                answers.customers().stream()
+                        .map(answer -> customer(answer, before))
+                        .toList(),
+                answers.models(),
+                routes(answers),
+                backendServers(answers),
+                answers.fleet().stream().map(ConfigurationGenerator::pool).toList(),
+                cleaning(answers),
+                answers.times());
+        List<ConfigurationProblem> problems = ConfigurationChecks.problems(configuration);
+        if (!problems.isEmpty()) {
+            throw new CranberrygaugeException(
+                    ErrorCode.INVALID_CONFIGURATION,
+                    String.join(
+                            "; ",
+                            problems.stream()
+                                    .map(ConfigurationProblem::toString)
+                                    .toList()));
+        }
+        return configuration;
+    }
+
+    /**
+     * Returns the keys of the customers that are new.
+     *
+     * @return The keys by customer.
+     */
+    public Map<String, String> newKeys() {
+        return Map.copyOf(newKeys);
+    }
+
+    /**
+     * Converts a class.
+     *
+     * @param answer The answer.
+     * @return The class.
+     */
+    private static ServiceClass serviceClass(Questionnaire.ClassAnswer answer) {
+        return new ServiceClass(
+                answer.name(),
+                answer.tier(),
+                answer.guaranteedShare(),
+                answer.firstTokenMillis(),
+                answer.betweenTokensMillis(),
+                answer.longestWaitMillis(),
+                answer.queueLimit());
+    }
+
+    /**
+     * Converts a customer.
+     *
+     * @param answer The answer.
+     * @param before The configuration in force.
+     * @return The customer.
+     */
+    private Customer customer(Questionnaire.CustomerAnswer answer, Configuration before) {
+        Set<String> classes = answer.classes() == null ? Set.of() : answer.classes();
+        List<CustomerKey> keys = before.customer(answer.name())
+                .map(Customer::keys)
+                .orElseGet(() -> List.of(new CustomerKey(FIRST_KEY, KeyDigest.of(newKey(answer.name())))));
+        return new Customer(answer.name(), answer.weight(), keys, classes);
+    }
+
+    /**
+     * Makes a key for a new customer.
+     *
+     * @param customer The customer.
+     * @return The key.
+     */
+    private String newKey(String customer) {
+        String key = keySource.next();
+        newKeys.put(customer, key);
+        return key;
+    }
+
+    /**
+     * Converts the routes.
+     *
+     * @param answers The answers.
+     * @return The routes.
+     */
+    private static List<ServiceRoute> routes(Questionnaire answers) {
+        List<ServiceRoute> routes = new ArrayList<>();
+        for (Questionnaire.ServiceAnswer service : answers.services()) {
+            for (Questionnaire.RouteAnswer route : service.routes()) {
+                routes.add(new ServiceRoute(
+                        route.path(),
+                        route.method(),
+                        service.name(),
+                        route.className(),
+                        route.mayRepeat() ? Repetition.IDEMPOTENT : Repetition.AT_MOST_ONCE,
+                        route.open(),
+                        route.keyRequired(),
+                        route.statusPath() == null ? "" : route.statusPath()));
+            }
+        }
+        return routes;
+    }
+
+    /**
+     * Converts the engines and the workers of plain services.
+     *
+     * @param answers The answers.
+     * @return The backend servers.
+     */
+    private static List<BackendServer> backendServers(Questionnaire answers) {
+        List<BackendServer> servers = new ArrayList<>();
+        for (Questionnaire.EngineAnswer group : answers.engines()) {
+            int number = 0;
+            for (int port : group.ports()) {
+                number++;
+                servers.add(new BackendServer(
+                        group.name() + "-" + number,
+                        new NetworkAddress(group.host(), port),
+                        group.dataCentre(),
+                        BackendKind.MODEL,
+                        group.models(),
+                        Supply.REGULAR,
+                        group.slots(),
+                        group.checksFencing()));
+            }
+        }
+        for (Questionnaire.ServiceAnswer service : answers.services()) {
+            for (Questionnaire.WorkerAnswer worker : service.workers()) {
+                servers.add(new BackendServer(
+                        worker.name(),
+                        new NetworkAddress(worker.host(), worker.port()),
+                        worker.dataCentre(),
+                        BackendKind.SERVICE,
+                        Set.of(service.name()),
+                        Supply.REGULAR,
+                        worker.slots(),
+                        false));
+            }
+        }
+        return servers;
+    }
+
+    /**
+     * Converts a pool.
+     *
+     * @param answer The answer.
+     * @return The pool.
+     */
+    private static FleetPool pool(Questionnaire.PoolAnswer answer) {
+        return new FleetPool(
+                answer.dataCentre(),
+                answer.model(),
+                answer.supply(),
+                answer.minimum(),
+                answer.maximum(),
+                answer.costPerHour());
+    }
+
+    /**
+     * Converts the cleaning windows.
+     *
+     * @param answers The answers.
+     * @return The windows.
+     * @throws CranberrygaugeException If a time of day can't be read.
+     */
+    private static List<CleaningWindow> cleaning(Questionnaire answers) throws CranberrygaugeException {
+        List<CleaningWindow> windows = new ArrayList<>();
+        for (Questionnaire.CleaningAnswer answer : answers.cleaning()) {
+            windows.add(new CleaningWindow(
+                    answer.dataCentre(), answer.day(), minuteOfDay(answer.start()), answer.durationMinutes()));
+        }
+        return windows;
+    }
+
+    /**
+     * Reads a time of day.
+     *
+     * @param text The text.
+     * @return The minute of the day.
+     * @throws CranberrygaugeException If it can't be read.
+     */
+    private static int minuteOfDay(String text) throws CranberrygaugeException {
+        try {
+            LocalTime time = LocalTime.parse(text);
+            return time.getHour() * MINUTES_PER_HOUR + time.getMinute();
+        } catch (DateTimeParseException exception) {
+            throw new CranberrygaugeException(
+                    ErrorCode.INVALID_CONFIGURATION,
+                    "cleaning.start is \"" + text + "\"; allowed is HH:MM from 00:00 to 23:59",
+                    exception);
+        }
+    }
+}
--- /dev/null
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/questionnaire/package-info.java
@@ -0,0 +1,2 @@
+/** The questionnaire and the configuration that is generated from it. */
+package org.cranberrygauge.operator.questionnaire;
--- /dev/null
+++ b/cranberrygauge-protocol/src/main/java/org/cranberrygauge/protocol/log/package-info.java
@@ -0,0 +1,2 @@
+/** The codec of log entries. */
+package org.cranberrygauge.protocol.log;
--- /dev/null
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/lifecycle/package-info.java
@@ -0,0 +1,2 @@
+/** Start and planned stop of a process. */
+package org.cranberrygauge.runtime.lifecycle;
--- /dev/null
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/log/package-info.java
@@ -0,0 +1,2 @@
+/** Following the log and appending to it. */
+package org.cranberrygauge.runtime.log;
--- /dev/null
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** The metrics of a process. */
+package org.cranberrygauge.runtime.metrics;
--- /dev/null
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The client of the platform. */
+package org.cranberrygauge.runtime.platform;
--- /dev/null
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/setting/package-info.java
@@ -0,0 +1,2 @@
+/** Settings by flags and environment variables. */
+package org.cranberrygauge.runtime.setting;
--- /dev/null
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/time/package-info.java
@@ -0,0 +1,2 @@
+/** The sources of time that executors hand to deciding functions. */
+package org.cranberrygauge.runtime.time;
