--- a/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/replay/TraceCaller.java
+++ b/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/replay/TraceCaller.java
@@ -142,7 +142,7 @@
                 .putHeader("Content-Type", "application/json")
                 .putHeader("X-Service-Class", request.className())
                 .putHeader(ServiceStandIn.CALL_HEADER, request.callId());
-        if (request.isMutation()) {
+        if (request.mutates()) {
             options.putHeader("Idempotency-Key", request.callId());
         }
         return options;
@@ -157,7 +157,7 @@
      */
     private static Future<HttpClientResponse> send(HttpClientRequest sending, TraceRequest request) {
         if (request.kind() == TraceRequest.Kind.CALL) {
-            return request.isMutation()
+            return request.mutates()
                     ? sending.send(
                             new JsonObject().put("call", request.callId()).toBuffer())
                     : sending.send();
--- a/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/replay/TraceRequest.java
+++ b/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/replay/TraceRequest.java
@@ -41,7 +41,7 @@
      *
      * @return Whether it must run at most once.
      */
-    public boolean isMutation() {
+    public boolean mutates() {
         return kind == Kind.CALL && !"GET".equals(method);
     }
 
