--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
@@ -1,6 +1,7 @@
 package org.cranberrygauge.controller;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpServer;
@@ -12,8 +13,6 @@
 import org.cranberrygauge.decision.fleet.FleetPlanner;
 import org.cranberrygauge.decision.lease.LeaseKeeper;
 import org.cranberrygauge.decision.state.LogState;
-import org.cranberrygauge.model.configuration.ControlTimes;
-import org.cranberrygauge.model.record.LogRecord;
 import org.cranberrygauge.runtime.blackboard.Blackboard;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.lifecycle.Program;
@@ -95,8 +94,7 @@
         HttpPlatform platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
         follower = new LogFollower(vertx, platform, blackboard, time, events);
         appender = new LogAppender(vertx, platform, incarnation);
-        lease = new LeaseKeeper(
-                incarnation, settings.hostName(), ControlTimes.standard().leaseMillis(), time.monotonicMillis());
+        lease = new LeaseKeeper(incarnation, settings.hostName(), time.monotonicMillis());
         orders = new OrderDesk(
                 incarnation,
                 FleetPlanner.Minimum.INSTANCE,
@@ -131,13 +129,15 @@
     /** Stops the controller and gives the lease back. */
     public void stop() {
         stopping = true;
-        long nowMillis = time.monotonicMillis();
-        if (lease.holds(nowMillis)) {
-            Future<Long> released = appender.append(
-                    new LogRecord.LeaseRelease(incarnation, lease.state().lastClaimOffset()));
-            while (!released.isComplete() && time.monotonicMillis() < nowMillis + STOP_MILLIS) {
-                Thread.onSpinWait();
-            }
+        long untilMillis = time.monotonicMillis() + STOP_MILLIS;
+        Promise<Void> resigned = Promise.promise();
+        follower.onContext(state -> lease.resign(time.monotonicMillis())
+                .map(appender::append)
+                .orElse(Future.succeededFuture())
+                .<Void>mapEmpty()
+                .onComplete(resigned));
+        while (!resigned.future().isComplete() && time.monotonicMillis() < untilMillis) {
+            Thread.onSpinWait();
         }
         follower.stop();
         vertx.close();
@@ -154,7 +154,10 @@
         }
         long nowMillis = time.monotonicMillis();
         lease.observe(nowMillis, state.lease());
-        lease.decide(nowMillis).ifPresent(appender::append);
+        lease.decide(
+                        nowMillis,
+                        state.configuration().current().configuration().times().leaseMillis())
+                .ifPresent(appender::append);
         boolean holds = lease.holds(nowMillis);
         if (holds != held) {
             held = holds;
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/drain/DrainRegister.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/drain/DrainRegister.java
@@ -1,5 +1,6 @@
 package org.cranberrygauge.decision.drain;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import org.cranberrygauge.model.record.LogRecord.DrainEnded;
@@ -32,6 +33,18 @@
         return new DrainRegister(Map.of());
     }
 
+    /**
+     * Builds the state from a list of drains.
+     *
+     * @param started The drains.
+     * @return The state.
+     */
+    public static DrainRegister of(Collection<DrainStarted> started) {
+        Map<String, DrainStarted> drains = new HashMap<>();
+        started.forEach(drain -> drains.put(drain.drainId(), drain));
+        return new DrainRegister(drains);
+    }
+
     /**
      * Applies a start that was read from the log.
      *
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/lease/LeaseKeeper.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/lease/LeaseKeeper.java
@@ -2,12 +2,13 @@
 
 import java.util.Optional;
 import org.cranberrygauge.model.record.LogRecord.LeaseClaim;
+import org.cranberrygauge.model.record.LogRecord.LeaseRelease;
 
 /**
  * Decides when this process claims the lease, and whether it holds it.
  *
- * <p>Invariants: the holder counts its lease from before it sent the claim, on its monotonic clock; a claimant waits the
- * full lease and a margin from when it read the last valid claim. So two processes with sound monotonic clocks never
+ * <p>Invariants: the holder counts its lease from before it first sent the claim, on its monotonic clock; a claimant waits
+ * the full lease and a margin from when it read the last valid claim; a process that resigned never holds again. So two processes with sound monotonic clocks never
  * hold at once, whatever the log delays. Used by one thread.
  */
 public final class LeaseKeeper {
@@ -24,36 +25,40 @@
     /** The host of this process. */
     private final String host;
 
-    /** The length of the lease that this process claims in milliseconds. */
-    private final long leaseMillis;
-
     /** The lease as last read. */
     private LeaseState state = LeaseState.initial();
 
     /** The monotonic time at which the last valid claim was read. */
     private long readAtMillis;
 
-    /** The monotonic time before the pending claim was sent, or -1 for none. */
+    /** The monotonic time before the first of the pending claims was sent, or -1 for none. */
     private long pendingSentAtMillis = -1;
 
-    /** The offset named by the pending claim. */
+    /** The monotonic time before the last of the pending claims was sent. */
+    private long repeatedAtMillis;
+
+    /** The shortest lease that a pending claim asks for in milliseconds. */
+    private long pendingLeaseMillis;
+
+    /** The offset named by the pending claims. */
     private long pendingPrevious;
 
     /** The monotonic time until which this process holds the lease. */
     private long heldUntilMillis = Long.MIN_VALUE;
 
+    /** Whether this process gave the lease up for good. */
+    private boolean resigned;
+
     /**
      * Creates a keeper.
      *
      * @param incarnation The incarnation of this process.
      * @param host The host of this process.
-     * @param leaseMillis The length of the lease in milliseconds.
      * @param nowMillis The present monotonic time in milliseconds.
      */
-    public LeaseKeeper(String incarnation, String host, long leaseMillis, long nowMillis) {
+    public LeaseKeeper(String incarnation, String host, long nowMillis) {
         this.incarnation = incarnation;
         this.host = host;
-        this.leaseMillis = leaseMillis;
         this.readAtMillis = nowMillis;
     }
 
@@ -78,20 +83,41 @@
      * Decides whether to claim or renew now.
      *
      * @param nowMillis The present monotonic time in milliseconds.
+     * @param leaseMillis The length of the lease in force in milliseconds.
      * @return The claim to append, or nothing.
      */
-    public Optional<LeaseClaim> decide(long nowMillis) {
-        if (pendingSentAtMillis >= 0 && nowMillis - pendingSentAtMillis < leaseMillis / RENEWALS_PER_LEASE) {
+    public Optional<LeaseClaim> decide(long nowMillis, long leaseMillis) {
+        boolean pending = pendingSentAtMillis >= 0;
+        if (resigned || pending && nowMillis - repeatedAtMillis < leaseMillis) {
             return Optional.empty();
         }
-        if (!isDue(nowMillis)) {
+        if (!pending && !isDue(nowMillis)) {
             return Optional.empty();
         }
-        pendingSentAtMillis = nowMillis;
-        pendingPrevious = state.lastClaimOffset();
+        if (!pending) {
+            pendingSentAtMillis = nowMillis;
+            pendingLeaseMillis = leaseMillis;
+            pendingPrevious = state.lastClaimOffset();
+        }
+        repeatedAtMillis = nowMillis;
+        pendingLeaseMillis = Math.min(pendingLeaseMillis, leaseMillis);
+        heldUntilMillis = Math.min(heldUntilMillis, nowMillis + leaseMillis);
         return Optional.of(new LeaseClaim(incarnation, host, state.lastClaimOffset(), leaseMillis));
     }
 
+    /**
+     * Gives the lease up for good, before a planned stop; from here on this process neither holds nor claims it.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @return The release to append, or nothing if the lease is not held.
+     */
+    public Optional<LeaseRelease> resign(long nowMillis) {
+        boolean held = holds(nowMillis);
+        resigned = true;
+        heldUntilMillis = Long.MIN_VALUE;
+        return held ? Optional.of(new LeaseRelease(incarnation, state.lastClaimOffset())) : Optional.empty();
+    }
+
     /**
      * Tells whether this process holds the lease.
      *
@@ -131,14 +157,15 @@
     }
 
     /**
-     * Starts to hold the lease if the newest valid claim is the pending one.
+     * Starts to hold the lease if the newest valid claim is a pending one. It may be any of those that were sent, so that
+     * the lease is counted from the first.
      *
      * @param read The lease as read.
      */
     private void acceptOwnClaim(LeaseState read) {
         boolean own = read.holder().equals(incarnation) && pendingSentAtMillis >= 0;
-        if (own && pendingPrevious == state.lastClaimOffset()) {
-            heldUntilMillis = pendingSentAtMillis + leaseMillis;
+        if (own && !resigned && pendingPrevious == state.lastClaimOffset()) {
+            heldUntilMillis = pendingSentAtMillis + pendingLeaseMillis;
         }
         pendingSentAtMillis = -1;
     }
@@ -154,7 +181,10 @@
             return true;
         }
         if (holds(nowMillis)) {
-            return remainingMillis(nowMillis) < leaseMillis - leaseMillis / RENEWALS_PER_LEASE;
+            return remainingMillis(nowMillis) < state.leaseMillis() - state.leaseMillis() / RENEWALS_PER_LEASE;
+        }
+        if (state.holder().equals(incarnation)) {
+            return true;
         }
         return nowMillis - readAtMillis > state.leaseMillis() + state.leaseMillis() / MARGINS_PER_LEASE;
     }
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/membership/Members.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/membership/Members.java
@@ -75,4 +75,27 @@
     public Collection<GatewayMember> all() {
         return byHost.values();
     }
+
+    /**
+     * Tells whether an incarnation is a member. One that is not may have been declared gone, and others may then take a
+     * change for accepted without it.
+     *
+     * @param gateway The incarnation.
+     * @return Whether it is a member.
+     */
+    public boolean contains(String gateway) {
+        return byHost.values().stream().anyMatch(member -> member.gateway().equals(gateway));
+    }
+
+    /**
+     * Builds the state from a list of members.
+     *
+     * @param members The members.
+     * @return The state.
+     */
+    public static Members of(Collection<GatewayMember> members) {
+        Map<String, GatewayMember> byHost = new HashMap<>();
+        members.forEach(member -> byHost.put(member.host(), member));
+        return new Members(byHost);
+    }
 }
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/reservation/Reservations.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/reservation/Reservations.java
@@ -1,7 +1,8 @@
 package org.cranberrygauge.decision.reservation;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -14,7 +15,7 @@
  *
  * <p>Invariants: of all reservations of one customer, route and key within the retention, the one with the lowest offset
  * wins in every reader; a call whose outcome is known or unknown never gets a second winner; only a recorded outcome of
- * "not run", a release by an operator or the end of the retention frees the key. Time is that of the log, so that every
+ * "not run", a release by an operator or the end of the retention frees the key; an identifier reserves one key only. Time is that of the log, so that every
  * reader forgets at the same entry. One thread writes; any thread reads.
  */
 public final class Reservations {
@@ -22,27 +23,26 @@
     /** The winners by key. */
     private final Map<Name, ReservationState> winners = new ConcurrentHashMap<>();
 
-    /** The keys by the identifier of their winner. */
-    private final Map<String, Name> names = new ConcurrentHashMap<>();
-
-    /** The winners in the order in which they were reserved. */
-    private final Deque<ReservationState> order = new ArrayDeque<>();
+    /** The keys by the identifier of their winner, in the order in which they were reserved; used by one thread. */
+    private final Map<String, Name> names = new LinkedHashMap<>();
 
     /**
      * Applies a reservation that was read from the log.
      *
      * @param offset The offset of its log entry.
+     * @param appendedAtMillis The time at which the log took it in milliseconds of the epoch.
      * @param reservation The reservation.
      * @return The verdict for the call that wrote it.
      */
-    public ReservationVerdict reserve(long offset, Reservation reservation) {
+    public ReservationVerdict reserve(long offset, long appendedAtMillis, Reservation reservation) {
         Name name = Name.of(reservation);
         ReservationState winner = winners.get(name);
+        if (winner == null && names.containsKey(reservation.reservationId())) {
+            return ReservationVerdict.OtherBody.INSTANCE;
+        }
         if (winner == null) {
-            ReservationState state = new ReservationState(offset, reservation, null);
-            winners.put(name, state);
+            winners.put(name, new ReservationState(offset, appendedAtMillis, reservation, null));
             names.put(reservation.reservationId(), name);
-            order.addLast(state);
             return ReservationVerdict.Won.INSTANCE;
         }
         if (winner.reservation().reservationId().equals(reservation.reservationId())) {
@@ -62,22 +62,25 @@
             return;
         }
         if (outcome.disposition() == Disposition.NOT_RUN) {
-            release(outcome.reservationId());
+            freeUnanswered(name, outcome.reservationId());
             return;
         }
         winners.computeIfPresent(name, (key, state) -> state.withOutcome(outcome));
     }
 
     /**
-     * Frees the key of a reservation.
+     * Frees the key of a reservation for an operator; void while the call runs, since it could then run twice.
      *
      * @param reservationId The identifier of the reservation.
+     * @return Whether the key is free.
      */
-    public void release(String reservationId) {
-        Name name = names.remove(reservationId);
-        if (name != null) {
-            winners.remove(name);
+    public boolean release(String reservationId) {
+        Name name = names.get(reservationId);
+        if (name == null || winners.get(name).outcome() == null) {
+            return false;
         }
+        forget(reservationId);
+        return true;
     }
 
     /**
@@ -86,24 +89,50 @@
      * @param gateway The incarnation of the gateway.
      */
     public void gatewayLeft(String gateway) {
-        for (ReservationState state : order) {
-            if (state.reservation().gateway().equals(gateway)) {
-                record(new ReservationOutcome(
-                        state.reservation().reservationId(), Disposition.UNKNOWN, 0, "", "", false));
-            }
+        for (Name name : names.values()) {
+            winners.computeIfPresent(name, (key, state) -> endedWith(gateway, state));
         }
     }
 
     /**
-     * Forgets reservations that are older than the retention.
+     * Forgets reservations that are older than the retention, by the times at which the log took them.
      *
      * @param logTimeMillis The time of the newest log entry in milliseconds of the epoch.
      * @param retentionMillis The retention in milliseconds.
      */
     public void expire(long logTimeMillis, long retentionMillis) {
-        while (!order.isEmpty()
-                && order.peekFirst().reservation().reservedAtMillis() + retentionMillis < logTimeMillis) {
-            release(order.removeFirst().reservation().reservationId());
+        Iterator<Name> oldest = names.values().iterator();
+        while (oldest.hasNext()) {
+            Name name = oldest.next();
+            if (winners.get(name).appendedAtMillis() + retentionMillis >= logTimeMillis) {
+                return;
+            }
+            oldest.remove();
+            winners.remove(name);
+        }
+    }
+
+    /**
+     * Returns the remembered reservations in the order in which they were reserved.
+     *
+     * @return The reservations.
+     */
+    public List<ReservationState> export() {
+        return names.values().stream().map(winners::get).toList();
+    }
+
+    /**
+     * Replaces all reservations.
+     *
+     * @param states The reservations in the order in which they were reserved.
+     */
+    public void restore(List<ReservationState> states) {
+        names.clear();
+        winners.clear();
+        for (ReservationState state : states) {
+            Name name = Name.of(state.reservation());
+            names.put(state.reservation().reservationId(), name);
+            winners.put(name, state);
         }
     }
 
@@ -130,6 +159,43 @@
         return winners.size();
     }
 
+    /**
+     * Frees a key whose call was not run, unless an answer shows that it was.
+     *
+     * @param name The key.
+     * @param reservationId The identifier of the reservation.
+     */
+    private void freeUnanswered(Name name, String reservationId) {
+        ReservationOutcome known = winners.get(name).outcome();
+        if (known == null || known.disposition() != Disposition.ANSWERED) {
+            forget(reservationId);
+        }
+    }
+
+    /**
+     * Forgets a reservation.
+     *
+     * @param reservationId The identifier of the reservation.
+     */
+    private void forget(String reservationId) {
+        winners.remove(names.remove(reservationId));
+    }
+
+    /**
+     * Ends a running call of a gateway that is gone.
+     *
+     * @param gateway The incarnation of the gateway.
+     * @param state The call.
+     * @return The call after it.
+     */
+    private static ReservationState endedWith(String gateway, ReservationState state) {
+        if (state.outcome() != null || !state.reservation().gateway().equals(gateway)) {
+            return state;
+        }
+        return state.withOutcome(
+                new ReservationOutcome(state.reservation().reservationId(), Disposition.UNKNOWN, 0, "", "", false));
+    }
+
     /**
      * Judges a later call against the winner of its key.
      *
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/state/LogState.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/state/LogState.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.cranberrygauge.decision.configuration.ConfigurationMachine;
@@ -10,6 +12,9 @@
 import org.cranberrygauge.decision.membership.Members;
 import org.cranberrygauge.decision.reservation.ReservationVerdict;
 import org.cranberrygauge.decision.reservation.Reservations;
+import org.cranberrygauge.decision.snapshot.Snapshot;
+import org.cranberrygauge.decision.snapshot.SnapshotMark;
+import org.cranberrygauge.decision.snapshot.WriterPosition;
 import org.cranberrygauge.decision.usage.UsageLedger;
 import org.cranberrygauge.model.record.LogEntry;
 import org.cranberrygauge.model.record.LogRecord;
@@ -23,11 +28,17 @@
  */
 public final class LogState {
 
+    /** The time after which no copy of an entry can still arrive in milliseconds. */
+    private static final long LONGEST_DELAY_MILLIS = 3_600_000;
+
     /** The offset of the last applied entry. */
     private long offset;
 
-    /** The highest sequence number applied of each writer. */
-    private final Map<String, Long> sequences = new HashMap<>();
+    /** The time of the log at the last applied entry in milliseconds of the epoch; it never falls. */
+    private long logTimeMillis;
+
+    /** How far the entries of each writer were applied, the one that was idle longest first. */
+    private final Map<String, WriterPosition> writers = new LinkedHashMap<>();
 
     /** The configuration. */
     private ConfigurationMachine configuration = ConfigurationMachine.initial();
@@ -50,6 +61,9 @@
     /** The orders whose outcome is not in the log, by identifier. */
     private final Map<String, LogRecord.OrderIntent> openOrders = new HashMap<>();
 
+    /** The newest whole snapshot in the log. */
+    private SnapshotMark snapshot = SnapshotMark.none();
+
     /**
      * Applies an entry.
      *
@@ -63,14 +77,14 @@
             return List.of();
         }
         offset = entryOffset;
-        Long seen = sequences.get(entry.writer());
-        if (seen != null && entry.sequence() <= seen) {
+        logTimeMillis = Math.max(logTimeMillis, appendedAtMillis);
+        forgetOld();
+        WriterPosition seen = writers.get(entry.writer());
+        if (seen != null && entry.sequence() <= seen.sequence()) {
             return List.of();
         }
-        sequences.put(entry.writer(), entry.sequence());
-        reservations.expire(
-                appendedAtMillis,
-                configuration.current().configuration().times().reservationRetentionMillis());
+        writers.remove(entry.writer());
+        writers.put(entry.writer(), new WriterPosition(entry.writer(), entry.sequence(), logTimeMillis));
         List<Effect> effects = new ArrayList<>();
         for (LogRecord record : entry.records()) {
             apply(record, effects);
@@ -87,6 +101,63 @@
         offset = Math.max(offset, entryOffset);
     }
 
+    /**
+     * Returns all that follows from the log up to the last applied entry.
+     *
+     * @return The snapshot.
+     */
+    public Snapshot export() {
+        return new Snapshot(
+                offset,
+                logTimeMillis,
+                configuration,
+                lease,
+                List.copyOf(members.all()),
+                List.copyOf(drains.drains().values()),
+                reservations.export(),
+                usage.export(),
+                List.copyOf(writers.values()),
+                List.copyOf(openOrders.values()),
+                snapshot);
+    }
+
+    /**
+     * Goes on from a snapshot, unless more of the log was applied already.
+     *
+     * @param from The snapshot.
+     * @return Whether the state is that of the snapshot.
+     */
+    public boolean restore(Snapshot from) {
+        if (from.offset() <= offset) {
+            return false;
+        }
+        offset = from.offset();
+        logTimeMillis = from.logTimeMillis();
+        configuration = from.configuration();
+        lease = from.lease();
+        members = Members.of(from.members());
+        drains = DrainRegister.of(from.drains());
+        reservations.restore(from.reservations());
+        usage.restore(from.usage());
+        writers.clear();
+        from.writers().forEach(position -> writers.put(position.writer(), position));
+        openOrders.clear();
+        from.openOrders().forEach(intent -> openOrders.put(intent.orderId(), intent));
+        snapshot = from.previous();
+        return true;
+    }
+
+    /** Forgets what is older than any copy can be late, by the time of the log. */
+    private void forgetOld() {
+        long retentionMillis = configuration.current().configuration().times().reservationRetentionMillis();
+        reservations.expire(logTimeMillis, retentionMillis);
+        usage.forget(logTimeMillis - Math.max(retentionMillis, LONGEST_DELAY_MILLIS), members);
+        Iterator<WriterPosition> idle = writers.values().iterator();
+        while (idle.hasNext() && idle.next().appendedAtMillis() + LONGEST_DELAY_MILLIS < logTimeMillis) {
+            idle.remove();
+        }
+    }
+
     /**
      * Applies one record.
      *
@@ -103,14 +174,14 @@
         } else if (record instanceof LogRecord.LeaseRelease release) {
             lease = lease.apply(release);
         } else if (record instanceof LogRecord.Reservation reservation) {
-            ReservationVerdict verdict = reservations.reserve(offset, reservation);
+            ReservationVerdict verdict = reservations.reserve(offset, logTimeMillis, reservation);
             effects.add(new Effect.ReservationJudged(reservation.reservationId(), verdict));
         } else if (record instanceof LogRecord.ReservationOutcome outcome) {
             reservations.record(outcome);
         } else if (record instanceof LogRecord.ReservationRelease release) {
             reservations.release(release.reservationId());
         } else if (record instanceof LogRecord.OrderIntent intent) {
-            boolean valid = intent.fencingNumber() == lease.fencingNumber();
+            boolean valid = intent.fencingNumber() == lease.fencingNumber() && !lease.released();
             if (valid) {
                 openOrders.put(intent.orderId(), intent);
             }
@@ -127,7 +198,9 @@
      */
     private void applyControl(LogRecord record) {
         if (record instanceof LogRecord.GatewayJoined joined) {
-            members.onHost(joined.host()).ifPresent(replaced -> reservations.gatewayLeft(replaced.gateway()));
+            members.onHost(joined.host())
+                    .filter(replaced -> !replaced.gateway().equals(joined.gateway()))
+                    .ifPresent(replaced -> reservations.gatewayLeft(replaced.gateway()));
             members = members.apply(joined);
         } else if (record instanceof LogRecord.GatewayLeft left) {
             members = members.apply(left);
@@ -135,7 +208,7 @@
         } else if (record instanceof LogRecord.OrderOutcome outcome) {
             openOrders.remove(outcome.orderId());
         } else if (record instanceof LogRecord.UsageDelta delta) {
-            usage.apply(delta);
+            usage.apply(logTimeMillis, delta);
         } else if (record instanceof LogRecord.WindowClose close) {
             usage.apply(close, lease.fencingNumber());
         } else if (record instanceof LogRecord.WindowReported reported) {
@@ -144,6 +217,8 @@
             drains = drains.apply(started, lease.fencingNumber());
         } else if (record instanceof LogRecord.DrainEnded ended) {
             drains = drains.apply(ended, lease.fencingNumber());
+        } else if (record instanceof LogRecord.SnapshotPart part && part.index() == part.count() - 1) {
+            snapshot = new SnapshotMark(Math.max(snapshot.throughOffset(), part.throughOffset()), logTimeMillis);
         }
     }
 
@@ -218,4 +293,22 @@
     public Map<String, LogRecord.OrderIntent> openOrders() {
         return Map.copyOf(openOrders);
     }
+
+    /**
+     * Returns the time of the log at the last applied entry.
+     *
+     * @return The time in milliseconds of the epoch.
+     */
+    public long logTimeMillis() {
+        return logTimeMillis;
+    }
+
+    /**
+     * Returns the newest whole snapshot in the log.
+     *
+     * @return The mark.
+     */
+    public SnapshotMark snapshot() {
+        return snapshot;
+    }
 }
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/usage/UsageLedger.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/usage/UsageLedger.java
@@ -1,9 +1,13 @@
 package org.cranberrygauge.decision.usage;
 
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.cranberrygauge.decision.membership.Members;
 import org.cranberrygauge.model.record.LogRecord.UsageDelta;
 import org.cranberrygauge.model.record.LogRecord.WindowClose;
 import org.cranberrygauge.model.record.LogRecord.WindowReported;
@@ -19,8 +23,8 @@
  */
 public final class UsageLedger {
 
-    /** The cumulative totals by gateway incarnation. */
-    private final Map<String, Map<UsageKey, UsageFigures>> totals = new HashMap<>();
+    /** The cumulative totals by gateway incarnation, the one that was silent longest first. */
+    private final Map<String, GatewayTotals> totals = new LinkedHashMap<>();
 
     /** The usage since the last close. */
     private final Map<UsageKey, UsageFigures> open = new HashMap<>();
@@ -34,10 +38,12 @@
     /**
      * Applies a delta that was read from the log.
      *
+     * @param logTimeMillis The time of the log in milliseconds of the epoch.
      * @param delta The delta.
      */
-    public void apply(UsageDelta delta) {
-        Map<UsageKey, UsageFigures> gateway = totals.computeIfAbsent(delta.gateway(), name -> new HashMap<>());
+    public void apply(long logTimeMillis, UsageDelta delta) {
+        GatewayTotals known = totals.remove(delta.gateway());
+        Map<UsageKey, UsageFigures> gateway = known == null ? new HashMap<>() : new HashMap<>(known.figures());
         delta.totals().forEach((key, figures) -> {
             UsageFigures before = gateway.getOrDefault(key, UsageFigures.none());
             UsageFigures after = before.maximum(figures);
@@ -46,6 +52,27 @@
                 open.merge(key, after.minus(before), UsageFigures::plus);
             }
         });
+        totals.put(delta.gateway(), new GatewayTotals(delta.gateway(), logTimeMillis, gateway));
+    }
+
+    /**
+     * Forgets the totals of incarnations that are gone and were silent for long; a delta of such an incarnation would be
+     * counted again as a whole, so the time must be longer than any append can be late.
+     *
+     * @param beforeMillis The time of the log before which the last delta was, in milliseconds of the epoch.
+     * @param members The gateways.
+     */
+    public void forget(long beforeMillis, Members members) {
+        Iterator<GatewayTotals> silent = totals.values().iterator();
+        while (silent.hasNext()) {
+            GatewayTotals gateway = silent.next();
+            if (gateway.lastDeltaMillis() >= beforeMillis) {
+                return;
+            }
+            if (!members.contains(gateway.gateway())) {
+                silent.remove();
+            }
+        }
     }
 
     /**
@@ -109,4 +136,68 @@
      * @param figures The usage by customer and class.
      */
     public record ClosedWindow(long windowId, Map<UsageKey, UsageFigures> figures) {}
+
+    /**
+     * Returns all that the ledger knows.
+     *
+     * @return The totals.
+     */
+    public Totals export() {
+        List<ClosedWindow> windows = unreported.entrySet().stream()
+                .map(entry -> new ClosedWindow(entry.getKey(), entry.getValue()))
+                .toList();
+        return new Totals(List.copyOf(totals.values()), open, windows, lastClosed);
+    }
+
+    /**
+     * Replaces all that the ledger knows.
+     *
+     * @param known The totals.
+     */
+    public void restore(Totals known) {
+        totals.clear();
+        known.gateways().forEach(gateway -> totals.put(gateway.gateway(), gateway));
+        open.clear();
+        open.putAll(known.open());
+        unreported.clear();
+        known.unreported().forEach(window -> unreported.put(window.windowId(), window.figures()));
+        lastClosed = known.lastClosed();
+    }
+
+    /**
+     * The cumulative totals of one gateway incarnation.
+     *
+     * @param gateway The incarnation.
+     * @param lastDeltaMillis The time of the log at its last delta in milliseconds of the epoch.
+     * @param figures The totals by customer and class.
+     */
+    public record GatewayTotals(String gateway, long lastDeltaMillis, Map<UsageKey, UsageFigures> figures) {
+
+        /** Copies the map. */
+        public GatewayTotals {
+            figures = Map.copyOf(figures);
+        }
+    }
+
+    /**
+     * All that a ledger knows.
+     *
+     * @param gateways The cumulative totals, the gateway that was silent longest first.
+     * @param open The usage since the last close.
+     * @param unreported The closed windows that the platform has not acknowledged.
+     * @param lastClosed The number of the last closed window.
+     */
+    public record Totals(
+            List<GatewayTotals> gateways,
+            Map<UsageKey, UsageFigures> open,
+            List<ClosedWindow> unreported,
+            long lastClosed) {
+
+        /** Copies the lists and the map. */
+        public Totals {
+            gateways = List.copyOf(gateways);
+            open = Map.copyOf(open);
+            unreported = List.copyOf(unreported);
+        }
+    }
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -145,7 +145,8 @@
                 new TieredAdmissionQueue(), RoutingPolicy.LeastInFlight.INSTANCE, board, time, new Random());
         usage = new UsageCounter(incarnation);
         shipper = new UsageShipper(usage, appender);
-        gate = new AdmissionGate(blackboard, AdmissionFreshness.Default.INSTANCE, time, settings.hostName());
+        gate = new AdmissionGate(
+                blackboard, AdmissionFreshness.Default.INSTANCE, time, settings.hostName(), incarnation);
     }
 
     /**
@@ -173,11 +174,7 @@
                 follower,
                 time);
         follower.start();
-        appender.append(new LogRecord.GatewayJoined(
-                incarnation,
-                settings.hostName(),
-                settings.dataCentre(),
-                settings.exchangeAddress().host() + ":" + exchangeServer.port()));
+        join();
         startTimers();
         return listen(desk);
     }
@@ -224,8 +221,26 @@
         return operationsServer.actualPort();
     }
 
+    /** Joins, also again after this gateway was declared gone or replaced; a second join has no effect. */
+    private void join() {
+        appender.append(new LogRecord.GatewayJoined(
+                incarnation,
+                settings.hostName(),
+                settings.dataCentre(),
+                settings.exchangeAddress().host() + ":" + exchangeServer.port()));
+    }
+
+    /** Joins again if this gateway is no member and nothing that it wrote is under way. */
+    private void joinIfMissing() {
+        boolean missing = !blackboard.log().members().contains(incarnation);
+        if (missing && appender.backlog() == 0 && !gate.isDraining()) {
+            join();
+        }
+    }
+
     /** Starts what is done again and again. */
     private void startTimers() {
+        vertx.setPeriodic(LIST_MILLIS, timer -> joinIfMissing());
         vertx.setPeriodic(TICK_MILLIS, timer -> {
             board.refresh(time.monotonicMillis());
             scheduler.tick();
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/AdmissionGate.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/AdmissionGate.java
@@ -1,6 +1,7 @@
 package org.cranberrygauge.gateway.http;
 
 import org.cranberrygauge.decision.membership.AdmissionFreshness;
+import org.cranberrygauge.decision.membership.Members;
 import org.cranberrygauge.model.error.CranberrygaugeException;
 import org.cranberrygauge.model.error.ErrorCode;
 import org.cranberrygauge.runtime.blackboard.Blackboard;
@@ -25,6 +26,9 @@
     /** The host of this gateway. */
     private final String host;
 
+    /** The incarnation of this gateway. */
+    private final String gateway;
+
     /** Whether a planned stop began. */
     private volatile boolean draining;
 
@@ -35,12 +39,15 @@
      * @param freshness The rule of freshness.
      * @param time The sources of time.
      * @param host The host of this gateway.
+     * @param gateway The incarnation of this gateway.
      */
-    public AdmissionGate(Blackboard blackboard, AdmissionFreshness freshness, TimeSource time, String host) {
+    public AdmissionGate(
+            Blackboard blackboard, AdmissionFreshness freshness, TimeSource time, String host, String gateway) {
         this.blackboard = blackboard;
         this.freshness = freshness;
         this.time = time;
         this.host = host;
+        this.gateway = gateway;
     }
 
     /** Stops to admit, for a planned stop. */
@@ -71,7 +78,8 @@
         }
         if (!freshness.mayAdmit(time.monotonicMillis(), view())) {
             throw new CranberrygaugeException(
-                    ErrorCode.NOT_ADMITTING, "this gateway is cut off and may not know withdrawn keys");
+                    ErrorCode.NOT_ADMITTING,
+                    "this gateway is cut off or no member yet, and may not know withdrawn keys");
         }
     }
 
@@ -81,13 +89,17 @@
      * @return The view.
      */
     private AdmissionFreshness.View view() {
-        long others = blackboard.log().members().all().stream()
+        Members members = blackboard.log().members();
+        long others = members.all().stream()
                 .filter(member -> !member.host().equals(host))
                 .count();
         return new AdmissionFreshness.View(
                 blackboard.position().endReadAtMillis(),
                 blackboard.configuration().times().freshnessMillis(),
-                blackboard.peers().values(),
-                (int) others);
+                blackboard.log().configuration().current().version(),
+                blackboard.position().offset(),
+                members.contains(gateway),
+                (int) others,
+                blackboard.peers().values());
     }
 }
--- a/cranberrygauge-model/src/main/java/org/cranberrygauge/model/record/LogRecord.java
+++ b/cranberrygauge-model/src/main/java/org/cranberrygauge/model/record/LogRecord.java
@@ -190,4 +190,16 @@
      * @param fencingNumber The fencing number of the lease; 0 for an operator.
      */
     record DrainEnded(String drainId, long fencingNumber) implements LogRecord {}
+
+    /**
+     * A part of a snapshot of all that follows from the log.
+     *
+     * @param snapshotId The identifier of the snapshot.
+     * @param throughOffset The offset up to which the snapshot holds the log.
+     * @param index The number of the part, from 0.
+     * @param count The number of parts.
+     * @param text The part of the snapshot's text.
+     */
+    record SnapshotPart(String snapshotId, long throughOffset, int index, int count, String text)
+            implements LogRecord {}
 }
