--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
@@ -12,12 +12,14 @@
 import org.cranberrygauge.controller.usage.UsageReporter;
 import org.cranberrygauge.decision.fleet.FleetPlanner;
 import org.cranberrygauge.decision.lease.LeaseKeeper;
+import org.cranberrygauge.decision.snapshot.SnapshotSchedule;
 import org.cranberrygauge.decision.state.LogState;
 import org.cranberrygauge.runtime.blackboard.Blackboard;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.lifecycle.Program;
 import org.cranberrygauge.runtime.log.LogAppender;
 import org.cranberrygauge.runtime.log.LogFollower;
+import org.cranberrygauge.runtime.log.SnapshotWriter;
 import org.cranberrygauge.runtime.platform.HttpPlatform;
 import org.cranberrygauge.runtime.time.TimeSource;
 
@@ -70,6 +72,9 @@
     /** Reports usage. */
     private final UsageReporter usage;
 
+    /** Writes snapshots. */
+    private final SnapshotWriter snapshots;
+
     /** Whether the lease was held at the last tick. */
     private boolean held;
 
@@ -106,6 +111,11 @@
                 time,
                 events);
         usage = new UsageReporter(incarnation, lease, follower, appender, platform, time, events);
+        snapshots = new SnapshotWriter(
+                incarnation,
+                new SnapshotSchedule.Periodic(settings.snapshotIntervalMillis()),
+                appender::append,
+                events);
     }
 
     /**
@@ -168,6 +178,7 @@
             return;
         }
         usage.tick(state);
+        snapshots.tick(state);
         if (ticks++ % TICKS_PER_PLAN == 0) {
             orders.tick(state);
         }
--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/ControllerSettings.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/ControllerSettings.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.Parameter;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.runtime.setting.AddressConverter;
+import org.cranberrygauge.runtime.setting.PositiveNumber;
 import org.cranberrygauge.runtime.setting.ProcessSettings;
 
 /**
@@ -20,6 +21,22 @@
             description = "HOST:PORT for /health and /state; port 0 takes any free one")
     private NetworkAddress operationsAddress;
 
+    /** The time between two snapshots in milliseconds. */
+    @Parameter(
+            names = "--snapshot-interval-millis",
+            validateWith = PositiveNumber.class,
+            description = "Milliseconds of the log's time between two snapshots; at most a quarter of its retention")
+    private long snapshotIntervalMillis = 900_000;
+
+    /**
+     * Returns the time between two snapshots.
+     *
+     * @return The time in milliseconds.
+     */
+    public long snapshotIntervalMillis() {
+        return snapshotIntervalMillis;
+    }
+
     /**
      * Returns the address for operations.
      *
--- a/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/log/LogSession.java
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/log/LogSession.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.cranberrygauge.decision.configuration.ConfigurationMachine.Verdict;
+import org.cranberrygauge.decision.snapshot.Snapshot;
 import org.cranberrygauge.decision.state.Effect;
 import org.cranberrygauge.decision.state.LogState;
 import org.cranberrygauge.model.error.CranberrygaugeException;
@@ -16,6 +17,7 @@
 import org.cranberrygauge.model.record.LogRecord;
 import org.cranberrygauge.protocol.log.LogCodec;
 import org.cranberrygauge.protocol.platform.PlatformLog;
+import org.cranberrygauge.runtime.log.SnapshotReader;
 import org.cranberrygauge.runtime.time.TimeSource;
 
 /**
@@ -74,6 +76,10 @@
         PlatformLog.Page page;
         do {
             page = await(log.read(state.offset(), READ_LIMIT, 0));
+            if (page.firstOffset() > state.offset() + 1) {
+                restore();
+                page = await(log.read(state.offset(), READ_LIMIT, 0));
+            }
             for (PlatformLog.StoredEntry entry : page.entries()) {
                 apply(entry);
             }
@@ -81,6 +87,24 @@
         return state;
     }
 
+    /**
+     * Goes on from the newest snapshot, since the log no longer keeps the entries that are needed.
+     *
+     * @throws CranberrygaugeException If the log does not answer or holds no snapshot.
+     */
+    private void restore() throws CranberrygaugeException {
+        SnapshotReader reader = new SnapshotReader();
+        PlatformLog.Page page;
+        do {
+            page = await(log.read(reader.searched(), READ_LIMIT, 0));
+            reader.take(page);
+        } while (reader.searched() < page.endOffset() && !page.entries().isEmpty());
+        Snapshot newest = reader.newest()
+                .orElseThrow(() -> new CranberrygaugeException(
+                        ErrorCode.LOG_UNAVAILABLE, "the log holds neither its beginning nor a whole snapshot"));
+        state.restore(newest);
+    }
+
     /**
      * Appends a record, again with the same sequence number while its answer is lost.
      *
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/log/LogEvents.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/log/LogEvents.java
@@ -27,4 +27,28 @@
      */
     public record ConfigurationJudged(
             long offset, String changeId, String operator, ConfigurationMachine.Verdict verdict) implements Event {}
+
+    /**
+     * A snapshot was begun.
+     *
+     * @param throughOffset The offset up to which it holds the log.
+     * @param parts The number of its parts.
+     * @param characters The number of characters of its text.
+     */
+    public record SnapshotBegun(long throughOffset, int parts, int characters) implements Event {}
+
+    /**
+     * The state was restored from a snapshot.
+     *
+     * @param throughOffset The offset up to which it holds the log.
+     */
+    public record SnapshotRestored(long throughOffset) implements Event {}
+
+    /**
+     * The log no longer keeps the entries that this process needs, and holds no snapshot to start from.
+     *
+     * @param offset The offset of the last applied entry.
+     * @param firstOffset The offset of the oldest entry that the log keeps; 0 for none.
+     */
+    public record SnapshotMissing(long offset, long firstOffset) implements Event {}
 }
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/log/LogFollower.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/log/LogFollower.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.cranberrygauge.decision.configuration.ConfigurationMachine;
 import org.cranberrygauge.decision.configuration.KeyRing;
+import org.cranberrygauge.decision.snapshot.Snapshot;
 import org.cranberrygauge.decision.state.Effect;
 import org.cranberrygauge.decision.state.LogState;
 import org.cranberrygauge.model.error.CranberrygaugeException;
@@ -23,7 +24,8 @@
 /**
  * Reads the log, advances the state machines and publishes what follows from them.
  *
- * <p>Invariants: entries are applied in order, each once; the time of freshness is taken before the read that reached the
+ * <p>Invariants: entries are applied in order, each once; where the log no longer keeps the next one, the state goes on from
+ * the newest snapshot; the time of freshness is taken before the read that reached the
  * log's end. All work happens on one Vert.x context.
  */
 public final class LogFollower {
@@ -165,17 +167,89 @@
         log.read(state.offset(), READ_LIMIT, WAIT_MILLIS)
                 .whenComplete((page, failure) -> context.runOnContext(ignored -> {
                     if (failure != null) {
-                        vertx.setTimer(RETRY_MILLIS, timer -> context.runOnContext(again -> readOnce()));
+                        later(this::readOnce);
                         return;
                     }
-                    applyAll(page.entries());
-                    if (state.offset() >= page.endOffset()) {
-                        blackboard.publish(new LogPosition(state.offset(), askedAtMillis));
+                    take(page, askedAtMillis);
+                }));
+    }
+
+    /**
+     * Takes what was read and goes on.
+     *
+     * @param page What was read.
+     * @param askedAtMillis The monotonic time before the read.
+     */
+    private void take(PlatformLog.Page page, long askedAtMillis) {
+        boolean emptied = page.firstOffset() == 0 && page.endOffset() > state.offset();
+        if (emptied || page.firstOffset() > state.offset() + 1) {
+            recover(new SnapshotReader());
+            return;
+        }
+        applyAll(page.entries());
+        if (state.offset() >= page.endOffset()) {
+            blackboard.publish(new LogPosition(state.offset(), askedAtMillis));
+        }
+        readOnce();
+    }
+
+    /**
+     * Searches the kept part of the log for a snapshot, since entries that are needed are no longer kept.
+     *
+     * @param reader The search.
+     */
+    private void recover(SnapshotReader reader) {
+        log.read(reader.searched(), READ_LIMIT, 0)
+                .whenComplete((page, failure) -> context.runOnContext(ignored -> {
+                    if (failure != null) {
+                        later(() -> recover(reader));
+                        return;
                     }
-                    readOnce();
+                    reader.take(page);
+                    if (reader.searched() < page.endOffset() && !page.entries().isEmpty()) {
+                        recover(reader);
+                        return;
+                    }
+                    restore(reader, page);
                 }));
     }
 
+    /**
+     * Goes on from the newest snapshot, or tries again later.
+     *
+     * @param reader The search that reached the log's end.
+     * @param page What was read last.
+     */
+    private void restore(SnapshotReader reader, PlatformLog.Page page) {
+        Snapshot newest = reader.newest().orElse(null);
+        if (newest == null || !state.restore(newest)) {
+            events.emit(new LogEvents.SnapshotMissing(state.offset(), page.firstOffset()));
+            later(this::readOnce);
+            return;
+        }
+        events.emit(new LogEvents.SnapshotRestored(newest.offset()));
+        synchronized (kept) {
+            kept.clear();
+        }
+        ConfigurationMachine restored = state.configuration();
+        announce(new Effect.ChangeJudged(
+                restored.lastChangeId(),
+                restored.lastOperator(),
+                restored.current().version(),
+                ConfigurationMachine.Verdict.ACCEPTED));
+        publish();
+        readOnce();
+    }
+
+    /**
+     * Does something after the time between a failed read and the next.
+     *
+     * @param action What to do.
+     */
+    private void later(Runnable action) {
+        vertx.setTimer(RETRY_MILLIS, timer -> context.runOnContext(ignored -> action.run()));
+    }
+
     /**
      * Applies entries and publishes what follows.
      *
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/FreshnessSearch.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/FreshnessSearch.java
@@ -328,7 +328,8 @@
             refused += current && !admits ? 1 : 0;
         }
         boolean needlessStop = running > 0 && admitting == 0 && refused == running;
-        return new FreshnessHarm(1, withdrawn, harmless, refused, needlessStop ? 1 : 0, needlessStop && running > 1 ? 1 : 0)
+        return new FreshnessHarm(
+                        1, withdrawn, harmless, refused, needlessStop ? 1 : 0, needlessStop && running > 1 ? 1 : 0)
                 .times(cut.weight());
     }
 
