Hold usage that is not yet in the log at one peer

Cause: usage counted by a gateway and not yet appended died with it, and during a log outage that is all usage since the outage began. Also, a planned stop called ship() once: with a delta under way it returned at once, and what was counted after that delta was never sent. Ruled out: copying to every peer (three times the bytes for the same guarantee against one death); waiting for the log to name the gateway as replaced (a host that is never replaced would keep its usage from the bill). Appending a copy is harmless at any time since its figures are cumulative, so silence is enough. Change: UsageReplication gives the keys that are not in the log and not acknowledged to the first peer that answers, at most 64 keys an exchange; UsageCopies holds at most 16,384 keys and gives them to the log once their gateway left, was replaced or is silent for 10 s. UsageShipper works on one context and flush() waits for the delta under way. Tests: the copy is lost with UsageReplication.Disabled and kept with ToOnePeer; UsageShipperTest shows the flush. Exposure: what is counted between two answered exchanges, 250 ms by default, and both gateways dying.

--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/usage/UsageCounter.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/usage/UsageCounter.java
@@ -1,5 +1,6 @@
 package org.cranberrygauge.decision.usage;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -11,7 +12,8 @@
  * Counts the usage of one gateway incarnation.
  *
  * <p>Invariants: the totals never fall; each delta carries the totals since the start, so that a lost or repeated delta is
- * healed by the next. Any thread counts; one thread takes deltas.
+ * healed by the next; what is counted while a delta is taken is in this delta or makes the next one due. Any thread counts;
+ * one thread takes deltas and confirms them.
  */
 public final class UsageCounter {
 
@@ -25,10 +27,10 @@
     private final AtomicLong changes = new AtomicLong();
 
     /** The number of changes that the last delta covers. */
-    private long coveredChanges;
+    private volatile long coveredChanges;
 
-    /** The totals that the last delta covers. */
-    private Map<UsageKey, UsageFigures> covered = Map.of();
+    /** The totals that stand in the log, replaced whole. */
+    private volatile Map<UsageKey, UsageFigures> covered = Map.of();
 
     /** The sequence number of the last delta. */
     private long sequence;
@@ -69,11 +71,20 @@
      */
     public UsageDelta next() {
         coveredChanges = changes.get();
-        Map<UsageKey, UsageFigures> snapshot = Map.copyOf(totals);
-        Map<UsageKey, UsageFigures> changed = new ConcurrentHashMap<>(snapshot);
-        changed.entrySet().removeIf(entry -> entry.getValue().equals(covered.get(entry.getKey())));
         sequence++;
-        return new UsageDelta(gateway, sequence, changed);
+        return new UsageDelta(gateway, sequence, unconfirmed());
+    }
+
+    /**
+     * Returns the totals of each key that are not known to stand in the log.
+     *
+     * @return The totals.
+     */
+    public Map<UsageKey, UsageFigures> unconfirmed() {
+        Map<UsageKey, UsageFigures> confirmed = covered;
+        Map<UsageKey, UsageFigures> changed = new HashMap<>(Map.copyOf(totals));
+        changed.entrySet().removeIf(entry -> entry.getValue().equals(confirmed.get(entry.getKey())));
+        return changed;
     }
 
     /**
@@ -82,9 +93,9 @@
      * @param delta The delta.
      */
     public void confirm(UsageDelta delta) {
-        Map<UsageKey, UsageFigures> merged = new ConcurrentHashMap<>(covered);
+        Map<UsageKey, UsageFigures> merged = new HashMap<>(covered);
         delta.totals().forEach((key, figures) -> merged.merge(key, figures, UsageFigures::maximum));
-        covered = merged;
+        covered = Map.copyOf(merged);
     }
 
     /** Notes that a delta may not stand in the log, so that the next one is due at once. */
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/usage/UsageLedger.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/usage/UsageLedger.java
@@ -48,6 +48,19 @@
         });
     }
 
+    /**
+     * Tells whether the log has the figures of a key, or greater ones.
+     *
+     * @param gateway The incarnation of the gateway that counted.
+     * @param key The key.
+     * @param figures The cumulative figures.
+     * @return Whether a delta with these figures would change nothing.
+     */
+    public boolean covers(String gateway, UsageKey key, UsageFigures figures) {
+        UsageFigures logged = totals.getOrDefault(gateway, Map.of()).get(key);
+        return logged != null && logged.maximum(figures).equals(logged);
+    }
+
     /**
      * Applies a close that was read from the log.
      *
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -15,6 +15,7 @@
 import org.cranberrygauge.decision.routing.RoutingPolicy;
 import org.cranberrygauge.decision.state.Effect;
 import org.cranberrygauge.decision.usage.UsageCounter;
+import org.cranberrygauge.decision.usage.UsageReplication;
 import org.cranberrygauge.gateway.call.ActiveCalls;
 import org.cranberrygauge.gateway.call.BackendClient;
 import org.cranberrygauge.gateway.call.CallTools;
@@ -28,6 +29,7 @@
 import org.cranberrygauge.gateway.reservation.ReservationDesk;
 import org.cranberrygauge.gateway.schedule.BackendBoard;
 import org.cranberrygauge.gateway.schedule.Scheduler;
+import org.cranberrygauge.gateway.usage.UsageCopyDesk;
 import org.cranberrygauge.gateway.usage.UsageShipper;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.model.error.CranberrygaugeException;
@@ -105,6 +107,9 @@
     /** Sends usage to the log. */
     private final UsageShipper shipper;
 
+    /** Gives copies of usage to a peer and holds those of peers. */
+    private final UsageCopyDesk usageCopies;
+
     /** Tells whether the gateway admits. */
     private final AdmissionGate gate;
 
@@ -144,7 +149,12 @@
         scheduler = new Scheduler(
                 new TieredAdmissionQueue(), RoutingPolicy.LeastInFlight.INSTANCE, board, time, new Random());
         usage = new UsageCounter(incarnation);
-        shipper = new UsageShipper(usage, appender);
+        shipper = new UsageShipper(vertx, usage, appender);
+        usageCopies = new UsageCopyDesk(
+                new UsageReplication.ToOnePeer(incarnation, usage, UsageCopyDesk.KEYS_PER_COPY),
+                appender,
+                time,
+                events);
         gate = new AdmissionGate(blackboard, AdmissionFreshness.Default.INSTANCE, time, settings.hostName());
     }
 
@@ -158,7 +168,7 @@
                 vertx, appender, follower.state().reservations(), settings.reservationTimeoutMillis());
         follower.addListener(desk::accept);
         follower.addListener(this::onEffect);
-        ExchangeService service = new ExchangeService(blackboard, follower, this::ownReport, time);
+        ExchangeService service = new ExchangeService(blackboard, follower, this::ownReport, usageCopies, time);
         try {
             exchangeServer = new ExchangeServer(settings.exchangeAddress(), service);
         } catch (CranberrygaugeException exception) {
@@ -169,6 +179,7 @@
                 settings.exchangeIntervalMillis(),
                 service,
                 this::ownReport,
+                usageCopies,
                 blackboard,
                 follower,
                 time);
@@ -196,7 +207,7 @@
             interrupted = !pause(DRAIN_POLL_MILLIS);
         }
         int cut = active.size();
-        await(shipper.ship());
+        await(shipper.flush());
         await(appender.append(new LogRecord.GatewayLeft(incarnation, "planned_stop")));
         follower.stop();
         peerExchange.stop();
@@ -231,7 +242,10 @@
             scheduler.tick();
         });
         vertx.setPeriodic(LIST_MILLIS, timer -> platform.backendServers().thenAccept(blackboard::publish));
-        vertx.setPeriodic(settings.usageIntervalMillis(), timer -> shipper.ship());
+        vertx.setPeriodic(settings.usageIntervalMillis(), timer -> {
+            shipper.ship();
+            follower.onContext(usageCopies::appendDue);
+        });
     }
 
     /**
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/GatewayEvents.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/GatewayEvents.java
@@ -99,4 +99,20 @@
      * @param reason The reason code.
      */
     public record RequestCancelled(String requestId, String reason) implements Event {}
+
+    /**
+     * The usage that a gone gateway had not written to the log is appended from its copy.
+     *
+     * @param gateway The incarnation of the gone gateway.
+     * @param keys The number of keys.
+     */
+    public record UsageCopyAppended(String gateway, int keys) implements Event {}
+
+    /**
+     * A copy of usage could not be read.
+     *
+     * @param gateway The incarnation that sent it.
+     * @param reason The reason.
+     */
+    public record UsageCopyRefused(String gateway, String reason) implements Event {}
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/ExchangeService.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/ExchangeService.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
+import org.apache.thrift.TException;
 import org.cranberrygauge.decision.membership.PeerReport;
+import org.cranberrygauge.gateway.usage.UsageCopyDesk;
 import org.cranberrygauge.protocol.generated.GatewayExchange;
 import org.cranberrygauge.protocol.generated.GatewayReport;
 import org.cranberrygauge.protocol.generated.LogSlice;
@@ -29,6 +31,9 @@
     /** Builds the report of this gateway. */
     private final Supplier<GatewayReport> ownReport;
 
+    /** Takes copies of usage from peers. */
+    private final UsageCopyDesk usageCopies;
+
     /** The sources of time. */
     private final TimeSource time;
 
@@ -38,19 +43,28 @@
      * @param blackboard The blackboard.
      * @param follower The follower of the log.
      * @param ownReport Builds the report of this gateway.
+     * @param usageCopies Takes copies of usage from peers.
      * @param time The sources of time.
      */
     public ExchangeService(
-            Blackboard blackboard, LogFollower follower, Supplier<GatewayReport> ownReport, TimeSource time) {
+            Blackboard blackboard,
+            LogFollower follower,
+            Supplier<GatewayReport> ownReport,
+            UsageCopyDesk usageCopies,
+            TimeSource time) {
         this.blackboard = blackboard;
         this.follower = follower;
         this.ownReport = ownReport;
+        this.usageCopies = usageCopies;
         this.time = time;
     }
 
     @Override
-    public GatewayReport exchange(GatewayReport report) {
+    public GatewayReport exchange(GatewayReport report) throws TException {
         take(report);
+        if (!usageCopies.take(report)) {
+            throw new TException("the copy of usage can't be held");
+        }
         return ownReport.get();
     }
 
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/PeerClient.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/PeerClient.java
@@ -1,12 +1,15 @@
 package org.cranberrygauge.gateway.exchange;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Supplier;
 import org.apache.thrift.TException;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.transport.TSocket;
 import org.apache.thrift.transport.layered.TFramedTransport;
+import org.cranberrygauge.gateway.usage.UsageCopyDesk;
 import org.cranberrygauge.model.backend.NetworkAddress;
+import org.cranberrygauge.model.record.LogRecord.UsageDelta;
 import org.cranberrygauge.protocol.generated.GatewayExchange;
 import org.cranberrygauge.protocol.generated.GatewayReport;
 import org.cranberrygauge.protocol.generated.LogSlice;
@@ -38,6 +41,9 @@
     /** Builds the report of this gateway. */
     private final Supplier<GatewayReport> ownReport;
 
+    /** Gives copies of usage to a peer. */
+    private final UsageCopyDesk usageCopies;
+
     /** The blackboard. */
     private final Blackboard blackboard;
 
@@ -59,6 +65,7 @@
      * @param address The address of the peer.
      * @param service The service that takes reports in.
      * @param ownReport Builds the report of this gateway.
+     * @param usageCopies Gives copies of usage to a peer.
      * @param blackboard The blackboard.
      * @param follower The follower of the log.
      * @param time The sources of time.
@@ -67,12 +74,14 @@
             NetworkAddress address,
             ExchangeService service,
             Supplier<GatewayReport> ownReport,
+            UsageCopyDesk usageCopies,
             Blackboard blackboard,
             LogFollower follower,
             TimeSource time) {
         this.address = address;
         this.service = service;
         this.ownReport = ownReport;
+        this.usageCopies = usageCopies;
         this.blackboard = blackboard;
         this.follower = follower;
         this.time = time;
@@ -82,7 +91,10 @@
     void exchange() {
         try {
             connect();
-            GatewayReport answer = client.exchange(ownReport.get());
+            GatewayReport report = ownReport.get();
+            Optional<UsageDelta> copy = usageCopies.attach(address.toString(), report);
+            GatewayReport answer = client.exchange(report);
+            usageCopies.answered(address.toString(), copy);
             service.take(answer);
             if (answer.getLogOffset() > blackboard.position().offset()) {
                 readFromPeer();
@@ -90,6 +102,7 @@
                 noteFreshness(time.monotonicMillis(), answer.getLogOffset(), answer.getLogAgeMillis());
             }
         } catch (TException exception) {
+            usageCopies.failed(address.toString());
             disconnect();
         }
     }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/PeerExchange.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/PeerExchange.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.cranberrygauge.gateway.usage.UsageCopyDesk;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.protocol.generated.GatewayReport;
 import org.cranberrygauge.runtime.blackboard.Blackboard;
@@ -29,6 +30,7 @@
      * @param intervalMillis The time between two exchanges with a peer in milliseconds.
      * @param service The service that takes reports in.
      * @param ownReport Builds the report of this gateway.
+     * @param usageCopies Gives copies of usage to a peer.
      * @param blackboard The blackboard.
      * @param follower The follower of the log.
      * @param time The sources of time.
@@ -38,11 +40,12 @@
             long intervalMillis,
             ExchangeService service,
             Supplier<GatewayReport> ownReport,
+            UsageCopyDesk usageCopies,
             Blackboard blackboard,
             LogFollower follower,
             TimeSource time) {
         for (NetworkAddress peer : peers) {
-            PeerClient client = new PeerClient(peer, service, ownReport, blackboard, follower, time);
+            PeerClient client = new PeerClient(peer, service, ownReport, usageCopies, blackboard, follower, time);
             ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(work -> {
                 Thread created = new Thread(work, "exchange-" + peer);
                 created.setDaemon(true);
