Bound what a controller writes in an outage and what it orders

Cause: each tick of a controller appended anew while the log was down: a claim every third of a lease (1,800 an hour, as the test without the bound counts), a close each window and an outcome of each open order each 500 ms. A claim repeated before its predecessor was read back also moved the start of the lease to the later claim, while other controllers count from reading the earlier one: two holders for up to a third of a lease. A planned stop gave the lease back while an intent that was read back later could still send an order. An order dropped for want of lease stayed open in the log. An order was repeated each 500 ms while a data centre had no supply. Ruled out: taking records back from the appender's queue; whether an entry whose answer is lost stands in the log can't be known, so a bound on what is queued is the sound one. The lease length comes from the configuration.

--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
@@ -1,16 +1,22 @@
 package org.cranberrygauge.controller;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonObject;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.cranberrygauge.controller.order.OrderDesk;
 import org.cranberrygauge.controller.usage.UsageReporter;
 import org.cranberrygauge.decision.fleet.FleetPlanner;
 import org.cranberrygauge.decision.lease.LeaseKeeper;
+import org.cranberrygauge.decision.state.Effect;
 import org.cranberrygauge.decision.state.LogState;
 import org.cranberrygauge.model.configuration.ControlTimes;
 import org.cranberrygauge.model.record.LogRecord;
@@ -38,6 +44,9 @@
     /** The longest time a planned stop waits for the log in milliseconds. */
     private static final long STOP_MILLIS = 1_000;
 
+    /** The purpose of a claim of the lease. */
+    private static final String CLAIM = "lease-claim";
+
     /** The settings. */
     private final ControllerSettings settings;
 
@@ -62,14 +71,14 @@
     /** The appender to the log. */
     private final LogAppender appender;
 
-    /** Decides whether this controller holds the lease. */
-    private final LeaseKeeper lease;
+    /** Appends the records of control. */
+    private final ControlAppender controlAppender;
 
-    /** Sends orders. */
-    private final OrderDesk orders;
+    /** The client of the platform. */
+    private final HttpPlatform platform;
 
-    /** Reports usage. */
-    private final UsageReporter usage;
+    /** What this controller does, or null until a configuration is in force. */
+    private volatile Duties duties;
 
     /** Whether the lease was held at the last tick. */
     private boolean held;
@@ -92,22 +101,10 @@
         vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
         incarnation = Program.incarnation(settings.hostName(), time.wallMillis());
         blackboard = new Blackboard(time.monotonicMillis());
-        HttpPlatform platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
+        platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
         follower = new LogFollower(vertx, platform, blackboard, time, events);
         appender = new LogAppender(vertx, platform, incarnation);
-        lease = new LeaseKeeper(
-                incarnation, settings.hostName(), ControlTimes.standard().leaseMillis(), time.monotonicMillis());
-        orders = new OrderDesk(
-                incarnation,
-                FleetPlanner.Minimum.INSTANCE,
-                lease,
-                blackboard,
-                follower,
-                appender,
-                platform,
-                time,
-                events);
-        usage = new UsageReporter(incarnation, lease, follower, appender, platform, time, events);
+        controlAppender = new ControlAppender(appender, blackboard);
     }
 
     /**
@@ -116,7 +113,7 @@
      * @return Completes when it listens.
      */
     public Future<HttpServer> start() {
-        follower.addListener(orders::accept);
+        follower.addListener(this::accept);
         follower.start();
         vertx.setPeriodic(TICK_MILLIS, timer -> follower.onContext(this::tick));
         return vertx.createHttpServer(new HttpServerOptions()
@@ -128,21 +125,50 @@
                         events.emit(new ControllerEvents.ControllerListening(incarnation, server.actualPort())));
     }
 
-    /** Stops the controller and gives the lease back. */
+    /** Stops the controller: sends no order any more, gives the lease back and ends. */
     public void stop() {
         stopping = true;
-        long nowMillis = time.monotonicMillis();
-        if (lease.holds(nowMillis)) {
-            Future<Long> released = appender.append(
-                    new LogRecord.LeaseRelease(incarnation, lease.state().lastClaimOffset()));
-            while (!released.isComplete() && time.monotonicMillis() < nowMillis + STOP_MILLIS) {
-                Thread.onSpinWait();
+        Duties present = duties;
+        if (present != null) {
+            present.orders().stop();
+            Promise<Void> barrier = Promise.promise();
+            follower.onContext(state -> barrier.complete());
+            await(barrier.future());
+            if (present.lease().holds(time.monotonicMillis())) {
+                await(appender.append(new LogRecord.LeaseRelease(
+                        incarnation, present.lease().state().lastClaimOffset())));
             }
         }
         follower.stop();
         vertx.close();
     }
 
+    /**
+     * Waits for a future for a limited time.
+     *
+     * @param future The future.
+     */
+    private void await(Future<?> future) {
+        try {
+            future.toCompletionStage().toCompletableFuture().get(STOP_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException exception) {
+            events.emit(new ControllerEvents.StopIncomplete(incarnation, String.valueOf(exception.getMessage())));
+        }
+    }
+
+    /**
+     * Acts on what became of a record.
+     *
+     * @param effect The effect.
+     */
+    private void accept(Effect effect) {
+        if (duties != null) {
+            duties.orders().accept(effect);
+        }
+    }
+
     /**
      * Decides and acts once.
      *
@@ -152,9 +178,15 @@
         if (stopping || state.configuration().current().version() == 0) {
             return;
         }
+        if (duties == null) {
+            duties = duties(state.configuration().current().configuration().times());
+        }
         long nowMillis = time.monotonicMillis();
+        LeaseKeeper lease = duties.lease();
         lease.observe(nowMillis, state.lease());
-        lease.decide(nowMillis).ifPresent(appender::append);
+        if (controlAppender.isFree(CLAIM)) {
+            lease.decide(nowMillis).ifPresent(claim -> controlAppender.append(CLAIM, claim));
+        }
         boolean holds = lease.holds(nowMillis);
         if (holds != held) {
             held = holds;
@@ -164,12 +196,35 @@
         if (!holds) {
             return;
         }
-        usage.tick(state);
+        duties.usage().tick(state);
         if (ticks++ % TICKS_PER_PLAN == 0) {
-            orders.tick(state);
+            duties.orders().tick(state, Map.of(), Map.of());
         }
     }
 
+    /**
+     * Takes up the duties, once the times of the configuration are known.
+     *
+     * @param times The times.
+     * @return The duties.
+     */
+    private Duties duties(ControlTimes times) {
+        LeaseKeeper lease =
+                new LeaseKeeper(incarnation, settings.hostName(), times.leaseMillis(), time.monotonicMillis());
+        OrderDesk orders = new OrderDesk(
+                incarnation,
+                FleetPlanner.Minimum.INSTANCE,
+                lease,
+                blackboard,
+                follower,
+                controlAppender,
+                platform,
+                time,
+                events);
+        UsageReporter usage = new UsageReporter(incarnation, lease, follower, controlAppender, platform, time, events);
+        return new Duties(lease, orders, usage);
+    }
+
     /**
      * Answers a request of operations.
      *
@@ -178,9 +233,18 @@
     private void answer(HttpServerRequest request) {
         JsonObject body = new JsonObject()
                 .put("controller", incarnation)
-                .put("holds_lease", lease.holds(time.monotonicMillis()))
+                .put("holds_lease", duties != null && duties.lease().holds(time.monotonicMillis()))
                 .put("fencing_number", blackboard.log().lease().fencingNumber())
                 .put("log_offset", blackboard.position().offset());
         request.response().putHeader("Content-Type", "application/json").end(body.toBuffer());
     }
+
+    /**
+     * What a controller does.
+     *
+     * @param lease Decides whether this controller holds the lease.
+     * @param orders Sends orders.
+     * @param usage Reports usage.
+     */
+    private record Duties(LeaseKeeper lease, OrderDesk orders, UsageReporter usage) {}
 }
--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/ControllerEvents.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/ControllerEvents.java
@@ -68,4 +68,12 @@
      * @param lines The number of lines.
      */
     public record UsageReported(long windowId, int lines) implements Event {}
+
+    /**
+     * A planned stop did not end all that it should.
+     *
+     * @param controller The incarnation.
+     * @param reason The reason.
+     */
+    public record StopIncomplete(String controller, String reason) implements Event {}
 }
--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/order/OrderDesk.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/order/OrderDesk.java
@@ -4,22 +4,25 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.cranberrygauge.controller.ControlAppender;
 import org.cranberrygauge.controller.ControllerEvents;
 import org.cranberrygauge.decision.fleet.FleetOrder;
 import org.cranberrygauge.decision.fleet.FleetPlanner;
 import org.cranberrygauge.decision.fleet.FleetView;
+import org.cranberrygauge.decision.fleet.FleetView.ModelDemand;
+import org.cranberrygauge.decision.fleet.FleetView.PoolState;
+import org.cranberrygauge.decision.fleet.OrderPacing;
 import org.cranberrygauge.decision.lease.LeaseKeeper;
 import org.cranberrygauge.decision.state.Effect;
 import org.cranberrygauge.decision.state.LogState;
+import org.cranberrygauge.model.backend.HostState;
 import org.cranberrygauge.model.backend.ListedBackendServer;
 import org.cranberrygauge.model.configuration.Configuration;
-import org.cranberrygauge.model.configuration.FleetPool;
 import org.cranberrygauge.model.record.LogRecord.OrderIntent;
 import org.cranberrygauge.model.record.LogRecord.OrderOutcome;
 import org.cranberrygauge.protocol.platform.Platform;
 import org.cranberrygauge.runtime.blackboard.Blackboard;
 import org.cranberrygauge.runtime.event.EventLog;
-import org.cranberrygauge.runtime.log.LogAppender;
 import org.cranberrygauge.runtime.log.LogFollower;
 import org.cranberrygauge.runtime.time.TimeSource;
 
@@ -28,10 +31,20 @@
  *
  * <p>Invariants: an order is sent only after its intent was read back with the fencing number in force, and only while the
  * lease lasts longer than the order's deadline; a pool has at most one order under way; a new holder waits out the longest
- * deadline before it orders. Used on the context of the log follower.
+ * deadline before it orders, and then goes by what the platform lists; the rate of orders is bounded, also where a data centre
+ * has no supply. Used on the context of the log follower.
  */
 public final class OrderDesk {
 
+    /** The result of an order whose answer did not come. */
+    private static final String UNKNOWN = "unknown";
+
+    /** The highest number of orders in a minute. */
+    private static final int ORDERS_PER_MINUTE = 60;
+
+    /** The time for which the list of the platform may lag behind an answered order in milliseconds. */
+    private static final long LIST_LAG_MILLIS = 2_000;
+
     /** The incarnation of this controller. */
     private final String incarnation;
 
@@ -48,7 +61,7 @@
     private final LogFollower follower;
 
     /** The appender. */
-    private final LogAppender appender;
+    private final ControlAppender appender;
 
     /** The platform. */
     private final Platform platform;
@@ -59,6 +72,12 @@
     /** The event log. */
     private final EventLog events;
 
+    /** Bounds the rate of orders. */
+    private final OrderPacing pacing = new OrderPacing(ORDERS_PER_MINUTE);
+
+    /** The sizes of pools that the platform stated in its answers, where its list may lag. */
+    private final Map<String, Answered> answered = new HashMap<>();
+
     /** The pools with an order under way. */
     private final Set<String> busyPools = new HashSet<>();
 
@@ -71,6 +90,9 @@
     /** The number of orders so far. */
     private long orders;
 
+    /** Whether a planned stop began, after which nothing is sent. */
+    private volatile boolean stopping;
+
     /**
      * Creates a desk.
      *
@@ -90,7 +112,7 @@
             LeaseKeeper lease,
             Blackboard blackboard,
             LogFollower follower,
-            LogAppender appender,
+            ControlAppender appender,
             Platform platform,
             TimeSource time,
             EventLog events) {
@@ -105,12 +127,19 @@
         this.events = events;
     }
 
+    /** Sends no order any more, so that the lease can be given back. */
+    public void stop() {
+        stopping = true;
+    }
+
     /**
      * Orders what is due, while the lease is held.
      *
      * @param state The state machines.
+     * @param demand The demand, by model.
+     * @param reserve The number of backend servers that are needed beyond the demand, by model.
      */
-    public void tick(LogState state) {
+    public void tick(LogState state, Map<String, ModelDemand> demand, Map<String, Integer> reserve) {
         long nowMillis = time.monotonicMillis();
         Configuration configuration = state.configuration().current().configuration();
         if (waitedFencing != lease.fencingNumber()) {
@@ -124,7 +153,7 @@
         closeOldOrders(state);
         platform.backendServers().thenAccept(listed -> {
             blackboard.publish(listed);
-            follower.onContext(later -> plan(configuration));
+            follower.onContext(later -> plan(configuration, demand, reserve));
         });
     }
 
@@ -140,9 +169,13 @@
         }
         OrderIntent intent = judged.intent();
         long timeoutMillis = blackboard.configuration().times().orderTimeoutMillis();
-        if (!judged.valid() || lease.remainingMillis(time.monotonicMillis()) <= timeoutMillis) {
+        boolean lasts = lease.remainingMillis(time.monotonicMillis()) > timeoutMillis;
+        if (!judged.valid() || !lasts || stopping) {
             busyPools.remove(intent.pool());
-            events.emit(new ControllerEvents.OrderDropped(intent.orderId(), "lease_over"));
+            events.emit(new ControllerEvents.OrderDropped(intent.orderId(), stopping ? "stopping" : "lease_over"));
+            if (judged.valid()) {
+                close(intent.orderId(), intent.fencingNumber(), "dropped");
+            }
             return;
         }
         Platform.Order order = new Platform.Order(
@@ -154,8 +187,8 @@
         events.emit(new ControllerEvents.OrderSent(
                 intent.orderId(), intent.pool(), intent.desiredCount(), intent.fencingNumber(), intent.reason()));
         platform.order(order).whenComplete((answer, failure) -> {
-            String result = failure == null ? answer.result() : "unknown";
-            follower.onContext(later -> ended(intent, result));
+            Platform.OrderAnswer stated = failure == null ? answer : new Platform.OrderAnswer(UNKNOWN, -1);
+            follower.onContext(later -> ended(intent, stated));
         });
     }
 
@@ -163,40 +196,84 @@
      * Writes the intents of the orders that are due.
      *
      * @param configuration The configuration.
+     * @param demand The demand, by model.
+     * @param reserve The number of backend servers that are needed beyond the demand, by model.
      */
-    private void plan(Configuration configuration) {
-        if (!lease.holds(time.monotonicMillis())) {
+    private void plan(Configuration configuration, Map<String, ModelDemand> demand, Map<String, Integer> reserve) {
+        long nowMillis = time.monotonicMillis();
+        if (!lease.holds(nowMillis) || stopping) {
             return;
         }
-        Map<String, Integer> ordered = new HashMap<>();
-        configuration.fleet().stream().map(FleetPool::name).forEach(pool -> ordered.put(pool, 0));
-        for (ListedBackendServer listed : blackboard.listed()) {
-            ordered.merge(listed.pool(), 1, Integer::sum);
+        FleetView view = new FleetView(configuration, pools(nowMillis), demand, pacing.unavailable(nowMillis), reserve);
+        for (FleetOrder order : planner.decide(nowMillis, view)) {
+            if (!busyPools.contains(order.pool()) && pacing.mayOrder(nowMillis, order.pool())) {
+                writeIntent(nowMillis, order);
+            }
         }
-        for (FleetOrder order : planner.decide(time.monotonicMillis(), new FleetView(configuration, ordered))) {
-            if (busyPools.add(order.pool())) {
-                orders++;
-                appender.append(new OrderIntent(
-                        incarnation + "." + orders,
-                        incarnation,
-                        lease.fencingNumber(),
-                        order.pool(),
-                        order.desiredCount(),
-                        order.reason()));
+    }
+
+    /**
+     * Counts the backend servers of each pool.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @return The states by pool.
+     */
+    private Map<String, PoolState> pools(long nowMillis) {
+        Map<String, PoolState> pools = new HashMap<>();
+        for (ListedBackendServer listed : blackboard.listed()) {
+            if (listed.state() == HostState.LEAVING) {
+                continue;
             }
+            PoolState before = pools.getOrDefault(listed.pool(), PoolState.NONE);
+            boolean live = listed.state() == HostState.LIVE;
+            pools.put(listed.pool(), new PoolState(before.live() + (live ? 1 : 0), before.starting() + (live ? 0 : 1)));
         }
+        answered.values().removeIf(answer -> answer.untilMillis() <= nowMillis);
+        answered.forEach((pool, answer) -> {
+            int live = Math.min(
+                    answer.count(), pools.getOrDefault(pool, PoolState.NONE).live());
+            pools.put(pool, new PoolState(live, answer.count() - live));
+        });
+        return pools;
+    }
+
+    /**
+     * Writes the intent of an order.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param order The order.
+     */
+    private void writeIntent(long nowMillis, FleetOrder order) {
+        OrderIntent intent = new OrderIntent(
+                incarnation + "." + (orders + 1),
+                incarnation,
+                lease.fencingNumber(),
+                order.pool(),
+                order.desiredCount(),
+                order.reason());
+        appender.append("intent:" + order.pool(), intent).ifPresent(appended -> {
+            orders++;
+            pacing.ordered(nowMillis, order.pool());
+            busyPools.add(order.pool());
+            appended.onFailure(failure -> follower.onContext(later -> busyPools.remove(order.pool())));
+        });
     }
 
     /**
      * Records what became of an order.
      *
      * @param intent The intent.
-     * @param result The result.
+     * @param answer What the platform stated.
      */
-    private void ended(OrderIntent intent, String result) {
+    private void ended(OrderIntent intent, Platform.OrderAnswer answer) {
+        long nowMillis = time.monotonicMillis();
         busyPools.remove(intent.pool());
-        appender.append(new OrderOutcome(intent.orderId(), intent.fencingNumber(), result));
-        events.emit(new ControllerEvents.OrderEnded(intent.orderId(), result));
+        if (!answer.result().equals(UNKNOWN)) {
+            pacing.ended(nowMillis, intent.pool(), answer.result());
+            answered.put(intent.pool(), new Answered(answer.presentCount(), nowMillis + LIST_LAG_MILLIS));
+        }
+        close(intent.orderId(), intent.fencingNumber(), answer.result());
+        events.emit(new ControllerEvents.OrderEnded(intent.orderId(), answer.result()));
     }
 
     /**
@@ -207,8 +284,27 @@
     private void closeOldOrders(LogState state) {
         for (OrderIntent intent : state.openOrders().values()) {
             if (!intent.holder().equals(incarnation)) {
-                appender.append(new OrderOutcome(intent.orderId(), lease.fencingNumber(), "superseded"));
+                close(intent.orderId(), lease.fencingNumber(), "superseded");
             }
         }
     }
+
+    /**
+     * Writes the outcome of an order.
+     *
+     * @param orderId The identifier of the order.
+     * @param fencingNumber The fencing number.
+     * @param result The result.
+     */
+    private void close(String orderId, long fencingNumber, String result) {
+        appender.append("outcome:" + orderId, new OrderOutcome(orderId, fencingNumber, result));
+    }
+
+    /**
+     * The size of a pool that the platform stated.
+     *
+     * @param count The number of backend servers.
+     * @param untilMillis The monotonic time until which it goes before the list.
+     */
+    private record Answered(int count, long untilMillis) {}
 }
--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/usage/UsageReporter.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/usage/UsageReporter.java
@@ -1,14 +1,15 @@
 package org.cranberrygauge.controller.usage;
 
+import org.cranberrygauge.controller.ControlAppender;
 import org.cranberrygauge.controller.ControllerEvents;
 import org.cranberrygauge.decision.lease.LeaseKeeper;
 import org.cranberrygauge.decision.state.LogState;
 import org.cranberrygauge.decision.usage.UsageLedger;
+import org.cranberrygauge.model.configuration.ControlTimes;
 import org.cranberrygauge.model.record.LogRecord.WindowClose;
 import org.cranberrygauge.model.record.LogRecord.WindowReported;
 import org.cranberrygauge.protocol.platform.Platform;
 import org.cranberrygauge.runtime.event.EventLog;
-import org.cranberrygauge.runtime.log.LogAppender;
 import org.cranberrygauge.runtime.log.LogFollower;
 import org.cranberrygauge.runtime.time.TimeSource;
 
@@ -16,10 +17,19 @@
  * Closes usage windows in the log and reports them to the platform.
  *
  * <p>Invariants: a window is reported only as closed in the log, so that each report of it has the same figures; at most
- * one report is under way. Used on the context of the log follower.
+ * one report is under way, and none starts that the lease may not outlast. Used on the context of the log follower.
  */
 public final class UsageReporter {
 
+    /** The time after a failed report before it is sent again in milliseconds. */
+    private static final long RETRY_MILLIS = 1_000;
+
+    /** The purpose of the close of a window. */
+    private static final String CLOSE = "window-close";
+
+    /** The purpose of the acknowledgement of a window. */
+    private static final String REPORTED = "window-reported";
+
     /** The incarnation of this controller. */
     private final String incarnation;
 
@@ -30,7 +40,7 @@
     private final LogFollower follower;
 
     /** The appender. */
-    private final LogAppender appender;
+    private final ControlAppender appender;
 
     /** The platform. */
     private final Platform platform;
@@ -44,8 +54,8 @@
     /** The monotonic time of the last close. */
     private long closedAtMillis;
 
-    /** The number of the window whose close was last written. */
-    private long written;
+    /** The monotonic time before which no report is sent, after one failed. */
+    private long notBeforeMillis;
 
     /** Whether a report is under way. */
     private boolean reporting;
@@ -65,7 +75,7 @@
             String incarnation,
             LeaseKeeper lease,
             LogFollower follower,
-            LogAppender appender,
+            ControlAppender appender,
             Platform platform,
             TimeSource time,
             EventLog events) {
@@ -86,14 +96,14 @@
      */
     public void tick(LogState state) {
         long nowMillis = time.monotonicMillis();
-        long windowMillis =
-                state.configuration().current().configuration().times().usageWindowMillis();
-        if (nowMillis - closedAtMillis >= windowMillis) {
-            closedAtMillis = nowMillis;
-            written = state.usage().lastClosed() + 1;
-            appender.append(new WindowClose(written, incarnation, lease.fencingNumber()));
+        ControlTimes times = state.configuration().current().configuration().times();
+        if (nowMillis - closedAtMillis >= times.usageWindowMillis()) {
+            long windowId = state.usage().lastClosed() + 1;
+            appender.append(CLOSE, new WindowClose(windowId, incarnation, lease.fencingNumber()))
+                    .ifPresent(taken -> closedAtMillis = nowMillis);
         }
-        if (!reporting) {
+        boolean lasts = lease.remainingMillis(nowMillis) > times.orderTimeoutMillis();
+        if (!reporting && lasts && nowMillis >= notBeforeMillis && appender.isFree(REPORTED)) {
             state.usage().nextToReport().ifPresent(this::report);
         }
     }
@@ -108,14 +118,14 @@
         long fencingNumber = lease.fencingNumber();
         platform.reportUsage(new Platform.UsageReport(window.windowId(), fencingNumber, window.figures()))
                 .whenComplete((done, failure) -> follower.onContext(state -> {
+                    reporting = false;
                     if (failure != null) {
-                        reporting = false;
+                        notBeforeMillis = time.monotonicMillis() + RETRY_MILLIS;
                         return;
                     }
                     events.emit(new ControllerEvents.UsageReported(
                             window.windowId(), window.figures().size()));
-                    appender.append(new WindowReported(window.windowId(), fencingNumber))
-                            .onComplete(appended -> follower.onContext(later -> reporting = false));
+                    appender.append(REPORTED, new WindowReported(window.windowId(), fencingNumber));
                 }));
     }
 }
--- /dev/null
+++ b/cranberrygauge-controller/src/test/java/org/cranberrygauge/controller/ControlAppenderTest.java
@@ -0,0 +1,109 @@
+package org.cranberrygauge.controller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.cranberrygauge.decision.lease.LeaseKeeper;
+import org.cranberrygauge.decision.lease.LeaseState;
+import org.cranberrygauge.model.record.LogRecord.LeaseClaim;
+import org.cranberrygauge.model.record.LogRecord.WindowClose;
+import org.cranberrygauge.protocol.platform.PlatformLog;
+import org.cranberrygauge.runtime.blackboard.Blackboard;
+import org.cranberrygauge.runtime.blackboard.LogPosition;
+import org.cranberrygauge.runtime.log.LogAppender;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class ControlAppenderTest {
+
+    private static final long HOUR_MILLIS = 3_600_000;
+    private static final String CLAIM = "lease-claim";
+
+    private final Vertx vertx = Vertx.vertx();
+    private final HeldLog log = new HeldLog();
+    private final Blackboard blackboard = new Blackboard(0);
+    private final LogAppender appender = new LogAppender(vertx, log, "host-1/1");
+    private final ControlAppender controlAppender = new ControlAppender(appender, blackboard);
+
+    @AfterEach
+    void close() {
+        vertx.close();
+    }
+
+    @Test
+    void an_hour_without_the_log_queues_one_claim() {
+        LeaseKeeper lease = new LeaseKeeper("host-1/1", "host-1", 6_000, 0);
+        for (long nowMillis = 0; nowMillis < HOUR_MILLIS; nowMillis += 100) {
+            if (controlAppender.isFree(CLAIM)) {
+                lease.decide(nowMillis).ifPresent(claim -> controlAppender.append(CLAIM, claim));
+            }
+        }
+        assertThat(appender.backlog()).isEqualTo(1);
+    }
+
+    @Test
+    void without_the_bound_an_hour_without_the_log_queues_a_claim_for_each_renewal() {
+        LeaseKeeper lease = new LeaseKeeper("host-1/1", "host-1", 6_000, 0);
+        for (long nowMillis = 0; nowMillis < HOUR_MILLIS; nowMillis += 100) {
+            lease.decide(nowMillis).ifPresent(appender::append);
+        }
+        assertThat(appender.backlog()).isEqualTo(1_800);
+    }
+
+    @Test
+    void a_claim_that_the_log_takes_an_hour_late_gives_its_writer_no_lease() {
+        LeaseKeeper lease = new LeaseKeeper("host-1/1", "host-1", 6_000, 0);
+        List<LeaseClaim> claims = new ArrayList<>();
+        for (long nowMillis = 0; nowMillis < HOUR_MILLIS; nowMillis += 100) {
+            if (controlAppender.isFree(CLAIM)) {
+                lease.decide(nowMillis).ifPresent(claim -> {
+                    claims.add(claim);
+                    controlAppender.append(CLAIM, claim);
+                });
+            }
+        }
+        lease.observe(HOUR_MILLIS, LeaseState.initial().apply(1, claims.get(0)));
+        assertThat(lease.holds(HOUR_MILLIS)).isFalse();
+    }
+
+    @Test
+    void a_purpose_is_free_only_once_its_record_was_read_back() throws Exception {
+        WindowClose close = new WindowClose(1, "host-1/1", 7);
+        assertThat(controlAppender.append("window-close", close)).isPresent();
+        assertThat(controlAppender.append("window-close", close)).isEmpty();
+        CompletableFuture<Long> appended = controlAppender
+                .append("other", close)
+                .orElseThrow()
+                .toCompletionStage()
+                .toCompletableFuture();
+        log.answers.poll(10, TimeUnit.SECONDS).complete(5L);
+        assertThat(appended.get(10, TimeUnit.SECONDS)).isEqualTo(5);
+        assertThat(controlAppender.isFree("window-close")).isFalse();
+        blackboard.publish(new LogPosition(5, 0));
+        assertThat(controlAppender.isFree("window-close")).isTrue();
+    }
+
+    private static final class HeldLog implements PlatformLog {
+
+        private final BlockingQueue<CompletableFuture<Long>> answers = new LinkedBlockingQueue<>();
+
+        @Override
+        public CompletionStage<Long> append(String payload) {
+            CompletableFuture<Long> answer = new CompletableFuture<>();
+            answers.add(answer);
+            return answer;
+        }
+
+        @Override
+        public CompletionStage<Page> read(long afterOffset, int limit, long waitMillis) {
+            return new CompletableFuture<>();
+        }
+    }
+}
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/fleet/FleetPlanner.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/fleet/FleetPlanner.java
@@ -29,7 +29,7 @@
         public List<FleetOrder> decide(long nowMillis, FleetView view) {
             List<FleetOrder> orders = new ArrayList<>();
             for (FleetPool pool : view.configuration().fleet()) {
-                int present = view.ordered().getOrDefault(pool.name(), 0);
+                int present = view.pool(pool.name()).present();
                 if (present != pool.minimum()) {
                     orders.add(new FleetOrder(pool.name(), pool.minimum(), "minimum"));
                 }
