--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/drain/DrainRegister.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/drain/DrainRegister.java
@@ -1,6 +1,8 @@
 package org.cranberrygauge.decision.drain;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.cranberrygauge.model.record.LogRecord.DrainEnded;
 import org.cranberrygauge.model.record.LogRecord.DrainStarted;
@@ -12,15 +14,20 @@
  * in force is void unless it is an operator's. Immutable and safe for use by several threads.
  *
  * @param drains The drains by identifier.
+ * @param ended The identifiers of the drains that ended lately, the newest last.
  */
-public record DrainRegister(Map<String, DrainStarted> drains) {
+public record DrainRegister(Map<String, DrainStarted> drains, List<String> ended) {
+
+    /** The number of ended drains that are remembered. */
+    private static final int ENDED_LIMIT = 2_048;
 
     /** The fencing number of records that operators write. */
     public static final long OPERATOR = 0;
 
-    /** Copies the map. */
+    /** Copies the collections. */
     public DrainRegister {
         drains = Map.copyOf(drains);
+        ended = List.copyOf(ended);
     }
 
     /**
@@ -29,7 +36,7 @@
      * @return The initial state.
      */
     public static DrainRegister initial() {
-        return new DrainRegister(Map.of());
+        return new DrainRegister(Map.of(), List.of());
     }
 
     /**
@@ -45,23 +52,37 @@
         }
         Map<String, DrainStarted> next = new HashMap<>(drains);
         next.put(started.drainId(), started);
-        return new DrainRegister(next);
+        return new DrainRegister(next, ended);
     }
 
     /**
      * Applies an end that was read from the log.
      *
-     * @param ended The end.
+     * @param end The end.
      * @param fencingNumber The fencing number in force.
      * @return The state after it.
      */
-    public DrainRegister apply(DrainEnded ended, long fencingNumber) {
-        if (ended.fencingNumber() != OPERATOR && ended.fencingNumber() != fencingNumber) {
+    public DrainRegister apply(DrainEnded end, long fencingNumber) {
+        if (end.fencingNumber() != OPERATOR && end.fencingNumber() != fencingNumber) {
             return this;
         }
         Map<String, DrainStarted> next = new HashMap<>(drains);
-        next.remove(ended.drainId());
-        return new DrainRegister(next);
+        next.remove(end.drainId());
+        List<String> nextEnded = new ArrayList<>(ended);
+        nextEnded.remove(end.drainId());
+        nextEnded.add(end.drainId());
+        int surplus = Math.max(0, nextEnded.size() - ENDED_LIMIT);
+        return new DrainRegister(next, nextEnded.subList(surplus, nextEnded.size()));
+    }
+
+    /**
+     * Tells whether a drain ended lately.
+     *
+     * @param drainId The identifier of the drain.
+     * @return Whether it ended.
+     */
+    public boolean hasEnded(String drainId) {
+        return ended.contains(drainId);
     }
 
     /**
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/fleet/ForecastFleetPlanner.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/fleet/ForecastFleetPlanner.java
@@ -13,7 +13,8 @@
 /**
  * Orders backend servers for the demand that is expected when they are live, and hands idle ones back.
  *
- * <p>Invariants: a pool shrinks only after its servers were idle for the whole idle time, and only if the live ones that
+ * <p>Invariants: a pool shrinks only after its servers were seen idle for the whole idle time without a
+ * gap, so not soon after another process took over, and only if the live ones that
  * remain carry the demand, so that nothing is handed back before its replacement is live; a pool that was found without
  * supply gets no larger order while it is backed off from. Used by one thread.
  */
@@ -22,6 +23,9 @@
     /** The time in which requests that wait shall be worked off in milliseconds. */
     private static final double WORK_OFF_MILLIS = 30_000;
 
+    /** The time without a look after which the demand counts as unwatched in milliseconds. */
+    private static final long GAP_MILLIS = 30_000;
+
     /** The number of milliseconds in a second. */
     private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -77,7 +81,7 @@
             int count = desired.get(pool.name());
             if (count > state.present() && !view.unavailable().contains(pool.name())) {
                 orders.add(new FleetOrder(pool.name(), count, count <= pool.minimum() ? "minimum" : "demand"));
-            } else if (count < state.present()) {
+            } else if (count < state.present() && need.watched()) {
                 int liveAfter = live - Math.max(0, state.live() - count);
                 if (liveAfter >= Math.max(need.servers(), need.protectedServers())) {
                     live = liveAfter;
@@ -105,8 +109,12 @@
         double expected = memory.total.after(leadMillis) + demand.waitingTokens() * MILLIS_PER_SECOND / WORK_OFF_MILLIS;
         int servers = parameters.serversFor(expected) + view.reserve().getOrDefault(model, 0);
         int protectedServers = parameters.serversFor(memory.protectedOnly.after(leadMillis));
+        memory.watch(nowMillis);
+        boolean watched = nowMillis - memory.watchedSinceMillis >= parameters.idleMillis();
         return new Need(
-                memory.servers.add(nowMillis, servers), memory.protectedServers.add(nowMillis, protectedServers));
+                watched,
+                memory.servers.add(nowMillis, servers),
+                memory.protectedServers.add(nowMillis, protectedServers));
     }
 
     /**
@@ -125,10 +133,11 @@
     /**
      * The servers that a model needs.
      *
+     * @param watched Whether the demand was watched for the whole idle time.
      * @param servers The number for all classes.
      * @param protectedServers The number that must remain when a data centre of cheap ones vanishes.
      */
-    private record Need(int servers, int protectedServers) {}
+    private record Need(boolean watched, int servers, int protectedServers) {}
 
     /** What is remembered of a model. */
     private static final class Memory {
@@ -145,6 +154,12 @@
         /** The need of the protected classes in the last while. */
         private final RecentMaximum protectedServers;
 
+        /** The monotonic time since which the demand is watched without a gap. */
+        private long watchedSinceMillis;
+
+        /** The monotonic time of the last look, or -1 for none. */
+        private long watchedAtMillis = -1;
+
         /**
          * Creates an empty memory.
          *
@@ -154,5 +169,17 @@
             servers = new RecentMaximum(idleMillis);
             protectedServers = new RecentMaximum(idleMillis);
         }
+
+        /**
+         * Notes a look at the demand.
+         *
+         * @param nowMillis The present monotonic time in milliseconds.
+         */
+        void watch(long nowMillis) {
+            if (watchedAtMillis < 0 || nowMillis - watchedAtMillis > GAP_MILLIS) {
+                watchedSinceMillis = nowMillis;
+            }
+            watchedAtMillis = nowMillis;
+        }
     }
 }
--- a/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/fleet/ForecastFleetPlannerTest.java
+++ b/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/fleet/ForecastFleetPlannerTest.java
@@ -75,9 +75,15 @@
         pools.put(CHEAP_B.name(), new PoolState(1, 0));
         pools.put(CHEAP_C.name(), new PoolState(1, 0));
         decide(0, 400, 0, Set.of());
-        assertThat(decide(200_000, 0, 0, Set.of())).isEmpty();
-        decide(400_000, 0, 0, Set.of());
-        assertThat(decide(800_000, 0, 0, Set.of())).contains(new FleetOrder(CHEAP_A.name(), 0, "idle"));
+        assertThat(decideUntil(5_000, 290_000, 0)).isEmpty();
+        assertThat(decideUntil(295_000, 700_000, 0)).contains(new FleetOrder(CHEAP_A.name(), 0, "idle"));
+    }
+
+    @Test
+    void a_planner_that_just_took_over_hands_nothing_back() {
+        pools.put(CHEAP_A.name(), new PoolState(4, 0));
+        decideUntil(0, 600_000, 400);
+        assertThat(decide(910_000, 0, 0, Set.of())).isEmpty();
     }
 
     @Test
@@ -85,10 +91,10 @@
         pools.put(CHEAP_A.name(), new PoolState(3, 0));
         pools.put(CHEAP_B.name(), new PoolState(0, 1));
         pools.put(CHEAP_C.name(), new PoolState(0, 1));
-        assertThat(decide(0, 300, 0, Set.of())).isEmpty();
+        assertThat(decideUntil(0, 300_000, 300)).isEmpty();
         pools.put(CHEAP_B.name(), new PoolState(1, 0));
         pools.put(CHEAP_C.name(), new PoolState(1, 0));
-        assertThat(decide(5_000, 300, 0, Set.of())).containsExactly(new FleetOrder(CHEAP_A.name(), 1, "idle"));
+        assertThat(decide(305_000, 300, 0, Set.of())).containsExactly(new FleetOrder(CHEAP_A.name(), 1, "idle"));
     }
 
     @Test
@@ -98,6 +104,14 @@
         assertThat(total(planner.decide(0, view))).isEqualTo(4);
     }
 
+    private List<FleetOrder> decideUntil(long fromMillis, long toMillis, double demand) {
+        List<FleetOrder> orders = List.of();
+        for (long nowMillis = fromMillis; nowMillis <= toMillis; nowMillis += 5_000) {
+            orders = decide(nowMillis, demand, 0, Set.of());
+        }
+        return orders;
+    }
+
     private List<FleetOrder> decide(long nowMillis, double demand, double protectedDemand, Set<String> unavailable) {
         return planner.decide(nowMillis, view(demand, protectedDemand, unavailable));
     }
