--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/state/LogState.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/state/LogState.java
@@ -114,6 +114,7 @@
                 lease,
                 List.copyOf(members.all()),
                 List.copyOf(drains.drains().values()),
+                drains.ended(),
                 reservations.export(),
                 usage.export(),
                 List.copyOf(writers.values()),
@@ -136,7 +137,7 @@
         configuration = from.configuration();
         lease = from.lease();
         members = Members.of(from.members());
-        drains = DrainRegister.of(from.drains());
+        drains = DrainRegister.of(from.drains(), from.endedDrains());
         reservations.restore(from.reservations());
         usage.restore(from.usage());
         writers.clear();
--- a/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/snapshot/SnapshotTest.java
+++ b/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/snapshot/SnapshotTest.java
@@ -99,6 +99,7 @@
                 snapshot.lease(),
                 new HashSet<>(snapshot.members()),
                 new HashSet<>(snapshot.drains()),
+                snapshot.endedDrains(),
                 new HashSet<>(snapshot.openOrders()),
                 snapshot.previous());
     }
