--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/QueuedRequest.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/QueuedRequest.java
@@ -20,4 +20,23 @@
         String target,
         long estimatedTokens,
         long arrivedAtMillis,
-        long deadlineMillis) {}
+        long deadlineMillis) {
+
+    /**
+     * Replaces the deadline, for a request that waits again after its backend server failed.
+     *
+     * @param replacementMillis The monotonic time after which it is refused.
+     * @return The refined request.
+     */
+    public QueuedRequest withDeadline(long replacementMillis) {
+        return new QueuedRequest(
+                requestId,
+                customer,
+                customerWeight,
+                className,
+                target,
+                estimatedTokens,
+                arrivedAtMillis,
+                replacementMillis);
+    }
+}
--- /dev/null
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/quarantine/Standing.java
@@ -0,0 +1,24 @@
+package org.cranberrygauge.decision.quarantine;
+
+/** What a request may do, as far as its past crashes tell. */
+public sealed interface Standing {
+
+    /** The request runs like any other. */
+    enum Clear implements Standing {
+        /** The only instance. */
+        INSTANCE
+    }
+
+    /** The request runs only alone among suspects and never on the last healthy backend server of its target. */
+    enum Suspect implements Standing {
+        /** The only instance. */
+        INSTANCE
+    }
+
+    /**
+     * The request is refused.
+     *
+     * @param remainingMillis The time until the quarantine ends in milliseconds.
+     */
+    record Quarantined(long remainingMillis) implements Standing {}
+}
--- a/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/StandInSettings.java
+++ b/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/StandInSettings.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import org.cranberrygauge.emulator.engine.CrashAction;
 import org.cranberrygauge.emulator.engine.EngineSpeed;
 import org.cranberrygauge.emulator.engine.EngineStandIn;
 import org.cranberrygauge.emulator.platform.PlatformStandIn;
@@ -81,10 +82,16 @@
                 description = "Milliseconds by which the list of backend servers lags")
         private long listLagMillis = 500;
 
+        /** The time that the weights of one model take. */
+        @Parameter(
+                names = "--weight-millis",
+                description = "Milliseconds that the rate-limited weight store takes for one model")
+        private long weightMillis = 200;
+
         @Override
         Future<HttpServer> start(Vertx vertx) {
-            PlatformStandIn.Options options =
-                    new PlatformStandIn.Options(logRetentionMillis, checksFencing, startMillis, listLagMillis);
+            PlatformStandIn.Options options = new PlatformStandIn.Options(
+                    logRetentionMillis, checksFencing, startMillis, listLagMillis, weightMillis);
             return new PlatformStandIn(vertx, options).listen(listenAddress());
         }
     }
@@ -124,6 +131,10 @@
         @Parameter(names = "--cache-tokens", description = "Memory of the prefix cache in tokens")
         private int cacheTokens = 20_000;
 
+        /** Whether old fencing numbers are refused. */
+        @Parameter(names = "--checks-fencing", arity = 1, description = "Whether old fencing numbers are refused")
+        private boolean checksFencing = true;
+
         /** The pool to register for. */
         @Parameter(names = "--pool", description = "Pool for which the platform may supply this backend server")
         private String pool = "";
@@ -142,7 +153,8 @@
         @Override
         Future<HttpServer> start(Vertx vertx) {
             EngineSpeed speed = new EngineSpeed(slots, tokenIntervalMillis, loadSlope, prefillTokensPerSecond);
-            EngineStandIn engine = new EngineStandIn(vertx, Set.copyOf(models), speed, cacheTokens);
+            EngineStandIn engine = new EngineStandIn(
+                    vertx, Set.copyOf(models), speed, cacheTokens, checksFencing, CrashAction.Halt.INSTANCE);
             return engine.listen(listenAddress())
                     .compose(server -> pool.isEmpty() ? Future.succeededFuture(server) : register(vertx, server));
         }
@@ -163,7 +175,7 @@
                     Set.copyOf(models),
                     pool.endsWith("cheap") ? Supply.CHEAP : Supply.REGULAR,
                     slots,
-                    false);
+                    checksFencing);
             String body = JsonCodec.write(new PlatformStandIn.Registration(pool, self));
             HttpClient client = vertx.createHttpClient();
             return client.request(
--- a/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/engine/EngineCounts.java
+++ b/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/engine/EngineCounts.java
@@ -12,6 +12,14 @@
  * @param running The requests that run.
  * @param waiting The requests that wait.
  * @param cancelled The requests whose connection went away.
+ * @param headers The names of the headers that were sent, in lower case.
+ * @param started The requests that arrived.
  */
 public record EngineCounts(
-        Map<String, UsageFigures> usage, Set<String> credentials, int running, int waiting, long cancelled) {}
+        Map<String, UsageFigures> usage,
+        Set<String> credentials,
+        int running,
+        int waiting,
+        long cancelled,
+        Set<String> headers,
+        long started) {}
--- a/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/engine/EngineStandIn.java
+++ b/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/engine/EngineStandIn.java
@@ -5,14 +5,15 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.EnumMap;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import org.cranberrygauge.emulator.engine.EngineFaults.Fault;
 import org.cranberrygauge.emulator.web.FaultSwitch;
 import org.cranberrygauge.emulator.web.StandInServer;
 import org.cranberrygauge.model.backend.NetworkAddress;
@@ -31,17 +32,41 @@
     /** The status of an answer to a request for a model that does not run here. */
     private static final int NOT_FOUND = 404;
 
-    /** The status with which a process ends when a crash is ordered. */
-    private static final int CRASH_STATUS = 134;
+    /** The header with the priority; those of a lower number run first. */
+    static final String PRIORITY_HEADER = "X-Priority";
+
+    /** The status of an answer to an order with an old fencing number. */
+    private static final int CONFLICT = 409;
+
+    /** The status of an answer to a fault that does not exist. */
+    private static final int BAD_REQUEST = 400;
 
     /** The text in a prompt that crashes the engine. */
     private static final String CRASH_TEXT = "CRASH-THE-ENGINE";
 
+    /** The time between two samples of the load in milliseconds. */
+    private static final long SAMPLE_MILLIS = 20;
+
     /** The Vert.x instance. */
     private final Vertx vertx;
 
+    /** What the engine does when a request crashes it. */
+    private final CrashAction crashAction;
+
+    /** Whether orders with an old fencing number are refused. */
+    private final boolean checksFencing;
+
     /** The models that run here. */
-    private final Set<String> models;
+    private Set<String> models;
+
+    /** The highest fencing number seen. */
+    private long highestFencing;
+
+    /** The server, once it listens. */
+    private HttpServer server;
+
+    /** The load over the last time. */
+    private final LoadHistory history = new LoadHistory();
 
     /** The speed. */
     private final EngineSpeed speed;
@@ -50,7 +75,7 @@
     private final PrefixCache cache;
 
     /** The requests that wait for a slot. */
-    private final Deque<EngineStream> waiting = new ArrayDeque<>();
+    private final List<EngineStream> waiting = new ArrayList<>();
 
     /** The requests that run. */
     private final Set<EngineStream> running = new HashSet<>();
@@ -61,8 +86,14 @@
     /** The credentials that were sent. */
     private final Set<String> credentials = new HashSet<>();
 
-    /** The strength of each fault that is on. */
-    private final Map<Fault, Double> faults = new EnumMap<>(Fault.class);
+    /** The names of the headers that were sent. */
+    private final Set<String> headers = new HashSet<>();
+
+    /** The faults that are on. */
+    private final EngineFaults faults = new EngineFaults();
+
+    /** The requests that arrived. */
+    private long started;
 
     /** The requests whose connection went away. */
     private long cancelled;
@@ -74,9 +105,19 @@
      * @param models The models that run here.
      * @param speed The speed.
      * @param cacheTokens The memory of the prefix cache in tokens.
+     * @param checksFencing Whether orders with an old fencing number are refused.
+     * @param crashAction What the engine does when a request crashes it.
      */
-    public EngineStandIn(Vertx vertx, Set<String> models, EngineSpeed speed, int cacheTokens) {
+    public EngineStandIn(
+            Vertx vertx,
+            Set<String> models,
+            EngineSpeed speed,
+            int cacheTokens,
+            boolean checksFencing,
+            CrashAction crashAction) {
         this.vertx = vertx;
+        this.checksFencing = checksFencing;
+        this.crashAction = crashAction;
         this.models = Set.copyOf(models);
         this.speed = speed;
         this.cache = new PrefixCache(cacheTokens);
@@ -93,9 +134,24 @@
         router.post("/v1/chat/completions").handler(this::complete);
         router.post("/v1/completions").handler(this::complete);
         router.get("/counts").handler(context -> StandInServer.answer(context, counts()));
+        router.get("/load").handler(this::load);
+        router.post("/role").handler(this::changeRole);
         router.get("/cache-events").handler(this::cacheEvents);
         router.post("/faults").handler(this::switchFault);
-        return StandInServer.listen(vertx, router, address);
+        vertx.setPeriodic(
+                SAMPLE_MILLIS,
+                timer -> history.add(new LoadHistory.Sample(
+                        System.currentTimeMillis(), running.size(), waiting.size(), cache.eventCount())));
+        return StandInServer.listen(vertx, router, address).onSuccess(listening -> server = listening);
+    }
+
+    /**
+     * Returns the faults that are on.
+     *
+     * @return The faults.
+     */
+    EngineFaults faults() {
+        return faults;
     }
 
     /**
@@ -104,13 +160,16 @@
      * @param context The exchange.
      */
     private void complete(RoutingContext context) {
+        started++;
         credentials.add(String.valueOf(context.request().getHeader("Authorization")));
+        context.request().headers().names().forEach(name -> headers.add(name.toLowerCase(Locale.ROOT)));
         ChatRequest request = StandInServer.body(context, ChatRequest.class);
         if (request == null || answeredByFault(context)) {
             return;
         }
         if (request.promptText().contains(CRASH_TEXT)) {
-            Runtime.getRuntime().halt(CRASH_STATUS);
+            crashAction.crash(server);
+            return;
         }
         if (!models.contains(request.model())) {
             StandInServer.answer(context, NOT_FOUND, new StandInServer.Problem("no such model"));
@@ -118,7 +177,7 @@
         }
         EngineStream stream = new EngineStream(this, context, request);
         context.response().closeHandler(closed -> cancel(stream));
-        waiting.addLast(stream);
+        waiting.add(stream);
         startWaiting();
     }
 
@@ -129,21 +188,28 @@
      * @return Whether it answered or swallowed the request.
      */
     private boolean answeredByFault(RoutingContext context) {
-        if (strength(Fault.GARBAGE) > 0) {
+        if (faults.isOn(Fault.STATUS)) {
+            StandInServer.answer(context, (int) faults.strength(Fault.STATUS), new StandInServer.Problem("fault"));
+            return true;
+        }
+        if (faults.isOn(Fault.GARBAGE)) {
             context.response().end("\u0000\u0001 not json at all");
             return true;
         }
-        if (strength(Fault.DROP) > 0) {
+        if (faults.isOn(Fault.DROP)) {
             StandInServer.drop(context);
             return true;
         }
-        return strength(Fault.HANG) > 0;
+        return faults.isOn(Fault.HANG);
     }
 
     /** Starts waiting requests while a slot is free. */
     private void startWaiting() {
         while (running.size() < speed.slots() && !waiting.isEmpty()) {
-            EngineStream stream = waiting.removeFirst();
+            EngineStream stream = waiting.stream()
+                    .min(Comparator.comparingInt(EngineStream::priority))
+                    .orElseThrow();
+            waiting.remove(stream);
             running.add(stream);
             int cachedTokens = cache.use(
                     TokenText.digest(stream.request().prefixText()),
@@ -182,15 +248,6 @@
         usage.merge(label, figures, UsageFigures::plus);
     }
 
-    /**
-     * Returns the number of tokens after which a stream shall break.
-     *
-     * @return The number; 0 for never.
-     */
-    int breakAfterTokens() {
-        return (int) strength(Fault.BREAK_AFTER_TOKENS);
-    }
-
     /**
      * Cancels a request whose connection went away.
      *
@@ -205,13 +262,62 @@
     }
 
     /**
-     * Answers with cache events.
+     * Answers with the cache events that are published by now.
      *
      * @param context The exchange.
      */
     private void cacheEvents(RoutingContext context) {
         int after = Integer.parseInt(context.request().getParam("after", "0"));
-        StandInServer.answer(context, cache.eventsAfter(after));
+        int gap = (int) faults.strength(Fault.CACHE_EVENT_GAP);
+        int published = faults.isOn(Fault.CACHE_EVENT_LAG_MILLIS)
+                ? sampleBefore(faults.strength(Fault.CACHE_EVENT_LAG_MILLIS)).cacheEvents()
+                : cache.eventCount();
+        StandInServer.answer(
+                context,
+                cache.eventsAfter(after).stream()
+                        .filter(event -> event.number() <= published)
+                        .filter(event -> gap == 0 || event.number() % gap != 0)
+                        .toList());
+    }
+
+    /**
+     * Answers with the load report, which lags.
+     *
+     * @param context The exchange.
+     */
+    private void load(RoutingContext context) {
+        LoadHistory.Sample sample = sampleBefore(faults.strength(Fault.LOAD_LAG_MILLIS));
+        StandInServer.answer(
+                context, new LoadReport(sample.running(), sample.waiting(), speed.slots(), sample.takenAtMillis()));
+    }
+
+    /**
+     * Returns the sample of some time ago.
+     *
+     * @param agoMillis The time in milliseconds.
+     * @return The sample.
+     */
+    private LoadHistory.Sample sampleBefore(double agoMillis) {
+        return history.at(System.currentTimeMillis() - (long) agoMillis);
+    }
+
+    /**
+     * Changes the models that run here.
+     *
+     * @param context The exchange.
+     */
+    private void changeRole(RoutingContext context) {
+        RoleOrder order = StandInServer.body(context, RoleOrder.class);
+        if (order == null) {
+            return;
+        }
+        if (checksFencing && order.fencingNumber() < highestFencing) {
+            StandInServer.answer(context, CONFLICT, new StandInServer.Problem("fenced"));
+            return;
+        }
+        highestFencing = Math.max(highestFencing, order.fencingNumber());
+        models = Set.copyOf(order.models());
+        StandInServer.answer(context, order);
     }
 
     /**
@@ -221,9 +327,13 @@
      */
     private void switchFault(RoutingContext context) {
         FaultSwitch change = StandInServer.body(context, FaultSwitch.class);
-        if (change != null) {
-            faults.put(Fault.valueOf(change.name().toUpperCase(Locale.ROOT)), change.amount());
+        if (change == null) {
+            return;
+        }
+        if (faults.change(change)) {
             StandInServer.answer(context, change);
+        } else {
+            StandInServer.answer(context, BAD_REQUEST, new StandInServer.Problem("no such fault"));
         }
     }
 
@@ -233,7 +343,7 @@
      * @return The counts.
      */
     private EngineCounts counts() {
-        return new EngineCounts(usage, credentials, running.size(), waiting.size(), cancelled);
+        return new EngineCounts(usage, credentials, running.size(), waiting.size(), cancelled, headers, started);
     }
 
     /**
@@ -242,17 +352,7 @@
      * @return The factor.
      */
     private double slowness() {
-        return Math.max(1, strength(Fault.SLOW));
-    }
-
-    /**
-     * Returns the strength of a fault.
-     *
-     * @param fault The fault.
-     * @return The strength; 0 if it is off.
-     */
-    private double strength(Fault fault) {
-        return faults.getOrDefault(fault, 0.0);
+        return Math.max(1, faults.strength(Fault.SLOW));
     }
 
     /**
@@ -265,17 +365,13 @@
         return Math.max(1, Math.round(millis));
     }
 
-    /** The faults that can be switched. */
-    private enum Fault {
-        /** The engine is slower by the given factor. */
-        SLOW,
-        /** Answers are garbage. */
-        GARBAGE,
-        /** Connections are dropped. */
-        DROP,
-        /** Requests are never answered. */
-        HANG,
-        /** Streams break after the given number of tokens. */
-        BREAK_AFTER_TOKENS
-    }
+    /**
+     * The load report.
+     *
+     * @param running The requests that ran.
+     * @param waiting The requests that waited.
+     * @param slots The number of requests that run at once.
+     * @param takenAtMillis The time of which it tells in milliseconds of the epoch.
+     */
+    public record LoadReport(int running, int waiting, int slots, long takenAtMillis) {}
 }
--- a/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/engine/EngineStream.java
+++ b/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/engine/EngineStream.java
@@ -4,6 +4,7 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.RoutingContext;
+import org.cranberrygauge.emulator.engine.EngineFaults.Fault;
 import org.cranberrygauge.emulator.web.StandInServer;
 import org.cranberrygauge.model.record.UsageFigures;
 
@@ -81,12 +82,10 @@
             end();
             return;
         }
-        if (engine.breakAfterTokens() > 0 && generated >= engine.breakAfterTokens()) {
-            countUsage();
-            StandInServer.drop(context);
+        if (brokenByFault()) {
             return;
         }
-        if (request.stream()) {
+        if (request.isStream()) {
             writeToken();
         }
         position++;
@@ -94,6 +93,43 @@
         engine.scheduleToken(this);
     }
 
+    /**
+     * Lets a fault break the stream, if one is on.
+     *
+     * @return Whether it did.
+     */
+    private boolean brokenByFault() {
+        if (reached(Fault.BREAK_AFTER_TOKENS)) {
+            StandInServer.drop(context);
+            return true;
+        }
+        if (reached(Fault.GARBAGE_AFTER_TOKENS)) {
+            context.response().write("data: {\"choices\": 7\n\n");
+            return true;
+        }
+        return reached(Fault.HANG_AFTER_TOKENS);
+    }
+
+    /**
+     * Tells whether a fault sets in after the tokens generated so far.
+     *
+     * @param fault The fault, whose strength is a number of tokens.
+     * @return Whether it does.
+     */
+    private boolean reached(Fault fault) {
+        return engine.faults().isOn(fault) && generated >= engine.faults().strength(fault);
+    }
+
+    /**
+     * Returns the place in the queue: engines run those of a lower number first.
+     *
+     * @return The priority as sent, 0 being the highest.
+     */
+    int priority() {
+        String header = context.request().getHeader(EngineStandIn.PRIORITY_HEADER);
+        return header == null ? 0 : Integer.parseInt(header);
+    }
+
     /**
      * Marks the request as cancelled.
      *
@@ -114,12 +150,63 @@
         if (generated == 0) {
             prepare(response.setChunked(true).putHeader("Content-Type", "text/event-stream"));
         }
-        JsonObject delta = new JsonObject().put("content", TokenText.token(promptDigest, position));
-        if (position == 0) {
-            delta.put("role", "assistant");
+        response.write("data: " + frame(chunkObject(), streamChoice()).encode() + "\n\n");
+    }
+
+    /**
+     * Builds the choice of the next token.
+     *
+     * @return The choice.
+     */
+    private JsonObject streamChoice() {
+        String text = TokenText.token(promptDigest, position);
+        JsonObject choice = new JsonObject().put("index", 0).putNull("finish_reason");
+        if (!isChat()) {
+            return choice.put("text", text);
+        }
+        JsonObject delta = new JsonObject();
+        if (request.toolCall() == null) {
+            delta.put("content", text);
+        } else {
+            JsonObject function = new JsonObject().put("arguments", text);
+            JsonObject call = new JsonObject().put("index", 0).put("function", function);
+            if (position == 0) {
+                call.put("id", "call-" + promptDigest);
+                function.put("name", request.toolCall());
+            }
+            delta.put("tool_calls", new JsonArray().add(call));
         }
-        JsonObject choice = new JsonObject().put("index", 0).put("delta", delta).putNull("finish_reason");
-        response.write("data: " + frame("chat.completion.chunk", choice).encode() + "\n\n");
+        return choice.put("delta", position == 0 ? delta.put("role", "assistant") : delta);
+    }
+
+    /**
+     * Tells whether this is a chat.
+     *
+     * @return Whether it is, else it is a plain completion.
+     */
+    private boolean isChat() {
+        return request.messages() != null;
+    }
+
+    /**
+     * Returns the kind of object of an event.
+     *
+     * @return The kind.
+     */
+    private String chunkObject() {
+        return isChat() ? "chat.completion.chunk" : "text_completion";
+    }
+
+    /**
+     * Tells why the answer ends.
+     *
+     * @return The reason.
+     */
+    private String finishReason() {
+        if (request.toolCall() != null) {
+            return "tool_calls";
+        }
+        return request.isCut() ? "length" : "stop";
     }
 
     /** Ends the request with its last event or its whole answer. */
@@ -131,12 +218,14 @@
                 .put("prompt_tokens", promptTokens)
                 .put("completion_tokens", position)
                 .put("total_tokens", promptTokens + position);
-        if (request.stream()) {
-            JsonObject choice = new JsonObject()
-                    .put("index", 0)
-                    .put("delta", new JsonObject())
-                    .put("finish_reason", "stop");
-            JsonObject last = frame("chat.completion.chunk", choice).put("usage", usage);
+        if (request.isStream()) {
+            JsonObject choice = new JsonObject().put("index", 0).put("finish_reason", finishReason());
+            if (isChat()) {
+                choice.put("delta", new JsonObject());
+            } else {
+                choice.put("text", "");
+            }
+            JsonObject last = frame(chunkObject(), choice).put("usage", usage);
             if (generated == 0) {
                 prepare(response.setChunked(true).putHeader("Content-Type", "text/event-stream"));
             }
@@ -145,7 +234,7 @@
             JsonObject message =
                     new JsonObject().put("role", "assistant").put("content", TokenText.answer(promptDigest, position));
             JsonObject choice =
-                    new JsonObject().put("index", 0).put("message", message).put("finish_reason", "stop");
+                    new JsonObject().put("index", 0).put("message", message).put("finish_reason", finishReason());
             prepare(response.putHeader("Content-Type", "application/json"))
                     .end(frame("chat.completion", choice).put("usage", usage).encode());
         }
@@ -166,6 +255,9 @@
      */
     private HttpServerResponse prepare(HttpServerResponse response) {
         String attempt = context.request().getHeader("X-Attempt-Id");
+        if (engine.faults().isOn(Fault.CROSSED)) {
+            return response.putHeader("X-Attempt-Id", "another-attempt");
+        }
         return attempt == null ? response : response.putHeader("X-Attempt-Id", attempt);
     }
 
--- a/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/engine/PrefixCache.java
+++ b/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/engine/PrefixCache.java
@@ -77,6 +77,15 @@
         return List.copyOf(events.subList(Math.min(Math.max(0, after), events.size()), events.size()));
     }
 
+    /**
+     * Returns the number of events since the start.
+     *
+     * @return The number.
+     */
+    public int eventCount() {
+        return events.size();
+    }
+
     /**
      * A change of the cache.
      *
--- a/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/platform/FleetStore.java
+++ b/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/platform/FleetStore.java
@@ -35,6 +35,12 @@
     /** The data centres that are evicted. */
     private final Set<String> evicted = new HashSet<>();
 
+    /** The backend servers that will leave. */
+    private final Set<String> leaving = new HashSet<>();
+
+    /** The rate-limited store of model weights. */
+    private final WeightStore weights;
+
     /** The orders that were carried out, for the count of tests. */
     private final List<Order> orders = new ArrayList<>();
 
@@ -45,9 +51,11 @@
      * Creates an empty store.
      *
      * @param checksFencing Whether old fencing numbers are refused.
-     * @param startMillis The time a backend server takes to start in milliseconds.
+     * @param startMillis The time a backend server takes to start in milliseconds, beside the load of its weights.
+     * @param weights The store of model weights.
      */
-    public FleetStore(boolean checksFencing, long startMillis) {
+    public FleetStore(boolean checksFencing, long startMillis, WeightStore weights) {
+        this.weights = weights;
         this.checksFencing = checksFencing;
         this.startMillis = startMillis;
     }
@@ -96,7 +104,9 @@
         for (BackendServer server : registered.getOrDefault(order.pool(), List.of())) {
             boolean live = liveAtMillis.containsKey(server.name());
             if (!live && present < order.desiredCount() && !evicted.contains(server.dataCentre())) {
-                liveAtMillis.put(server.name(), nowMillis + startMillis);
+                liveAtMillis.put(
+                        server.name(),
+                        weights.reserve(nowMillis, server.serves().size()) + startMillis);
                 present++;
             } else if (live && present > order.desiredCount()) {
                 liveAtMillis.remove(server.name());
@@ -123,6 +133,20 @@
                 .forEach(server -> liveAtMillis.remove(server.name()));
     }
 
+    /**
+     * Marks a backend server as leaving, or lets it stay.
+     *
+     * @param server The name of the backend server.
+     * @param leaves Whether it will leave.
+     */
+    public void leave(String server, boolean leaves) {
+        if (leaves) {
+            leaving.add(server);
+        } else {
+            leaving.remove(server);
+        }
+    }
+
     /**
      * Lists the ordered backend servers.
      *
@@ -155,6 +179,9 @@
      * @return The state.
      */
     private HostState stateOf(long nowMillis, BackendServer server) {
+        if (leaving.contains(server.name())) {
+            return HostState.LEAVING;
+        }
         return liveAtMillis.get(server.name()) <= nowMillis ? HostState.LIVE : HostState.STARTING;
     }
 
--- a/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/platform/PlatformStandIn.java
+++ b/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/platform/PlatformStandIn.java
@@ -6,6 +6,7 @@
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Locale;
@@ -30,6 +31,15 @@
     /** The status of an answer during an outage. */
     private static final int UNAVAILABLE = 503;
 
+    /** The status of an answer to a fault that does not exist. */
+    private static final int BAD_REQUEST = 400;
+
+    /** The start of the name of the fault that evicts a data centre. */
+    private static final String EVICT = "EVICT:";
+
+    /** The start of the name of the switch that lets a backend server leave. */
+    private static final String LEAVING = "LEAVING:";
+
     /** The time between two looks for new entries while a read waits in milliseconds. */
     private static final long POLL_MILLIS = 5;
 
@@ -39,6 +49,9 @@
     /** The log. */
     private final LogStore log;
 
+    /** The store of model weights. */
+    private final WeightStore weights;
+
     /** The backend servers that can be ordered. */
     private final FleetStore fleet;
 
@@ -60,7 +73,8 @@
     public PlatformStandIn(Vertx vertx, Options options) {
         this.vertx = vertx;
         this.log = new LogStore(options.retentionMillis());
-        this.fleet = new FleetStore(options.checksFencing(), options.startMillis());
+        this.weights = new WeightStore(options.weightMillis());
+        this.fleet = new FleetStore(options.checksFencing(), options.startMillis(), weights);
         vertx.setPeriodic(options.listLagMillis(), timer -> laggingList = fleet.list(System.currentTimeMillis()));
     }
 
@@ -80,6 +94,7 @@
         router.get(PlatformMessages.ORDERS_PATH).handler(context -> StandInServer.answer(context, fleet.orders()));
         router.post(PlatformMessages.USAGE_PATH).handler(this::report);
         router.get(PlatformMessages.USAGE_PATH).handler(context -> StandInServer.answer(context, reports));
+        router.get("/weights/:model").handler(this::load);
         router.post("/faults").handler(this::switchFault);
         return StandInServer.listen(vertx, router, address);
     }
@@ -178,6 +193,18 @@
         }
     }
 
+    /**
+     * Hands out the weights of a model when its turn comes.
+     *
+     * @param context The exchange.
+     */
+    private void load(RoutingContext context) {
+        long nowMillis = System.currentTimeMillis();
+        long waitMillis = weights.reserve(nowMillis, 1) - nowMillis;
+        Weights answer = new Weights(context.pathParam("model"), waitMillis);
+        vertx.setTimer(Math.max(1, waitMillis), timer -> StandInServer.answer(context, answer));
+    }
+
     /**
      * Takes a usage report.
      *
@@ -206,10 +233,15 @@
             return;
         }
         String name = change.name().toUpperCase(Locale.ROOT);
-        if (name.startsWith("EVICT:")) {
-            fleet.evict(change.name().substring("EVICT:".length()), change.amount() > 0);
-        } else {
+        if (name.startsWith(EVICT)) {
+            fleet.evict(change.name().substring(EVICT.length()), change.amount() > 0);
+        } else if (name.startsWith(LEAVING)) {
+            fleet.leave(change.name().substring(LEAVING.length()), change.amount() > 0);
+        } else if (Arrays.stream(Fault.values()).anyMatch(fault -> fault.name().equals(name))) {
             faults.put(Fault.valueOf(name), change.amount());
+        } else {
+            StandInServer.answer(context, BAD_REQUEST, new StandInServer.Problem("no such fault"));
+            return;
         }
         StandInServer.answer(context, change);
     }
@@ -258,8 +290,18 @@
      * @param checksFencing Whether orders with an old fencing number are refused.
      * @param startMillis The time a backend server takes to start in milliseconds.
      * @param listLagMillis The lag of the list in milliseconds.
+     * @param weightMillis The time that the weights of one model take in milliseconds.
+     */
+    public record Options(
+            long retentionMillis, boolean checksFencing, long startMillis, long listLagMillis, long weightMillis) {}
+
+    /**
+     * The answer to a load of weights.
+     *
+     * @param model The model.
+     * @param waitedMillis The time that it took in milliseconds.
      */
-    public record Options(long retentionMillis, boolean checksFencing, long startMillis, long listLagMillis) {}
+    public record Weights(String model, long waitedMillis) {}
 
     /**
      * The registration of a backend server that can be ordered.
--- a/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/service/ServiceStandIn.java
+++ b/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/service/ServiceStandIn.java
@@ -38,6 +38,9 @@
     /** The credentials that were sent. */
     private final Set<String> credentials = new HashSet<>();
 
+    /** The names of the headers that were sent. */
+    private final Set<String> headers = new HashSet<>();
+
     /** The strength of each fault that is on. */
     private final Map<Fault, Double> faults = new EnumMap<>(Fault.class);
 
@@ -60,7 +63,8 @@
      */
     public Future<HttpServer> listen(NetworkAddress address) {
         Router router = StandInServer.router(vertx);
-        router.get("/counts").handler(context -> StandInServer.answer(context, new Counts(executions, credentials)));
+        router.get("/counts")
+                .handler(context -> StandInServer.answer(context, new Counts(executions, credentials, headers)));
         router.post("/faults").handler(this::switchFault);
         router.route().handler(this::call);
         return StandInServer.listen(vertx, router, address);
@@ -77,6 +81,7 @@
         if (!context.request().method().equals(HttpMethod.GET)) {
             executions.merge(call, 1, Integer::sum);
         }
+        context.request().headers().names().forEach(name -> headers.add(name.toLowerCase(Locale.ROOT)));
         if (strength(Fault.DROP_AFTER_EFFECT) > 0) {
             faults.merge(Fault.DROP_AFTER_EFFECT, -1.0, Double::sum);
             StandInServer.drop(context);
@@ -86,7 +91,14 @@
             return;
         }
         Answer answer = new Answer(call, context.request().path(), executions.getOrDefault(call, 0));
-        vertx.setTimer(Math.max(1, callMillis), timer -> StandInServer.answer(context, answer));
+        String attempt = strength(Fault.CROSSED) > 0
+                ? "another-attempt"
+                : context.request().getHeader("X-Attempt-Id");
+        if (attempt != null) {
+            context.response().putHeader("X-Attempt-Id", attempt);
+        }
+        long answerMillis = Math.max(1, callMillis + (long) strength(Fault.LATE_MILLIS));
+        vertx.setTimer(answerMillis, timer -> StandInServer.answer(context, answer));
     }
 
     /**
@@ -117,7 +129,11 @@
         /** The given number of connections are dropped after the effect. */
         DROP_AFTER_EFFECT,
         /** Calls take effect and are never answered. */
-        HANG_AFTER_EFFECT
+        HANG_AFTER_EFFECT,
+        /** Calls take effect and are answered later by the given number of milliseconds. */
+        LATE_MILLIS,
+        /** Answers carry the identifier of another attempt. */
+        CROSSED
     }
 
     /**
@@ -125,8 +141,9 @@
      *
      * @param executions The executions by call.
      * @param credentials The credentials that were sent.
+     * @param headers The names of the headers that were sent, in lower case.
      */
-    public record Counts(Map<String, Integer> executions, Set<String> credentials) {}
+    public record Counts(Map<String, Integer> executions, Set<String> credentials, Set<String> headers) {}
 
     /**
      * The answer to a call.
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/CallerVerticle.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/CallerVerticle.java
@@ -31,6 +31,9 @@
 
     @Override
     public Future<?> start() {
-        return vertx.createHttpServer(options).requestHandler(handler).listen();
+        return vertx.createHttpServer(options)
+                .requestHandler(handler)
+                .invalidRequestHandler(handler::handleInvalid)
+                .listen();
     }
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -11,13 +11,18 @@
 import org.cranberrygauge.decision.admission.TieredAdmissionQueue;
 import org.cranberrygauge.decision.configuration.ConfigurationMachine;
 import org.cranberrygauge.decision.membership.AdmissionFreshness;
+import org.cranberrygauge.decision.quarantine.Quarantine;
+import org.cranberrygauge.decision.quarantine.QuarantineLimits;
 import org.cranberrygauge.decision.retry.RetryBudget;
+import org.cranberrygauge.decision.retry.RetryBudgets;
 import org.cranberrygauge.decision.routing.RoutingPolicy;
 import org.cranberrygauge.decision.state.Effect;
 import org.cranberrygauge.decision.usage.UsageCounter;
 import org.cranberrygauge.gateway.call.ActiveCalls;
 import org.cranberrygauge.gateway.call.BackendClient;
 import org.cranberrygauge.gateway.call.CallTools;
+import org.cranberrygauge.gateway.call.CrashDetector;
+import org.cranberrygauge.gateway.call.CrashGuard;
 import org.cranberrygauge.gateway.exchange.ExchangeServer;
 import org.cranberrygauge.gateway.exchange.ExchangeService;
 import org.cranberrygauge.gateway.exchange.PeerExchange;
@@ -57,10 +62,10 @@
     /** The time between two looks at running requests during a planned stop in milliseconds. */
     private static final long DRAIN_POLL_MILLIS = 50;
 
-    /** The share of successes that may be retried. */
+    /** The share of successes that a customer may retry in a class. */
     private static final double RETRY_SHARE = 0.1;
 
-    /** The number of retries that can be saved. */
+    /** The number of retries that a customer can save in a class. */
     private static final int RETRY_BURST = 20;
 
     /** The settings. */
@@ -111,6 +116,12 @@
     /** The registry of metrics. */
     private final PrometheusRegistry registry = new PrometheusRegistry();
 
+    /** The quarantine. */
+    private final Quarantine quarantine;
+
+    /** What this gateway answers to its peers. */
+    private ExchangeService service;
+
     /** The server of the exchange. */
     private ExchangeServer exchangeServer;
 
@@ -130,7 +141,19 @@
      * @param events The event log.
      */
     public Gateway(GatewaySettings settings, EventLog events) {
+        this(settings, events, new Quarantine.Default(QuarantineLimits.standard()));
+    }
+
+    /**
+     * Creates a gateway with a quarantine of its own, which a measurement may switch off.
+     *
+     * @param settings The settings.
+     * @param events The event log.
+     * @param quarantine The quarantine.
+     */
+    public Gateway(GatewaySettings settings, EventLog events, Quarantine quarantine) {
         this.settings = settings;
+        this.quarantine = quarantine;
         this.events = events;
         vertx = Vertx.vertx(new VertxOptions()
                 .setEventLoopPoolSize(settings.eventLoops() + 1)
@@ -158,7 +181,7 @@
                 vertx, appender, follower.state().reservations(), settings.reservationTimeoutMillis());
         follower.addListener(desk::accept);
         follower.addListener(this::onEffect);
-        ExchangeService service = new ExchangeService(blackboard, follower, this::ownReport, time);
+        service = new ExchangeService(blackboard, follower, this::ownReport, time, quarantine, active::reconsider);
         try {
             exchangeServer = new ExchangeServer(settings.exchangeAddress(), service);
         } catch (CranberrygaugeException exception) {
@@ -224,6 +247,24 @@
         return operationsServer.actualPort();
     }
 
+    /**
+     * Returns the port for peers.
+     *
+     * @return The port.
+     */
+    public int exchangePort() {
+        return exchangeServer.port();
+    }
+
+    /**
+     * Adds a peer that was not known at the start.
+     *
+     * @param peer The address of its exchange.
+     */
+    public void addPeer(NetworkAddress peer) {
+        peerExchange.add(peer);
+    }
+
     /** Starts what is done again and again. */
     private void startTimers() {
         vertx.setPeriodic(TICK_MILLIS, timer -> {
@@ -246,7 +287,8 @@
                 board,
                 new BackendClient(vertx, settings.backendCredential(), settings.backendTimeoutMillis()),
                 desk,
-                new RetryBudget.Share(RETRY_SHARE, RETRY_BURST),
+                new RetryBudgets.PerCustomer(() -> new RetryBudget.Share(RETRY_SHARE, RETRY_BURST)),
+                new CrashGuard(quarantine, new CrashDetector(vertx, board, time), board, time, this::tellPeers),
                 usage,
                 new GatewayMetrics(registry),
                 events,
@@ -262,6 +304,7 @@
                     operationsServer = listening;
                     return server(settings.listenAddress())
                             .requestHandler(callers)
+                            .invalidRequestHandler(callers::handleInvalid)
                             .listen();
                 })
                 .compose(listening -> {
@@ -331,7 +374,7 @@
      * @return The report.
      */
     private GatewayReport ownReport() {
-        return new GatewayReport(
+        GatewayReport report = new GatewayReport(
                 incarnation,
                 settings.hostName(),
                 blackboard.log().configuration().current().version(),
@@ -340,6 +383,12 @@
                 board.inFlight(),
                 scheduler.waiting(blackboard.configuration().classes()),
                 gate.isDraining());
+        return report.setQuarantined(service.suspects());
+    }
+
+    /** Tells the peers at once what this gateway knows of suspected requests. */
+    private void tellPeers() {
+        peerExchange.exchangeNow();
     }
 
     /**
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ActiveCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ActiveCall.java
@@ -18,4 +18,7 @@
      * @param failure The failure, whose claim of "not run" is corrected where something was sent.
      */
     void abort(RequestFailure failure);
+
+    /** Ends the request if it waits and is now held in quarantine, from any thread. */
+    void reconsider();
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ActiveCalls.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ActiveCalls.java
@@ -15,13 +15,20 @@
     /** The requests. */
     private final Set<ActiveCall> calls = ConcurrentHashMap.newKeySet();
 
+    /** The keys that worked when they changed last, or null before. */
+    private volatile KeyRing latest;
+
     /**
-     * Adds a request.
+     * Adds a request, and ends it if its key was withdrawn since it was checked.
      *
      * @param call The request.
      */
     public void add(ActiveCall call) {
         calls.add(call);
+        KeyRing keys = latest;
+        if (keys != null) {
+            endIfWithdrawn(call, keys);
+        }
     }
 
     /**
@@ -48,10 +55,24 @@
      * @param keys The keys that work.
      */
     public void endWithdrawn(KeyRing keys) {
-        for (ActiveCall call : calls) {
-            if (call.key() != null && keys.owner(call.key()).isEmpty()) {
-                call.abort(RequestFailure.notRun(ErrorCode.KEY_WITHDRAWN, "the key was withdrawn"));
-            }
+        latest = keys;
+        calls.forEach(call -> endIfWithdrawn(call, keys));
+    }
+
+    /** Ends the requests that wait and are now held in quarantine. */
+    public void reconsider() {
+        calls.forEach(ActiveCall::reconsider);
+    }
+
+    /**
+     * Ends a request if its key no longer works.
+     *
+     * @param call The request.
+     * @param keys The keys that work.
+     */
+    private static void endIfWithdrawn(ActiveCall call, KeyRing keys) {
+        if (call.key() != null && keys.owner(call.key()).isEmpty()) {
+            call.abort(RequestFailure.notRun(ErrorCode.KEY_WITHDRAWN, "the key was withdrawn"));
         }
     }
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallTools.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallTools.java
@@ -1,6 +1,6 @@
 package org.cranberrygauge.gateway.call;
 
-import org.cranberrygauge.decision.retry.RetryBudget;
+import org.cranberrygauge.decision.retry.RetryBudgets;
 import org.cranberrygauge.decision.usage.UsageCounter;
 import org.cranberrygauge.gateway.metrics.GatewayMetrics;
 import org.cranberrygauge.gateway.reservation.ReservationDesk;
@@ -16,7 +16,8 @@
  * @param board The backend servers.
  * @param client The client of backend servers.
  * @param desk The desk for reservations.
- * @param retries The retry budget.
+ * @param retries The retry budgets.
+ * @param guard Applies the quarantine.
  * @param usage The usage counter.
  * @param metrics The metrics.
  * @param events The event log.
@@ -29,7 +30,8 @@
         BackendBoard board,
         BackendClient client,
         ReservationDesk desk,
-        RetryBudget retries,
+        RetryBudgets retries,
+        CrashGuard guard,
         UsageCounter usage,
         GatewayMetrics metrics,
         EventLog events,
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallerReply.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallerReply.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonObject;
@@ -18,6 +19,12 @@
     /** The header with the identifier of the request. */
     public static final String REQUEST_ID_HEADER = "X-Request-Id";
 
+    /** The time for which what a caller still sends is read and dropped, so that it gets its answer, in milliseconds. */
+    private static final long LINGER_MILLIS = 1_000;
+
+    /** The connection. */
+    private final HttpConnection connection;
+
     /** The response. */
     private final HttpServerResponse response;
 
@@ -30,6 +37,9 @@
     /** Whether the final answer was sent or the caller is gone. */
     private boolean closed;
 
+    /** Whether the connection is closed after the answer. */
+    private boolean closesConnection;
+
     /**
      * Creates a reply.
      *
@@ -38,6 +48,7 @@
      * @param requestId The identifier of the request.
      */
     public CallerReply(HttpServerRequest request, Context context, String requestId) {
+        this.connection = request.connection();
         this.response = request.response();
         this.context = context;
         this.requestId = requestId;
@@ -85,6 +96,12 @@
         });
     }
 
+    /** Closes the connection after the answer, since the rest of the request is not read. */
+    public void closeConnectionAfterwards() {
+        closesConnection = true;
+        response.putHeader("Connection", "close");
+    }
+
     /**
      * Sends a whole answer.
      *
@@ -98,6 +115,9 @@
         }
         closed = true;
         response.setStatusCode(status).putHeader("Content-Type", contentType).end(body);
+        if (closesConnection) {
+            context.owner().setTimer(LINGER_MILLIS, timer -> connection.close());
+        }
     }
 
     /**
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatAttempt.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatAttempt.java
@@ -6,8 +6,9 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.parsetools.RecordParser;
 import java.util.Map;
+import java.util.Set;
+import org.cranberrygauge.gateway.call.AttemptFailure.Kind;
 import org.cranberrygauge.model.backend.BackendServer;
-import org.cranberrygauge.model.error.ErrorCode;
 
 /**
  * One attempt to run a completion on a backend server.
@@ -21,6 +22,18 @@
     /** The status of a successful answer. */
     private static final int OK = 200;
 
+    /** The lowest status of an answer that finds fault with the request. */
+    private static final int BAD_REQUEST = 400;
+
+    /** The statuses from 400 that tell of the backend server's state and not of the request. */
+    private static final Set<Integer> NOT_THE_REQUEST = Set.of(401, 403, 404, 408, 409, 425, 429);
+
+    /** The lowest status of an answer that tells of a fault of the backend server. */
+    private static final int SERVER_ERROR = 500;
+
+    /** The largest event in bytes. */
+    private static final int EVENT_LIMIT_BYTES = 1024 * 1024;
+
     /** The identifier of the attempt. */
     private final String attempt;
 
@@ -33,6 +46,9 @@
     /** The request, once it is open. */
     private HttpClientRequest request;
 
+    /** Whether an event told why the answer ended. */
+    private boolean finished;
+
     /** Whether the attempt ended or was cancelled. */
     private boolean closed;
 
@@ -71,13 +87,14 @@
      * Starts the attempt.
      *
      * @param client The client.
+     * @param path The path.
      * @param headers Further headers.
      * @param body The body.
      */
-    void start(BackendClient client, Map<String, String> headers, Buffer body) {
-        client.open(server, HttpMethod.POST, "/v1/chat/completions", attempt, headers)
+    void start(BackendClient client, String path, Map<String, String> headers, Buffer body) {
+        client.open(server, HttpMethod.POST, path, attempt, headers)
                 .onSuccess(opened -> send(opened, body))
-                .onFailure(failure -> fail(ErrorCode.BACKEND_FAILED, "no connection"));
+                .onFailure(failure -> fail(new AttemptFailure(Kind.NOT_CONNECTED, "no connection")));
     }
 
     /** Cancels the attempt, also at the backend server, by closing its connection. */
@@ -102,7 +119,7 @@
         }
         opened.send(body)
                 .onSuccess(this::receive)
-                .onFailure(failure -> fail(ErrorCode.BACKEND_FAILED, "connection lost"));
+                .onFailure(failure -> fail(AttemptFailure.broken(failure, "connection lost")));
     }
 
     /**
@@ -113,16 +130,30 @@
     private void receive(HttpClientResponse response) {
         String echoed = response.getHeader(BackendClient.ATTEMPT_HEADER);
         if (echoed != null && !echoed.equals(attempt)) {
-            fail(ErrorCode.BACKEND_FAILED, "answer to another attempt");
+            fail(new AttemptFailure(Kind.INVALID_ANSWER, "answer to another attempt"));
             return;
         }
         if (response.statusCode() != OK) {
-            fail(ErrorCode.BACKEND_FAILED, "status " + response.statusCode());
+            fail(refusal(response.statusCode()));
             return;
         }
-        response.exceptionHandler(failure -> fail(ErrorCode.BACKEND_FAILED, "stream broken"));
-        response.endHandler(end -> fail(ErrorCode.BACKEND_FAILED, "stream ended early"));
-        response.handler(RecordParser.newDelimited("\n\n", this::take));
+        RecordParser parser = RecordParser.newDelimited("\n\n", this::take);
+        parser.maxRecordSize(EVENT_LIMIT_BYTES);
+        parser.exceptionHandler(failure -> fail(new AttemptFailure(Kind.INVALID_ANSWER, "event too large")));
+        response.exceptionHandler(failure -> fail(AttemptFailure.broken(failure, "stream broken")));
+        response.endHandler(end -> fail(new AttemptFailure(Kind.INVALID_ANSWER, "stream ended early")));
+        response.handler(parser);
+    }
+
+    /**
+     * Tells what an answer without a stream means.
+     *
+     * @param status The status.
+     * @return The failure.
+     */
+    private static AttemptFailure refusal(int status) {
+        boolean requestIsWrong = status >= BAD_REQUEST && status < SERVER_ERROR && !NOT_THE_REQUEST.contains(status);
+        return new AttemptFailure(requestIsWrong ? Kind.REJECTED : Kind.INVALID_ANSWER, "status " + status);
     }
 
     /**
@@ -136,27 +167,31 @@
         }
         StreamEvent read = EventReader.read(event);
         if (read instanceof StreamEvent.Frame frame) {
+            finished |= frame.finishReason() != null;
             listener.onFrame(frame);
-        } else if (read == StreamEvent.Done.INSTANCE) {
+        } else if (read == StreamEvent.Done.INSTANCE && finished) {
             closed = true;
             listener.onDone();
-        } else if (read == StreamEvent.Garbage.INSTANCE) {
-            fail(ErrorCode.BACKEND_FAILED, "garbage in the stream");
+        } else if (read != StreamEvent.Comment.INSTANCE) {
+            fail(new AttemptFailure(Kind.INVALID_ANSWER, "garbage in the stream"));
         }
     }
 
     /**
-     * Ends the attempt with a failure.
+     * Ends the attempt with a failure; an answer that came to its end before is whole.
      *
-     * @param code The code.
-     * @param reason The reason.
+     * @param failure The failure.
      */
-    private void fail(ErrorCode code, String reason) {
+    private void fail(AttemptFailure failure) {
         if (closed) {
             return;
         }
         cancel();
-        listener.onFailed(code, reason);
+        if (finished) {
+            listener.onDone();
+        } else {
+            listener.onFailed(failure);
+        }
     }
 
     /** Takes what arrives on an attempt. */
@@ -175,9 +210,8 @@
         /**
          * Takes a failure.
          *
-         * @param code The code.
-         * @param reason The reason.
+         * @param failure The failure.
          */
-        void onFailed(ErrorCode code, String reason);
+        void onFailed(AttemptFailure failure);
     }
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatCall.java
@@ -1,17 +1,19 @@
 package org.cranberrygauge.gateway.call;
 
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.cranberrygauge.decision.admission.QueuedRequest;
 import org.cranberrygauge.decision.admission.Refusal;
+import org.cranberrygauge.decision.quarantine.RequestFingerprint;
+import org.cranberrygauge.decision.quarantine.RunId;
+import org.cranberrygauge.decision.retry.RetryBudget;
 import org.cranberrygauge.gateway.GatewayEvents;
 import org.cranberrygauge.gateway.schedule.PendingCall;
 import org.cranberrygauge.model.backend.BackendServer;
 import org.cranberrygauge.model.customer.KeyDigest;
-import org.cranberrygauge.model.error.ErrorCode;
 import org.cranberrygauge.model.record.UsageFigures;
 import org.cranberrygauge.model.record.UsageKey;
 
@@ -33,6 +35,9 @@
     /** Whose request it is. */
     private final Caller caller;
 
+    /** Writes the events. */
+    private final CallEvents events;
+
     /** The body. */
     private final ChatBody body;
 
@@ -48,8 +53,11 @@
     /** What admission knows. */
     private final QueuedRequest queued;
 
-    /** The text of the answer, kept for callers that asked for no stream. */
-    private final StringBuilder text = new StringBuilder();
+    /** What recognises the request when it is sent again. */
+    private final RequestFingerprint fingerprint;
+
+    /** The answer as gathered for callers that asked for no stream. */
+    private final WholeAnswer whole = new WholeAnswer();
 
     /** The attempt that runs, or null. */
     private ChatAttempt attempt;
@@ -66,8 +74,11 @@
     /** The number of prompt tokens as the backend server counts them; -1 while unknown. */
     private int promptTokens = -1;
 
-    /** The last frame, for callers that asked for no stream. */
-    private JsonObject lastFrame = new JsonObject();
+    /** The monotonic time of the start of the attempt. */
+    private long attemptAtMillis;
+
+    /** Whether the answer can go on at another backend server, which it can't after a part of a tool call. */
+    private boolean resumable = true;
 
     /** Whether the request has ended. */
     private boolean ended;
@@ -84,6 +95,7 @@
     public ChatCall(CallTools tools, Caller caller, ChatBody body, CallerReply reply, long number) {
         this.tools = tools;
         this.caller = caller;
+        this.events = new CallEvents(tools, caller, reply.requestId());
         this.body = body;
         this.reply = reply;
         this.number = number;
@@ -97,13 +109,14 @@
                 body.promptTokens() + (long) body.maxTokens(),
                 arrivedAtMillis,
                 arrivedAtMillis + caller.serviceClass().longestWaitMillis());
+        this.fingerprint = RequestFingerprint.of(caller.customer().name(), body.path(), body.canonical());
     }
 
     /** Submits the request. */
     public void begin() {
         tools.active().add(this);
         reply.onVanished(() -> cancel("caller_gone"));
-        submit();
+        submit(queued);
     }
 
     @Override
@@ -120,6 +133,15 @@
         });
     }
 
+    @Override
+    public void reconsider() {
+        reply.context().runOnContext(ignored -> {
+            if (!ended && attempt == null) {
+                tools.guard().refusal(fingerprint).ifPresent(this::refuse);
+            }
+        });
+    }
+
     @Override
     public void onFrame(StreamEvent.Frame frame) {
         if (frame.promptTokens() >= 0) {
@@ -128,69 +150,114 @@
         if (frame.content() != null) {
             observeToken();
         }
+        resumable &= frame.toolCalls().isEmpty();
         if (body.stream()) {
-            reply.stream(Buffer.buffer("data: ")
-                    .appendBuffer(frame.json().toBuffer())
-                    .appendString("\n\n"));
-            return;
-        }
-        lastFrame = frame.json();
-        if (frame.content() != null) {
-            text.append(frame.content());
+            deliver(frame.json());
+        } else {
+            whole.add(frame);
         }
     }
 
     @Override
     public void onDone() {
         release();
-        tools.retries().succeeded();
+        tools.guard().completed(fingerprint);
+        retries().succeeded();
         if (body.stream()) {
             reply.stream(Buffer.buffer("data: [DONE]\n\n"));
             reply.endStream();
         } else {
-            reply.answer(200, "application/json", wholeAnswer());
+            reply.answer(200, "application/json", whole.build(body.isChat(), promptTokens, delivered));
         }
         finish();
-        long totalMillis = tools.time().monotonicMillis() - arrivedAtMillis;
-        tools.metrics().total(caller.customer().name(), caller.serviceClass().name(), totalMillis);
-        tools.events()
-                .emit(new GatewayEvents.RequestSucceeded(
-                        reply.requestId(),
-                        caller.customer().name(),
-                        caller.serviceClass().name(),
-                        delivered,
-                        totalMillis));
+        events.succeeded(delivered, tools.time().monotonicMillis() - arrivedAtMillis);
     }
 
     @Override
-    public void onFailed(ErrorCode code, String reason) {
+    public void onFailed(AttemptFailure failure) {
         ChatAttempt failed = attempt;
         release();
+        if (failure.kind() == AttemptFailure.Kind.REJECTED) {
+            giveUp(failed, failure);
+            return;
+        }
         tools.board().failed(tools.time().monotonicMillis(), failed.server());
-        boolean again = attempts < ATTEMPTS && tools.retries().tryRetry();
-        String next = again ? (delivered > 0 ? "resume" : "retry") : "give_up";
-        tools.metrics().failedAttempt(caller.serviceClass().name(), next);
-        tools.events()
-                .emit(new GatewayEvents.AttemptFailed(
-                        reply.requestId(), failed.attempt(), failed.server().name(), reason, next));
-        if (again) {
-            submit();
+        if (failure.kind() != AttemptFailure.Kind.CONNECTION_LOST) {
+            goOn(failed, failure);
             return;
         }
+        tools.guard()
+                .lost(fingerprint, failed.server(), attemptAtMillis)
+                .onComplete(judged -> reply.context().runOnContext(ignored -> goOn(failed, failure)));
+    }
+
+    /**
+     * Tries again after a failed attempt, or gives up.
+     *
+     * @param failed The attempt.
+     * @param failure How it failed.
+     */
+    private void goOn(ChatAttempt failed, AttemptFailure failure) {
+        if (ended) {
+            return;
+        }
+        Optional<RequestFailure> quarantined = tools.guard().refusal(fingerprint);
+        if (quarantined.isPresent()) {
+            events.attemptFailed(failed.attempt(), failed.server(), failure, "quarantine");
+            refuse(quarantined.get());
+            return;
+        }
+        if (attempts >= ATTEMPTS || !(resumable || delivered == 0) || !retries().tryRetry()) {
+            giveUp(failed, failure);
+            return;
+        }
+        events.attemptFailed(failed.attempt(), failed.server(), failure, delivered > 0 ? "resume" : "retry");
+        submit(queued.withDeadline(
+                tools.time().monotonicMillis() + caller.serviceClass().longestWaitMillis()));
+    }
+
+    /**
+     * Ends the request after a failed attempt.
+     *
+     * @param failed The attempt.
+     * @param failure How it failed.
+     */
+    private void giveUp(ChatAttempt failed, AttemptFailure failure) {
+        events.attemptFailed(failed.attempt(), failed.server(), failure, "give_up");
         finish();
-        reply.fail(RequestFailure.mayHaveRun(code, "the backend server failed: " + reason));
+        reply.fail(RequestFailure.mayHaveRun(failure.code(), "the backend server failed: " + failure.reason()));
     }
 
-    /** Waits for a backend server. */
-    private void submit() {
+    /**
+     * Waits for a backend server.
+     *
+     * @param request What admission knows.
+     */
+    private void submit(QueuedRequest request) {
+        Optional<RequestFailure> quarantined = tools.guard().refusal(fingerprint);
+        if (quarantined.isPresent()) {
+            refuse(quarantined.get());
+            return;
+        }
         tools.scheduler()
                 .submit(new PendingCall(
-                        queued,
+                        request,
                         body.routing(),
-                        server -> reply.context().runOnContext(ignored -> start(server)),
+                        server -> tools.guard().mayStart(fingerprint, body.model(), server),
+                        this::chosen,
                         refusal -> reply.context().runOnContext(ignored -> refused(refusal))));
     }
 
+    /**
+     * Takes the backend server that was chosen, on the thread that chose.
+     *
+     * @param server The backend server.
+     */
+    private void chosen(BackendServer server) {
+        tools.guard().started(run(attempts + 1), server);
+        reply.context().runOnContext(ignored -> start(server));
+    }
+
     /**
      * Starts an attempt.
      *
@@ -198,19 +265,19 @@
      */
     private void start(BackendServer server) {
         if (ended) {
+            tools.guard().ended(run(attempts + 1));
             tools.scheduler().ended(server);
             return;
         }
         attempts++;
-        long waitedMillis = tools.time().monotonicMillis() - arrivedAtMillis;
+        attemptAtMillis = tools.time().monotonicMillis();
+        long waitedMillis = attemptAtMillis - arrivedAtMillis;
         if (attempts == 1) {
             tools.metrics()
                     .queueWait(caller.customer().name(), caller.serviceClass().name(), waitedMillis);
         }
         attempt = new ChatAttempt(reply.requestId() + "-" + attempts, server, this);
-        tools.events()
-                .emit(new GatewayEvents.RequestStarted(
-                        reply.requestId(), attempt.attempt(), server.name(), waitedMillis));
+        events.started(attempt.attempt(), server, waitedMillis);
         UsageKey label = usageKey();
         Map<String, String> headers = Map.of(
                 "Content-Type",
@@ -219,30 +286,32 @@
                 String.valueOf(caller.serviceClass().tier()),
                 BackendClient.USAGE_LABEL_HEADER,
                 label.toString());
-        attempt.start(tools.client(), headers, body.forBackend(delivered));
+        attempt.start(tools.client(), body.path(), headers, body.forBackend(delivered));
     }
 
     /**
-     * Refuses the request.
+     * Refuses the request as the queue decided.
      *
      * @param refusal The refusal.
      */
     private void refused(Refusal refusal) {
+        refuse(new RequestFailure(refusal.code(), "no capacity for this class now", true, refusal.retryAfterMillis()));
+    }
+
+    /**
+     * Refuses the request.
+     *
+     * @param failure The failure, whose claim of "not run" is corrected where something was sent.
+     */
+    private void refuse(RequestFailure failure) {
         if (ended) {
             return;
         }
+        tools.scheduler().cancel(number);
         finish();
-        tools.metrics().refused(caller.serviceClass().name(), refusal.code().text());
-        tools.events()
-                .emit(new GatewayEvents.RequestRefused(
-                        reply.requestId(),
-                        caller.customer().name(),
-                        caller.serviceClass().name(),
-                        refusal.code().text(),
-                        attempts == 0,
-                        refusal.retryAfterMillis()));
-        reply.fail(new RequestFailure(
-                refusal.code(), "no capacity for this class now", attempts == 0, refusal.retryAfterMillis()));
+        RequestFailure truthful = failure.withNotRun(failure.notRun() && attempts == 0);
+        events.refused(truthful);
+        reply.fail(truthful);
     }
 
     /**
@@ -265,10 +334,26 @@
 
     /** Frees the slot of the attempt. */
     private void release() {
+        tools.guard().ended(run(attempts));
         tools.scheduler().ended(attempt.server());
         attempt = null;
     }
 
+    /**
+     * Sends a frame to a caller that asked for a stream, with the usage only if it asked for that.
+     *
+     * @param frame The frame.
+     */
+    private void deliver(JsonObject frame) {
+        if (!body.wantsUsage() && frame.containsKey("usage")) {
+            frame.remove("usage");
+            if (frame.getJsonArray("choices").isEmpty()) {
+                return;
+            }
+        }
+        reply.stream(Buffer.buffer("data: ").appendBuffer(frame.toBuffer()).appendString("\n\n"));
+    }
+
     /** Ends the request and counts its usage. */
     private void finish() {
         ended = true;
@@ -297,24 +382,23 @@
     }
 
     /**
-     * Builds the answer for a caller that asked for no stream.
+     * Returns the identifier of a run.
+     *
+     * @param attemptNumber The number of the attempt.
+     * @return The identifier.
+     */
+    private RunId run(int attemptNumber) {
+        return new RunId(fingerprint, reply.requestId() + "-" + attemptNumber);
+    }
+
+    /**
+     * Returns the retry budget.
      *
-     * @return The answer.
+     * @return The budget.
      */
-    private Buffer wholeAnswer() {
-        JsonObject message = new JsonObject().put("role", "assistant").put("content", text.toString());
-        JsonObject choice =
-                new JsonObject().put("index", 0).put("message", message).put("finish_reason", "stop");
-        JsonObject usage = new JsonObject()
-                .put("prompt_tokens", promptTokens)
-                .put("completion_tokens", delivered)
-                .put("total_tokens", promptTokens + delivered);
-        return lastFrame
-                .copy()
-                .put("object", "chat.completion")
-                .put("choices", new JsonArray().add(choice))
-                .put("usage", usage)
-                .toBuffer();
+    private RetryBudget retries() {
+        return tools.retries()
+                .of(caller.customer().name(), caller.serviceClass().name());
     }
 
     /**
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/EventReader.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/EventReader.java
@@ -55,10 +55,19 @@
             return StreamEvent.Garbage.INSTANCE;
         }
         JsonObject choice = choices.isEmpty() ? new JsonObject() : choices.getJsonObject(0);
+        if (choice == null) {
+            return StreamEvent.Garbage.INSTANCE;
+        }
         JsonObject delta = choice.getJsonObject("delta");
         String content = delta == null ? choice.getString("text") : delta.getString("content");
+        JsonArray toolCalls = delta == null ? null : delta.getJsonArray("tool_calls");
         JsonObject usage = frame.getJsonObject("usage");
-        int promptTokens = usage == null ? -1 : usage.getInteger("prompt_tokens", -1);
-        return new StreamEvent.Frame(frame, content, choice.getString("finish_reason"), promptTokens);
+        Integer promptTokens = usage == null ? null : usage.getInteger("prompt_tokens");
+        return new StreamEvent.Frame(
+                frame,
+                content,
+                toolCalls == null ? new JsonArray() : toolCalls,
+                choice.getString("finish_reason"),
+                promptTokens == null ? -1 : promptTokens);
     }
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/RequestFailure.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/RequestFailure.java
@@ -43,4 +43,14 @@
     public RequestFailure withRetryAfter(long millis) {
         return new RequestFailure(code, message, notRun, millis);
     }
+
+    /**
+     * Sets whether it is certain that nothing was run.
+     *
+     * @param certain Whether it is.
+     * @return The refined failure.
+     */
+    public RequestFailure withNotRun(boolean certain) {
+        return new RequestFailure(code, message, certain, retryAfterMillis);
+    }
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
@@ -5,18 +5,18 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
+import java.util.Optional;
 import org.cranberrygauge.decision.admission.QueuedRequest;
 import org.cranberrygauge.decision.admission.Refusal;
+import org.cranberrygauge.decision.quarantine.RequestFingerprint;
+import org.cranberrygauge.decision.quarantine.RunId;
 import org.cranberrygauge.decision.reservation.ReservationVerdict;
+import org.cranberrygauge.decision.retry.RetryBudget;
 import org.cranberrygauge.decision.routing.RoutingRequest;
-import org.cranberrygauge.gateway.GatewayEvents;
 import org.cranberrygauge.gateway.schedule.PendingCall;
 import org.cranberrygauge.model.backend.BackendServer;
 import org.cranberrygauge.model.customer.KeyDigest;
-import org.cranberrygauge.model.error.CranberrygaugeException;
 import org.cranberrygauge.model.error.ErrorCode;
-import org.cranberrygauge.model.record.LogRecord.Disposition;
-import org.cranberrygauge.model.record.LogRecord.Reservation;
 import org.cranberrygauge.model.record.LogRecord.ReservationOutcome;
 import org.cranberrygauge.model.record.UsageFigures;
 import org.cranberrygauge.model.record.UsageKey;
@@ -26,7 +26,8 @@
  * One call to a plain service on its way.
  *
  * <p>Invariants: a call on an at-most-once route is sent at most once; before a byte was sent each refusal says "not run",
- * and after it none does; a reserved call is sent only after its reservation won. Used on the context of the caller's
+ * and after it none does; a reserved call is sent only after its reservation won; a call on an at-most-once route that was
+ * sent goes on after its caller is answered or gone, so that its outcome is recorded. Used on the context of the caller's
  * connection, but for the methods that say otherwise.
  */
 public final class ServiceCall implements ActiveCall {
@@ -34,21 +35,15 @@
     /** The number of attempts after which an idempotent call is given up. */
     private static final int ATTEMPTS = 3;
 
-    /** The largest answer that is kept in the log in bytes. */
-    private static final int KEPT_ANSWER_BYTES = 4_096;
-
-    /** The time after which a caller may ask again for a call that runs in milliseconds. */
-    private static final long RUNNING_RETRY_MILLIS = 1_000;
-
-    /** The time after which a caller may try again while the log is down in milliseconds. */
-    private static final long LOG_RETRY_MILLIS = 5_000;
-
     /** What every request works with. */
     private final CallTools tools;
 
     /** Whose request it is. */
     private final Caller caller;
 
+    /** Writes the events. */
+    private final CallEvents events;
+
     /** The call. */
     private final ServiceRequest request;
 
@@ -70,8 +65,17 @@
     /** The number of attempts so far. */
     private int attempts;
 
-    /** Whether the call holds a reservation. */
-    private boolean reserved;
+    /** What recognises the call when it is sent again. */
+    private final RequestFingerprint fingerprint;
+
+    /** The monotonic time of the start of the attempt. */
+    private long attemptAtMillis;
+
+    /** Whether the caller was answered while the call goes on. */
+    private boolean detached;
+
+    /** The reservation. */
+    private final CallReservation reservation;
 
     /** Whether a byte may have reached a backend server. */
     private boolean sent;
@@ -91,10 +95,14 @@
     public ServiceCall(CallTools tools, Caller caller, ServiceRequest request, CallerReply reply, long number) {
         this.tools = tools;
         this.caller = caller;
+        this.events = new CallEvents(tools, caller, reply.requestId());
         this.request = request;
         this.reply = reply;
         this.number = number;
         this.arrivedAtMillis = tools.time().monotonicMillis();
+        this.reservation = new CallReservation(tools, reply.requestId());
+        this.fingerprint =
+                RequestFingerprint.of(caller.customer().name(), request.route().pathPrefix(), request.digest());
     }
 
     /** Reserves the call where needed and submits it. */
@@ -105,19 +113,11 @@
             submit();
             return;
         }
-        Reservation reservation = new Reservation(
-                reservationId(),
-                caller.customer().name(),
-                request.route().pathPrefix(),
-                request.keyDigest(),
-                request.digest(),
-                tools.gateway(),
-                tools.time().wallMillis());
-        tools.desk()
-                .reserve(reservation)
+        reservation
+                .make(caller, request)
                 .onComplete(
                         verdict -> reply.context().runOnContext(ignored -> judged(verdict)),
-                        failure -> reply.context().runOnContext(ignored -> notReserved(failure)));
+                        failure -> reply.context().runOnContext(ignored -> end(CallReservation.refusal(failure))));
     }
 
     @Override
@@ -128,46 +128,56 @@
     @Override
     public void abort(RequestFailure failure) {
         reply.context().runOnContext(ignored -> {
-            if (!ended) {
-                end(new RequestFailure(failure.code(), failure.message(), !sent, failure.retryAfterMillis()));
+            RequestFailure truthful = failure.withNotRun(!sent);
+            if (sent && isAtMostOnce()) {
+                detach(truthful);
+            } else {
+                end(truthful);
+            }
+        });
+    }
+
+    @Override
+    public void reconsider() {
+        reply.context().runOnContext(ignored -> {
+            if (!ended && server == null && !sent) {
+                tools.guard().refusal(fingerprint).ifPresent(this::end);
             }
         });
     }
 
     /**
-     * Acts on the verdict of the reservation.
+     * Answers the caller now and lets the call go on.
      *
-     * @param verdict The verdict.
+     * @param failure The answer.
      */
-    private void judged(ReservationVerdict verdict) {
-        if (verdict == ReservationVerdict.Won.INSTANCE) {
-            reserved = true;
-            if (ended) {
-                recordOutcome(Disposition.NOT_RUN, 0, "", Buffer.buffer());
-                return;
-            }
-            submit();
-        } else if (verdict instanceof ReservationVerdict.Answered answered) {
-            repeatAnswer(answered.outcome());
-        } else if (verdict == ReservationVerdict.OtherBody.INSTANCE) {
-            end(RequestFailure.notRun(ErrorCode.KEY_REUSED, "the idempotency key was used with another body"));
-        } else if (verdict == ReservationVerdict.Running.INSTANCE) {
-            end(RequestFailure.mayHaveRun(ErrorCode.IN_PROGRESS, "the call with this idempotency key still runs")
-                    .withRetryAfter(RUNNING_RETRY_MILLIS));
-        } else {
-            end(RequestFailure.mayHaveRun(
-                    ErrorCode.OUTCOME_UNKNOWN, "the outcome of this call is unknown; it is not run again"));
+    private void detach(RequestFailure failure) {
+        if (ended || detached) {
+            return;
         }
+        detached = true;
+        events.refused(failure);
+        reply.fail(failure);
     }
 
     /**
-     * Refuses a call whose reservation is not in the log.
+     * Acts on the verdict of the reservation.
      *
-     * @param failure The failure.
+     * @param verdict The verdict.
      */
-    private void notReserved(Throwable failure) {
-        ErrorCode code = failure instanceof CranberrygaugeException known ? known.code() : ErrorCode.LOG_UNAVAILABLE;
-        end(RequestFailure.notRun(code, "the call could not be reserved").withRetryAfter(LOG_RETRY_MILLIS));
+    private void judged(ReservationVerdict verdict) {
+        if (verdict instanceof ReservationVerdict.Answered answered) {
+            repeatAnswer(answered.outcome());
+        } else if (verdict != ReservationVerdict.Won.INSTANCE) {
+            end(CallReservation.refusal(verdict));
+        } else {
+            reservation.won();
+            if (ended) {
+                reservation.unanswered(false);
+            } else {
+                submit();
+            }
+        }
     }
 
     /**
@@ -178,7 +188,7 @@
     private void repeatAnswer(ReservationOutcome outcome) {
         if (!outcome.bodyKept()) {
             end(RequestFailure.mayHaveRun(
-                    ErrorCode.IN_PROGRESS,
+                    ErrorCode.ANSWER_NOT_KEPT,
                     "the call ran with status " + outcome.status() + "; its answer is not kept"));
             return;
         }
@@ -187,8 +197,14 @@
         reply.answer(outcome.status(), outcome.contentType(), Buffer.buffer(outcome.body()));
     }
 
-    /** Waits for a backend server. */
+    /** Waits for a backend server, unless the call is held in quarantine. */
     private void submit() {
+        Optional<RequestFailure> quarantined = tools.guard().refusal(fingerprint);
+        if (quarantined.isPresent()) {
+            end(quarantined.get().withNotRun(!sent));
+            return;
+        }
+        long nowMillis = tools.time().monotonicMillis();
         QueuedRequest queued = new QueuedRequest(
                 number,
                 caller.customer().name(),
@@ -197,15 +213,27 @@
                 request.route().service(),
                 1,
                 arrivedAtMillis,
-                arrivedAtMillis + caller.serviceClass().longestWaitMillis());
+                nowMillis + caller.serviceClass().longestWaitMillis());
         tools.scheduler()
                 .submit(new PendingCall(
                         queued,
                         new RoutingRequest(request.route().service(), "", 0),
-                        chosen -> reply.context().runOnContext(ignored -> start(chosen)),
+                        candidate -> tools.guard()
+                                .mayStart(fingerprint, request.route().service(), candidate),
+                        this::chosen,
                         refusal -> reply.context().runOnContext(ignored -> refused(refusal))));
     }
 
+    /**
+     * Takes the backend server that was chosen, on the thread that chose.
+     *
+     * @param chosen The backend server.
+     */
+    private void chosen(BackendServer chosen) {
+        tools.guard().started(run(attempts + 1), chosen);
+        reply.context().runOnContext(ignored -> start(chosen));
+    }
+
     /**
      * Starts an attempt.
      *
@@ -213,19 +241,19 @@
      */
     private void start(BackendServer chosen) {
         if (ended) {
+            tools.guard().ended(run(attempts + 1));
             tools.scheduler().ended(chosen);
             return;
         }
         attempts++;
+        attemptAtMillis = tools.time().monotonicMillis();
         server = chosen;
         String attempt = reply.requestId() + "-" + attempts;
-        tools.events()
-                .emit(new GatewayEvents.RequestStarted(
-                        reply.requestId(), attempt, chosen.name(), tools.time().monotonicMillis() - arrivedAtMillis));
+        events.started(attempt, chosen, tools.time().monotonicMillis() - arrivedAtMillis);
         tools.client()
                 .open(chosen, HttpMethod.valueOf(request.method()), request.uri(), attempt, request.headers())
                 .onSuccess(this::send)
-                .onFailure(failure -> failed("no connection"));
+                .onFailure(failure -> failed(new AttemptFailure(AttemptFailure.Kind.NOT_CONNECTED, "no connection")));
     }
 
     /**
@@ -242,7 +270,7 @@
         sent = true;
         opened.send(request.body())
                 .compose(response -> response.body().compose(body -> received(response, body)))
-                .onFailure(failure -> failed("connection lost"));
+                .onFailure(failure -> failed(AttemptFailure.broken(failure, "connection lost")));
     }
 
     /**
@@ -256,54 +284,71 @@
         if (ended) {
             return Future.succeededFuture();
         }
+        String echoed = response.getHeader(BackendClient.ATTEMPT_HEADER);
+        if (echoed != null && !echoed.equals(reply.requestId() + "-" + attempts)) {
+            failed(new AttemptFailure(AttemptFailure.Kind.INVALID_ANSWER, "answer to another attempt"));
+            return Future.succeededFuture();
+        }
         String contentType = response.getHeader("Content-Type");
         String type = contentType == null ? "application/octet-stream" : contentType;
-        recordOutcome(Disposition.ANSWERED, response.statusCode(), type, body);
+        reservation.answered(response.statusCode(), type, body);
         release();
         close();
-        tools.retries().succeeded();
+        tools.guard().completed(fingerprint);
+        retries().succeeded();
         reply.answer(response.statusCode(), type, body);
-        long totalMillis = tools.time().monotonicMillis() - arrivedAtMillis;
-        tools.metrics().total(caller.customer().name(), caller.serviceClass().name(), totalMillis);
-        tools.events()
-                .emit(new GatewayEvents.RequestSucceeded(
-                        reply.requestId(),
-                        caller.customer().name(),
-                        caller.serviceClass().name(),
-                        0,
-                        totalMillis));
+        events.succeeded(0, tools.time().monotonicMillis() - arrivedAtMillis);
         return Future.succeededFuture();
     }
 
     /**
      * Acts on a failed attempt.
      *
-     * @param reason The reason.
+     * @param failure How it failed.
      */
-    private void failed(String reason) {
+    private void failed(AttemptFailure failure) {
         if (ended) {
             return;
         }
+        if (sending != null) {
+            sending.reset();
+        }
         BackendServer failedServer = server;
         tools.board().failed(tools.time().monotonicMillis(), failedServer);
         release();
-        boolean mayRepeat = !isAtMostOnce() || !sent;
-        boolean again = mayRepeat && attempts < ATTEMPTS && tools.retries().tryRetry();
-        tools.metrics().failedAttempt(caller.serviceClass().name(), again ? "retry" : "give_up");
-        tools.events()
-                .emit(new GatewayEvents.AttemptFailed(
-                        reply.requestId(),
-                        reply.requestId() + "-" + attempts,
-                        failedServer.name(),
-                        reason,
-                        again ? "retry" : "give_up"));
+        if (failure.kind() != AttemptFailure.Kind.CONNECTION_LOST) {
+            goOn(failedServer, failure);
+            return;
+        }
+        tools.guard()
+                .lost(fingerprint, failedServer, attemptAtMillis)
+                .onComplete(judged -> reply.context().runOnContext(ignored -> goOn(failedServer, failure)));
+    }
+
+    /**
+     * Tries again after a failed attempt, or gives up.
+     *
+     * @param failedServer The backend server.
+     * @param failure How it failed.
+     */
+    private void goOn(BackendServer failedServer, AttemptFailure failure) {
+        if (ended) {
+            return;
+        }
+        Optional<RequestFailure> quarantined = tools.guard().refusal(fingerprint);
+        boolean mayRepeat = (!isAtMostOnce() || !sent) && quarantined.isEmpty() && !reply.isClosed();
+        boolean again = mayRepeat && attempts < ATTEMPTS && retries().tryRetry();
+        String next = again ? "retry" : "give_up";
+        events.attemptFailed(reply.requestId() + "-" + attempts, failedServer, failure, next);
         if (again) {
             submit();
         } else if (isAtMostOnce() && sent) {
             end(RequestFailure.mayHaveRun(
                     ErrorCode.OUTCOME_UNKNOWN, "the outcome of this call is unknown; it is not run again"));
         } else {
-            end(new RequestFailure(ErrorCode.BACKEND_FAILED, "the service failed: " + reason, !sent, 0));
+            RequestFailure last =
+                    new RequestFailure(failure.code(), "the service failed: " + failure.reason(), !sent, 0);
+            end(quarantined.orElse(last).withNotRun(!sent));
         }
     }
 
@@ -314,7 +359,6 @@
      */
     private void refused(Refusal refusal) {
         if (!ended) {
-            tools.metrics().refused(caller.serviceClass().name(), refusal.code().text());
             end(new RequestFailure(
                     refusal.code(), "no capacity for this class now", !sent, refusal.retryAfterMillis()));
         }
@@ -325,7 +369,7 @@
         if (sent && isAtMostOnce()) {
             return;
         }
-        end(RequestFailure.notRun(ErrorCode.INTERNAL, "the caller is gone"));
+        end(RequestFailure.notRun(ErrorCode.INTERNAL, "the caller is gone").withNotRun(!sent));
     }
 
     /**
@@ -338,9 +382,7 @@
             return;
         }
         tools.scheduler().cancel(number);
-        if (reserved) {
-            recordOutcome(sent ? Disposition.UNKNOWN : Disposition.NOT_RUN, 0, "", Buffer.buffer());
-        }
+        reservation.unanswered(sent);
         if (server != null) {
             release();
         }
@@ -348,14 +390,9 @@
             sending.reset();
         }
         close();
-        tools.events()
-                .emit(new GatewayEvents.RequestRefused(
-                        reply.requestId(),
-                        caller.customer().name(),
-                        caller.serviceClass().name(),
-                        failure.code().text(),
-                        failure.notRun(),
-                        failure.retryAfterMillis()));
+        if (!detached) {
+            events.refused(failure);
+        }
         reply.fail(failure);
     }
 
@@ -372,35 +409,29 @@
 
     /** Frees the slot of the attempt. */
     private void release() {
+        tools.guard().ended(run(attempts));
         tools.scheduler().ended(server);
         server = null;
     }
 
     /**
-     * Records the outcome of a reserved call.
+     * Returns the identifier of a run.
      *
-     * @param disposition What became of it.
-     * @param status The status.
-     * @param contentType The content type.
-     * @param body The body.
+     * @param attemptNumber The number of the attempt.
+     * @return The identifier.
      */
-    private void recordOutcome(Disposition disposition, int status, String contentType, Buffer body) {
-        if (!reserved) {
-            return;
-        }
-        boolean kept = disposition == Disposition.ANSWERED && body.length() <= KEPT_ANSWER_BYTES;
-        tools.desk()
-                .record(new ReservationOutcome(
-                        reservationId(), disposition, status, contentType, kept ? body.toString() : "", kept));
+    private RunId run(int attemptNumber) {
+        return new RunId(fingerprint, reply.requestId() + "-" + attemptNumber);
     }
 
     /**
-     * Returns the identifier of the reservation.
+     * Returns the retry budget.
      *
-     * @return The identifier.
+     * @return The budget.
      */
-    private String reservationId() {
-        return reply.requestId();
+    private RetryBudget retries() {
+        return tools.retries()
+                .of(caller.customer().name(), caller.serviceClass().name());
     }
 
     /**
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/StreamEvent.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/StreamEvent.java
@@ -1,5 +1,6 @@
 package org.cranberrygauge.gateway.call;
 
+import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 
 /** One event of a stream of completions. */
@@ -10,10 +11,12 @@
      *
      * @param json The frame.
      * @param content The text of a token, or null.
+     * @param toolCalls The parts of tool calls; empty for none.
      * @param finishReason Why the answer ended, or null.
      * @param promptTokens The number of prompt tokens; -1 if not stated.
      */
-    record Frame(JsonObject json, String content, String finishReason, int promptTokens) implements StreamEvent {}
+    record Frame(JsonObject json, String content, JsonArray toolCalls, String finishReason, int promptTokens)
+            implements StreamEvent {}
 
     /** The end of the stream. */
     enum Done implements StreamEvent {
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/ExchangeService.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/ExchangeService.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.function.Supplier;
 import org.cranberrygauge.decision.membership.PeerReport;
+import org.cranberrygauge.decision.quarantine.Observation;
+import org.cranberrygauge.decision.quarantine.Quarantine;
 import org.cranberrygauge.protocol.generated.GatewayExchange;
 import org.cranberrygauge.protocol.generated.GatewayReport;
 import org.cranberrygauge.protocol.generated.LogSlice;
@@ -32,6 +34,12 @@
     /** The sources of time. */
     private final TimeSource time;
 
+    /** Takes in what peers tell of suspected requests. */
+    private final Quarantine quarantine;
+
+    /** Acts on what peers told of suspected requests. */
+    private final Runnable onSuspects;
+
     /**
      * Creates the service.
      *
@@ -39,13 +47,22 @@
      * @param follower The follower of the log.
      * @param ownReport Builds the report of this gateway.
      * @param time The sources of time.
+     * @param quarantine Takes in what peers tell of suspected requests.
+     * @param onSuspects Acts on what peers told of suspected requests.
      */
     public ExchangeService(
-            Blackboard blackboard, LogFollower follower, Supplier<GatewayReport> ownReport, TimeSource time) {
+            Blackboard blackboard,
+            LogFollower follower,
+            Supplier<GatewayReport> ownReport,
+            TimeSource time,
+            Quarantine quarantine,
+            Runnable onSuspects) {
         this.blackboard = blackboard;
         this.follower = follower;
         this.ownReport = ownReport;
         this.time = time;
+        this.quarantine = quarantine;
+        this.onSuspects = onSuspects;
     }
 
     @Override
@@ -74,6 +91,11 @@
      * @param report The report.
      */
     public void take(GatewayReport report) {
+        List<Observation> observations = ObservationCodec.read(report.getQuarantined());
+        quarantine.heard(time.monotonicMillis(), report.getGateway(), observations);
+        if (!observations.isEmpty()) {
+            onSuspects.run();
+        }
         blackboard
                 .peers()
                 .put(
@@ -88,6 +110,15 @@
                                 report.isDraining()));
     }
 
+    /**
+     * Writes what this gateway tells its peers of suspected requests.
+     *
+     * @return The texts of a report.
+     */
+    public List<String> suspects() {
+        return ObservationCodec.write(quarantine.observations(time.monotonicMillis()));
+    }
+
     /**
      * Returns the time since this gateway read the log's end.
      *
--- /dev/null
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/ObservationCodec.java
@@ -0,0 +1,102 @@
+package org.cranberrygauge.gateway.exchange;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.cranberrygauge.decision.quarantine.Observation;
+import org.cranberrygauge.decision.quarantine.RequestFingerprint;
+
+/**
+ * Writes what is told of suspected requests as the texts of a report.
+ *
+ * <p>A text has its parts separated by spaces: {@code crashed FINGERPRINT RUN_MILLIS AGE_MILLIS SERVER}, {@code cleared
+ * FINGERPRINT AGE_MILLIS} or {@code running FINGERPRINT SERVER}. A text that can't be read is left out, so that a newer
+ * peer may say more. Stateless and safe for use by several threads.
+ */
+final class ObservationCodec {
+
+    /** The first word on a crash. */
+    private static final String CRASHED = "crashed";
+
+    /** The first word on a completion. */
+    private static final String CLEARED = "cleared";
+
+    /** The first word on a run. */
+    private static final String RUNNING = "running";
+
+    /** Prevents instances. */
+    private ObservationCodec() {}
+
+    /**
+     * Writes observations.
+     *
+     * @param observations The observations.
+     * @return The texts.
+     */
+    static List<String> write(List<Observation> observations) {
+        return observations.stream().map(ObservationCodec::write).toList();
+    }
+
+    /**
+     * Reads observations.
+     *
+     * @param texts The texts, or null for none.
+     * @return The observations that can be read.
+     */
+    static List<Observation> read(List<String> texts) {
+        List<Observation> observations = new ArrayList<>();
+        for (String text : texts == null ? List.<String>of() : texts) {
+            try {
+                Observation observation = read(text.split(" ", -1));
+                if (observation != null) {
+                    observations.add(observation);
+                }
+            } catch (NumberFormatException exception) {
+                continue;
+            }
+        }
+        return observations;
+    }
+
+    /**
+     * Writes an observation.
+     *
+     * @param observation The observation.
+     * @return The text.
+     */
+    private static String write(Observation observation) {
+        String fingerprint = observation.fingerprint().hexadecimal();
+        if (observation instanceof Observation.Crashed crashed) {
+            return String.join(
+                    " ",
+                    CRASHED,
+                    fingerprint,
+                    String.valueOf(crashed.runMillis()),
+                    String.valueOf(crashed.ageMillis()),
+                    crashed.server());
+        }
+        if (observation instanceof Observation.Cleared cleared) {
+            return String.join(" ", CLEARED, fingerprint, String.valueOf(cleared.ageMillis()));
+        }
+        return String.join(" ", RUNNING, fingerprint, ((Observation.Running) observation).server());
+    }
+
+    /**
+     * Reads an observation.
+     *
+     * @param parts The parts of its text.
+     * @return The observation, or null if it is of no known kind.
+     */
+    private static Observation read(String... parts) {
+        if (parts.length == 5 && parts[0].equals(CRASHED)) {
+            return new Observation.Crashed(
+                    new RequestFingerprint(parts[1]), parts[4], Long.parseLong(parts[2]), Long.parseLong(parts[3]));
+        }
+        if (parts.length == 3 && parts[0].equals(CLEARED)) {
+            return new Observation.Cleared(new RequestFingerprint(parts[1]), Long.parseLong(parts[2]));
+        }
+        if (parts.length == 3 && parts[0].equals(RUNNING)) {
+            return new Observation.Running(new RequestFingerprint(parts[1]), parts[2]);
+        }
+        return null;
+    }
+}
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/PeerExchange.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/PeerExchange.java
@@ -1,10 +1,11 @@
 package org.cranberrygauge.gateway.exchange;
 
-import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.protocol.generated.GatewayReport;
@@ -20,7 +21,16 @@
 public final class PeerExchange {
 
     /** The threads, one a peer. */
-    private final List<ScheduledExecutorService> threads = new ArrayList<>();
+    private final List<ScheduledExecutorService> threads = new CopyOnWriteArrayList<>();
+
+    /** The clients, one a peer, in the order of the threads. */
+    private final List<PeerClient> clients = new CopyOnWriteArrayList<>();
+
+    /** The time between two exchanges with a peer in milliseconds. */
+    private final long intervalMillis;
+
+    /** Creates a client. */
+    private final Function<NetworkAddress, PeerClient> factory;
 
     /**
      * Starts to exchange.
@@ -41,15 +51,35 @@
             Blackboard blackboard,
             LogFollower follower,
             TimeSource time) {
-        for (NetworkAddress peer : peers) {
-            PeerClient client = new PeerClient(peer, service, ownReport, blackboard, follower, time);
-            ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(work -> {
-                Thread created = new Thread(work, "exchange-" + peer);
-                created.setDaemon(true);
-                return created;
-            });
-            thread.scheduleWithFixedDelay(client::exchange, 0, intervalMillis, TimeUnit.MILLISECONDS);
-            threads.add(thread);
+        this.intervalMillis = intervalMillis;
+        this.factory = peer -> new PeerClient(peer, service, ownReport, blackboard, follower, time);
+        peers.forEach(this::add);
+    }
+
+    /**
+     * Adds a peer.
+     *
+     * @param peer The address of its exchange.
+     */
+    public void add(NetworkAddress peer) {
+        PeerClient client = factory.apply(peer);
+        ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(work -> {
+            Thread created = new Thread(work, "exchange-" + peer);
+            created.setDaemon(true);
+            return created;
+        });
+        thread.scheduleWithFixedDelay(client::exchange, 0, intervalMillis, TimeUnit.MILLISECONDS);
+        clients.add(client);
+        threads.add(thread);
+    }
+
+    /** Exchanges with each peer now, in addition to the regular times. */
+    public void exchangeNow() {
+        for (int index = 0; index < clients.size(); index++) {
+            PeerClient client = clients.get(index);
+            if (!threads.get(index).isShutdown()) {
+                threads.get(index).execute(client::exchange);
+            }
         }
     }
 
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/BodyReader.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/BodyReader.java
@@ -29,10 +29,17 @@
      */
     static Future<Buffer> read(Vertx vertx, HttpServerRequest request, int limitBytes, long timeoutMillis) {
         Promise<Buffer> promise = Promise.promise();
+        if (statedLength(request) > limitBytes) {
+            fail(promise, ErrorCode.TOO_LARGE, "the body is larger than " + limitBytes + " bytes");
+            return promise.future();
+        }
         Buffer body = Buffer.buffer();
         long timer = vertx.setTimer(
                 timeoutMillis, ignored -> fail(promise, ErrorCode.REQUEST_TIMEOUT, "the body did not arrive in time"));
         request.handler(part -> {
+            if (promise.future().isComplete()) {
+                return;
+            }
             if (body.length() + part.length() > limitBytes) {
                 fail(promise, ErrorCode.TOO_LARGE, "the body is larger than " + limitBytes + " bytes");
                 return;
@@ -44,6 +51,20 @@
         return promise.future().onComplete(done -> vertx.cancelTimer(timer));
     }
 
+    /**
+     * Reads the length of the body as the caller states it.
+     *
+     * @param request The request.
+     * @return The length in bytes; 0 if none is stated.
+     */
+    private static long statedLength(HttpServerRequest request) {
+        try {
+            return Long.parseLong(request.getHeader("Content-Length"));
+        } catch (NumberFormatException exception) {
+            return 0;
+        }
+    }
+
     /**
      * Fails unless done.
      *
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/CallerHandler.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/CallerHandler.java
@@ -1,5 +1,7 @@
 package org.cranberrygauge.gateway.http;
 
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.vertx.core.Context;
 import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
@@ -8,6 +10,8 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -46,7 +50,7 @@
     private static final String SERVICES_PREFIX = "/services";
 
     /** The paths of completions. */
-    private static final Set<String> COMPLETION_PATHS = Set.of("/v1/chat/completions", "/v1/completions");
+    private static final Set<String> COMPLETION_PATHS = Set.of(ChatBody.CHAT_PATH, "/v1/completions");
 
     /** The path of the list of models. */
     private static final String MODELS_PATH = "/v1/models";
@@ -107,7 +111,30 @@
         CallerReply reply = new CallerReply(request, context, tools.gateway() + "." + number);
         BodyReader.read(vertx, request, settings.bodyLimitBytes(), settings.bodyTimeoutMillis())
                 .onSuccess(body -> take(request, body, reply, number))
-                .onFailure(failure -> refuse(reply, failure));
+                .onFailure(failure -> {
+                    reply.closeConnectionAfterwards();
+                    refuse(reply, failure);
+                });
+    }
+
+    /**
+     * Answers a request that is no valid HTTP, such as one whose header is larger than allowed.
+     *
+     * @param request The request.
+     */
+    public void handleInvalid(HttpServerRequest request) {
+        CallerReply reply =
+                new CallerReply(request, vertx.getOrCreateContext(), tools.gateway() + "." + numbers.incrementAndGet());
+        Throwable cause = request.decoderResult().cause();
+        boolean tooLarge = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+        reply.closeConnectionAfterwards();
+        refuse(
+                reply,
+                tooLarge
+                        ? new CranberrygaugeException(
+                                ErrorCode.TOO_LARGE,
+                                "the header is larger than " + settings.headerLimitBytes() + " bytes")
+                        : new CranberrygaugeException(ErrorCode.INVALID_REQUEST, "the request is no valid HTTP"));
     }
 
     /**
@@ -122,7 +149,7 @@
         try {
             gate.check();
             checkNoKeyOutsideHeader(request, body);
-            String path = request.path();
+            String path = request.path() == null ? "" : request.path();
             if (request.method().equals(HttpMethod.POST) && COMPLETION_PATHS.contains(path)) {
                 takeCompletion(request, body, reply, number);
             } else if (request.method().equals(HttpMethod.GET) && MODELS_PATH.equals(path)) {
@@ -150,7 +177,12 @@
     private void takeCompletion(HttpServerRequest request, Buffer body, CallerReply reply, long number)
             throws CranberrygaugeException {
         Caller caller = authenticator.caller(request);
-        ChatBody chat = ChatBody.read(body);
+        ChatBody chat = ChatBody.read(request.path(), body);
+        String key = Authenticator.key(request).orElse("");
+        if (chat.canonical().contains(key)) {
+            throw new CranberrygaugeException(
+                    ErrorCode.INVALID_REQUEST, "the key must stand in the Authorization header only");
+        }
         if (!blackboard.configuration().models().contains(chat.model())) {
             throw new CranberrygaugeException(ErrorCode.NOT_FOUND, "no such model");
         }
@@ -243,13 +275,32 @@
      */
     private static void checkNoKeyOutsideHeader(HttpServerRequest request, Buffer body) throws CranberrygaugeException {
         Optional<String> key = Authenticator.key(request).filter(text -> !text.isEmpty());
-        if (key.isPresent()
-                && (request.uri().contains(key.get()) || body.toString().contains(key.get()))) {
+        if (key.isEmpty()) {
+            return;
+        }
+        if (carries(request.uri(), key.get()) || body.toString().contains(key.get())) {
             throw new CranberrygaugeException(
                     ErrorCode.INVALID_REQUEST, "the key must stand in the Authorization header only");
         }
     }
 
+    /**
+     * Tells whether a URI carries a key, as it stands or percent-encoded.
+     *
+     * @param uri The URI.
+     * @param key The key.
+     * @return Whether it does.
+     * @throws CranberrygaugeException If the URI can't be decoded.
+     */
+    private static boolean carries(String uri, String key) throws CranberrygaugeException {
+        try {
+            return uri.contains(key)
+                    || URLDecoder.decode(uri, StandardCharsets.UTF_8).contains(key);
+        } catch (IllegalArgumentException exception) {
+            throw new CranberrygaugeException(ErrorCode.INVALID_REQUEST, "the path can't be decoded", exception);
+        }
+    }
+
     /**
      * Builds the list of models.
      *
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/BackendBoard.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/BackendBoard.java
@@ -97,6 +97,19 @@
         return views;
     }
 
+    /**
+     * Counts the backend servers of a target that may get work, free or not.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param target The model or service.
+     * @return The number.
+     */
+    public int healthy(long nowMillis, String target) {
+        return (int) byTarget.get().getOrDefault(target, List.of()).stream()
+                .filter(entry -> view(nowMillis, entry).available())
+                .count();
+    }
+
     /**
      * Tells whether any backend server serves a target, free or not.
      *
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/Scheduler.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/Scheduler.java
@@ -161,11 +161,13 @@
         if (full.contains(request.target())) {
             return false;
         }
-        if (board.candidates(nowMillis, request.target()).isEmpty()) {
+        List<BackendView> free = board.candidates(nowMillis, request.target());
+        if (free.isEmpty()) {
             full.add(request.target());
             return false;
         }
-        return true;
+        PendingCall call = waiting.get(request.requestId());
+        return call == null || free.stream().anyMatch(view -> call.mayStartOn().test(view.server()));
     }
 
     /**
@@ -179,7 +181,9 @@
         if (call == null) {
             return;
         }
-        List<BackendView> candidates = board.candidates(nowMillis, request.target());
+        List<BackendView> candidates = board.candidates(nowMillis, request.target()).stream()
+                .filter(view -> call.mayStartOn().test(view.server()))
+                .toList();
         BackendServer server = routing.choose(nowMillis, call.routing(), candidates, random)
                 .map(BackendView::server)
                 .orElse(candidates.get(0).server());
--- a/cranberrygauge-model/src/main/java/org/cranberrygauge/model/error/ErrorCode.java
+++ b/cranberrygauge-model/src/main/java/org/cranberrygauge/model/error/ErrorCode.java
@@ -22,6 +22,8 @@
     IN_PROGRESS(409),
     /** The outcome of the call with this idempotency key is unknown and it is not run again. */
     OUTCOME_UNKNOWN(409),
+    /** The call with this idempotency key ran, and its answer was too large to be kept. */
+    ANSWER_NOT_KEPT(409),
     /** The route demands an idempotency key. */
     KEY_REQUIRED(400),
     /** The queue of the class is full or the deadline cannot be met. */
