--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/AdmissionQueue.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/AdmissionQueue.java
@@ -33,9 +33,9 @@
      *
      * @param nowMillis The present monotonic time in milliseconds.
      * @param canStart Tells whether a request could start now.
-     * @return The request, or nothing if none that waits can start.
+     * @return The start, or nothing if none that waits can start.
      */
-    Optional<QueuedRequest> next(long nowMillis, Predicate<QueuedRequest> canStart);
+    Optional<QueueStart> next(long nowMillis, Predicate<QueuedRequest> canStart);
 
     /**
      * Removes the requests that can no longer meet their deadline.
@@ -68,4 +68,28 @@
      * @return The number.
      */
     int waiting(String className);
+
+    /**
+     * Returns the work that waits for a target.
+     *
+     * @param target The model or service.
+     * @return The work in tokens.
+     */
+    long waitingTokens(String target);
+
+    /**
+     * Finds the request for a target that would start next by tier.
+     *
+     * @param target The model or service.
+     * @return The request, or null if none waits.
+     */
+    QueuedRequest first(String target);
+
+    /**
+     * A request that starts.
+     *
+     * @param request The request.
+     * @param owed Whether it starts before higher tiers because its class is owed a start.
+     */
+    record QueueStart(QueuedRequest request, boolean owed) {}
 }
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/ClassQueue.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/ClassQueue.java
@@ -1,45 +1,47 @@
 package org.cranberrygauge.decision.admission;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.Iterator;
-import java.util.List;
-import java.util.Map;
-import java.util.function.Predicate;
+import java.util.Comparator;
+import java.util.PriorityQueue;
 import org.cranberrygauge.model.service.ServiceClass;
 
 /**
- * The waiting requests of one class, served to its customers by weighted fair queueing over tokens.
+ * The waiting requests of one class with its guaranteed starts and deadlines.
  *
- * <p>Invariants: the virtual time of a customer that comes back from idleness is raised to that of the class, so that it
- * can't save up service; requests of one customer start in the order of arrival. Used by one thread at a time.
+ * <p>Invariants: the saved credit is never negative and never above its limit. Used by one thread at a time.
  */
 final class ClassQueue {
 
-    /** The class. */
-    private ServiceClass serviceClass;
+    /** The highest credit a class can save, in starts. */
+    private static final double CREDIT_LIMIT = 4;
+
+    /** The part of the longest wait that is left when a request is in danger of its deadline. */
+    private static final double DANGER_SHARE = 0.25;
 
-    /** The waiting requests by customer. */
-    private final Map<String, Deque<QueuedRequest>> waiting = new HashMap<>();
+    /** The waiting requests. */
+    private final CustomerLines lines;
 
-    /** The virtual time of each customer, in tokens divided by weight. */
-    private final Map<String, Double> virtualTimes = new HashMap<>();
+    /** The requests by deadline; those that left are dropped when they come up. */
+    private final PriorityQueue<QueuedRequest> deadlines =
+            new PriorityQueue<>(Comparator.comparingLong(QueuedRequest::deadlineMillis));
+
+    /** The class. */
+    private ServiceClass serviceClass;
 
-    /** The virtual time of the last start. */
-    private double virtualTime;
+    /** The guaranteed starts that are not used yet. */
+    private double credit;
 
-    /** The number of waiting requests. */
-    private int size;
+    /** The monotonic time of the last start, or of the arrival that ended idleness if that was later. */
+    private long servedAtMillis;
 
     /**
      * Creates a queue.
      *
      * @param serviceClass The class.
+     * @param lines The lines of its customers.
      */
-    ClassQueue(ServiceClass serviceClass) {
+    ClassQueue(ServiceClass serviceClass, CustomerLines lines) {
         this.serviceClass = serviceClass;
+        this.lines = lines;
     }
 
     /**
@@ -61,141 +63,85 @@
     }
 
     /**
-     * Returns the number of waiting requests.
+     * Returns the lines of the customers.
      *
-     * @return The number.
+     * @return The lines.
      */
-    int size() {
-        return size;
+    CustomerLines lines() {
+        return lines;
     }
 
     /**
-     * Adds a request.
+     * Returns the requests by deadline, among them such as left.
      *
-     * @param request The request.
+     * @return The requests.
      */
-    void add(QueuedRequest request) {
-        Deque<QueuedRequest> line = waiting.computeIfAbsent(request.customer(), name -> new ArrayDeque<>());
-        if (line.isEmpty()) {
-            virtualTimes.merge(request.customer(), virtualTime, Math::max);
-        }
-        line.addLast(request);
-        size++;
+    PriorityQueue<QueuedRequest> deadlines() {
+        return deadlines;
     }
 
     /**
-     * Takes the request of the customer that is served least so far among those that can start.
+     * Adds a request.
      *
-     * @param canStart Tells whether a request could start now.
-     * @return The request, or null.
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param request The request.
      */
-    QueuedRequest next(Predicate<QueuedRequest> canStart) {
-        QueuedRequest best = null;
-        double bestTime = Double.MAX_VALUE;
-        for (Deque<QueuedRequest> line : waiting.values()) {
-            QueuedRequest head = line.peekFirst();
-            double time = virtualTimes.getOrDefault(head.customer(), 0.0);
-            if (time < bestTime && canStart.test(head)) {
-                best = head;
-                bestTime = time;
-            }
+    void add(long nowMillis, QueuedRequest request) {
+        if (lines.size() == 0) {
+            servedAtMillis = nowMillis;
         }
-        if (best != null) {
-            take(best, bestTime);
-        }
-        return best;
+        lines.add(request);
+        deadlines.add(request);
     }
 
     /**
-     * Removes the requests that are past their deadline.
+     * Returns the guaranteed starts that are not used yet.
      *
-     * @param nowMillis The present monotonic time in milliseconds.
-     * @return The removed requests.
+     * @return The credit in starts.
      */
-    List<QueuedRequest> expire(long nowMillis) {
-        List<QueuedRequest> expired = new ArrayList<>();
-        for (Iterator<Deque<QueuedRequest>> lines = waiting.values().iterator(); lines.hasNext(); ) {
-            Deque<QueuedRequest> line = lines.next();
-            line.removeIf(request -> {
-                boolean late = request.deadlineMillis() <= nowMillis;
-                if (late) {
-                    expired.add(request);
-                }
-                return late;
-            });
-            if (line.isEmpty()) {
-                lines.remove();
-            }
-        }
-        size -= expired.size();
-        return expired;
+    double credit() {
+        return credit;
     }
 
-    /**
-     * Removes the newest request of the customer that has the most waiting.
-     *
-     * @return The request, or null if none waits.
-     */
-    QueuedRequest shed() {
-        Deque<QueuedRequest> longest = null;
-        for (Deque<QueuedRequest> line : waiting.values()) {
-            if (longest == null || line.size() > longest.size()) {
-                longest = line;
-            }
-        }
-        if (longest == null) {
-            return null;
-        }
-        QueuedRequest last = longest.peekLast();
-        remove(last.requestId());
-        return last;
+    /** Notes a start of any class on a target that this class waits for. */
+    void earn() {
+        credit = Math.min(CREDIT_LIMIT, credit + serviceClass.guaranteedShare());
     }
 
     /**
-     * Removes a request.
+     * Notes a start of this class.
      *
-     * @param requestId The identifier of the request.
-     * @return Whether it was waiting.
+     * @param nowMillis The present monotonic time in milliseconds.
      */
-    boolean remove(long requestId) {
-        for (Iterator<Deque<QueuedRequest>> lines = waiting.values().iterator(); lines.hasNext(); ) {
-            Deque<QueuedRequest> line = lines.next();
-            if (line.removeIf(request -> request.requestId() == requestId)) {
-                size--;
-                if (line.isEmpty()) {
-                    lines.remove();
-                }
-                return true;
-            }
+    void started(long nowMillis) {
+        credit = Math.max(0, credit - 1);
+        servedAtMillis = nowMillis;
+        if (lines.size() == 0) {
+            credit = 0;
         }
-        return false;
     }
 
     /**
-     * Corrects the account of a customer.
+     * Tells whether the class waits for longer than it ever should without a start.
      *
-     * @param request The request as it was queued.
-     * @param actualTokens The actual cost in tokens.
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @return Whether its bound, the target for the first token, has passed.
      */
-    void correct(QueuedRequest request, long actualTokens) {
-        double difference = (double) (actualTokens - request.estimatedTokens()) / request.customerWeight();
-        virtualTimes.computeIfPresent(request.customer(), (name, time) -> time + difference);
+    boolean isStarved(long nowMillis) {
+        return lines.size() > 0 && nowMillis - servedAtMillis >= serviceClass.firstTokenTargetMillis();
     }
 
     /**
-     * Takes a request out of the queue and charges its customer.
+     * Tells whether a waiting request is close to its deadline.
      *
-     * @param request The request.
-     * @param time The virtual time of its customer.
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @return Whether one is.
      */
-    private void take(QueuedRequest request, double time) {
-        virtualTime = Math.max(virtualTime, time);
-        virtualTimes.put(request.customer(), time + (double) request.estimatedTokens() / request.customerWeight());
-        Deque<QueuedRequest> line = waiting.get(request.customer());
-        line.removeFirst();
-        if (line.isEmpty()) {
-            waiting.remove(request.customer());
+    boolean isInDanger(long nowMillis) {
+        if (lines.size() == 0 || deadlines.isEmpty()) {
+            return false;
         }
-        size--;
+        long left = deadlines.peek().deadlineMillis() - nowMillis;
+        return left < DANGER_SHARE * serviceClass.longestWaitMillis();
     }
 }
--- /dev/null
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/FirstInFirstOutQueue.java
@@ -0,0 +1,104 @@
+package org.cranberrygauge.decision.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.cranberrygauge.model.error.ErrorCode;
+import org.cranberrygauge.model.service.ServiceClass;
+
+/**
+ * Serves requests in the order of arrival, whatever their class: a baseline.
+ *
+ * <p>Used by one thread at a time.
+ */
+public final class FirstInFirstOutQueue implements AdmissionQueue {
+
+    /** The time that a refused caller is told to wait in milliseconds. */
+    private static final long RETRY_MILLIS = 1_000;
+
+    /** The waiting requests in the order of arrival. */
+    private final CustomerLines lines = new CustomerLines.FirstInFirstOut();
+
+    /** The waiting requests by identifier. */
+    private final Map<Long, QueuedRequest> waiting = new HashMap<>();
+
+    /** The number of requests that may wait. */
+    private int limit;
+
+    @Override
+    public void configure(List<ServiceClass> classes) {
+        limit = classes.stream().mapToInt(ServiceClass::queueLimit).sum();
+    }
+
+    @Override
+    public List<Refusal> offer(long nowMillis, QueuedRequest request) {
+        if (waiting.size() >= limit) {
+            return List.of(refusal(request));
+        }
+        lines.add(request);
+        waiting.put(request.requestId(), request);
+        return List.of();
+    }
+
+    @Override
+    public Optional<QueueStart> next(long nowMillis, Predicate<QueuedRequest> canStart) {
+        QueuedRequest request = lines.next(canStart);
+        if (request != null) {
+            waiting.remove(request.requestId());
+        }
+        return Optional.ofNullable(request).map(started -> new QueueStart(started, false));
+    }
+
+    @Override
+    public List<Refusal> expire(long nowMillis) {
+        List<Refusal> refusals = new ArrayList<>();
+        for (QueuedRequest request : List.copyOf(waiting.values())) {
+            if (request.deadlineMillis() <= nowMillis) {
+                remove(request.requestId());
+                refusals.add(refusal(request));
+            }
+        }
+        return refusals;
+    }
+
+    @Override
+    public boolean remove(long requestId) {
+        QueuedRequest request = waiting.remove(requestId);
+        return request != null && lines.remove(request);
+    }
+
+    @Override
+    public void finished(QueuedRequest request, long actualTokens) {
+        // The order of arrival needs no account.
+    }
+
+    @Override
+    public int waiting(String className) {
+        return (int) waiting.values().stream()
+                .filter(request -> request.className().equals(className))
+                .count();
+    }
+
+    @Override
+    public long waitingTokens(String target) {
+        return lines.waitingTokens(target);
+    }
+
+    @Override
+    public QueuedRequest first(String target) {
+        return lines.first(target);
+    }
+
+    /**
+     * Builds a refusal.
+     *
+     * @param request The request.
+     * @return The refusal.
+     */
+    private static Refusal refusal(QueuedRequest request) {
+        return new Refusal(request.requestId(), ErrorCode.OVERLOADED, RETRY_MILLIS);
+    }
+}
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/QueuedRequest.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/QueuedRequest.java
@@ -20,4 +20,36 @@
         String target,
         long estimatedTokens,
         long arrivedAtMillis,
-        long deadlineMillis) {}
+        long deadlineMillis) {
+
+    /**
+     * Refines the request for a further attempt, whose wait counts from now.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param remainingTokens The estimated cost of what is left in tokens.
+     * @return The refined request.
+     */
+    public QueuedRequest again(long nowMillis, long remainingTokens) {
+        long longestWaitMillis = deadlineMillis - arrivedAtMillis;
+        return new QueuedRequest(
+                requestId,
+                customer,
+                customerWeight,
+                className,
+                target,
+                remainingTokens,
+                nowMillis,
+                nowMillis + longestWaitMillis);
+    }
+
+    /**
+     * Replaces the estimated cost.
+     *
+     * @param tokens The cost in tokens.
+     * @return The refined request.
+     */
+    public QueuedRequest withEstimatedTokens(long tokens) {
+        return new QueuedRequest(
+                requestId, customer, customerWeight, className, target, tokens, arrivedAtMillis, deadlineMillis);
+    }
+}
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/TieredAdmissionQueue.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/TieredAdmissionQueue.java
@@ -13,49 +13,65 @@
 /**
  * Serves higher tiers first, and each class at least its guaranteed share of starts.
  *
- * <p>Invariants: a full queue sheds from the lowest tier that waits, never a higher tier for a lower one; a guaranteed
- * share delays a higher tier and never sheds it; a refused request is refused at once. Used by one thread at a time.
+ * <p>Invariants: all classes share one bound, and a full queue sheds from the lowest tier that waits, never a higher tier
+ * for a lower one; a guaranteed share delays a higher tier and never sheds it; a request that can't start in time even if
+ * its tier gets all capacity is refused at once. Used by one thread at a time.
  */
 public final class TieredAdmissionQueue implements AdmissionQueue {
 
-    /** The highest credit a class can save, in starts. */
-    private static final double CREDIT_LIMIT = 4;
-
-    /** The credit from which a class starts before higher tiers, in starts. */
-    private static final double CREDIT_OF_START = 1;
-
     /** The shortest time that a refused caller is told to wait in milliseconds. */
     private static final long SHORTEST_RETRY_MILLIS = 1_000;
 
-    /** The weight of the newest sample in the estimate of the time between starts. */
-    private static final double SMOOTHING = 0.1;
+    /** The longest time that a refused caller is told to wait in milliseconds. */
+    private static final long LONGEST_RETRY_MILLIS = 60_000;
+
+    /** The rules. */
+    private final AdmissionPolicy policy;
 
     /** The queues by class. */
     private final Map<String, ClassQueue> queues = new HashMap<>();
 
+    /** The waiting requests by identifier. */
+    private final Map<Long, QueuedRequest> waiting = new HashMap<>();
+
+    /** The rates by target. */
+    private final Map<String, DrainRate> drainRates = new HashMap<>();
+
     /** The queues in the order of their tiers. */
     private List<ClassQueue> byTier = List.of();
 
-    /** The guaranteed starts that each class has not used yet. */
-    private final Map<String, Double> credits = new HashMap<>();
+    /** The number of requests that may wait, over all classes. */
+    private int limit;
 
-    /** The smoothed time between starts in milliseconds. */
-    private double startIntervalMillis = 100;
+    /** Creates a queue with the rules that gateways use. */
+    public TieredAdmissionQueue() {
+        this(AdmissionPolicy.standard());
+    }
 
-    /** The monotonic time of the last start. */
-    private long lastStartMillis = -1;
+    /**
+     * Creates a queue.
+     *
+     * @param policy The rules.
+     */
+    public TieredAdmissionQueue(AdmissionPolicy policy) {
+        this.policy = policy;
+    }
 
     @Override
     public void configure(List<ServiceClass> classes) {
         for (ServiceClass serviceClass : classes) {
-            queues.computeIfAbsent(serviceClass.name(), name -> new ClassQueue(serviceClass))
+            queues.computeIfAbsent(
+                            serviceClass.name(),
+                            name -> new ClassQueue(serviceClass, policy.lines().get()))
                     .configure(serviceClass);
         }
-        queues.values().removeIf(queue -> queue.size() == 0 && !classes.contains(queue.serviceClass()));
+        queues.values().removeIf(queue -> queue.lines().size() == 0 && !classes.contains(queue.serviceClass()));
         byTier = queues.values().stream()
                 .sorted(Comparator.comparingInt(
-                        (ClassQueue queue) -> queue.serviceClass().tier()))
+                                (ClassQueue queue) -> queue.serviceClass().tier())
+                        .thenComparing(queue -> queue.serviceClass().name()))
                 .toList();
+        limit = classes.stream().mapToInt(ServiceClass::queueLimit).sum();
     }
 
     @Override
@@ -64,28 +80,42 @@
         if (queue == null) {
             return List.of(new Refusal(request.requestId(), ErrorCode.FORBIDDEN, SHORTEST_RETRY_MILLIS));
         }
-        queue.add(request);
-        if (queue.size() <= queue.serviceClass().queueLimit()) {
+        drainRate(request.target()).observe(nowMillis, waitingTokens(request.target()));
+        long waitMillis = forecastMillis(queue, request);
+        long limitMillis = policy.waitLimit().limitMillis(queue.serviceClass());
+        if (waitMillis > limitMillis) {
+            return List.of(refusal(request, waitMillis - limitMillis));
+        }
+        queue.add(nowMillis, request);
+        waiting.put(request.requestId(), request);
+        if (waiting.size() <= limit) {
             return List.of();
         }
-        QueuedRequest shed = queue.shed();
-        return List.of(refuse(shed.requestId()));
+        QueuedRequest shed = lowestTier().lines().shedFirst();
+        remove(shed.requestId());
+        return List.of(refuse(shed));
     }
 
     @Override
-    public Optional<QueuedRequest> next(long nowMillis, Predicate<QueuedRequest> canStart) {
+    public Optional<QueueStart> next(long nowMillis, Predicate<QueuedRequest> canStart) {
+        boolean higherInDanger = false;
         for (ClassQueue queue : byTier) {
-            if (credit(queue) >= CREDIT_OF_START) {
-                QueuedRequest owed = queue.next(canStart);
+            if (queue.lines().size() == 0) {
+                continue;
+            }
+            if (policy.shares().isOwed(queue.credit(), queue.isStarved(nowMillis), higherInDanger)) {
+                QueuedRequest owed = queue.lines().next(canStart);
                 if (owed != null) {
-                    return Optional.of(started(nowMillis, owed));
+                    return Optional.of(new QueueStart(started(nowMillis, queue, owed), true));
                 }
             }
+            dropLeft(queue);
+            higherInDanger |= queue.isInDanger(nowMillis);
         }
         for (ClassQueue queue : byTier) {
-            QueuedRequest request = queue.next(canStart);
+            QueuedRequest request = queue.lines().next(canStart);
             if (request != null) {
-                return Optional.of(started(nowMillis, request));
+                return Optional.of(new QueueStart(started(nowMillis, queue, request), false));
             }
         }
         return Optional.empty();
@@ -95,8 +125,12 @@
     public List<Refusal> expire(long nowMillis) {
         List<Refusal> refusals = new ArrayList<>();
         for (ClassQueue queue : byTier) {
-            for (QueuedRequest request : queue.expire(nowMillis)) {
-                refusals.add(refuse(request.requestId()));
+            dropLeft(queue);
+            while (!queue.deadlines().isEmpty() && queue.deadlines().peek().deadlineMillis() <= nowMillis) {
+                QueuedRequest expired = queue.deadlines().remove();
+                remove(expired.requestId());
+                refusals.add(refuse(expired));
+                dropLeft(queue);
             }
         }
         return refusals;
@@ -104,64 +138,143 @@
 
     @Override
     public boolean remove(long requestId) {
-        return byTier.stream().anyMatch(queue -> queue.remove(requestId));
+        QueuedRequest request = waiting.remove(requestId);
+        return request != null && queues.get(request.className()).lines().remove(request);
     }
 
     @Override
     public void finished(QueuedRequest request, long actualTokens) {
         ClassQueue queue = queues.get(request.className());
         if (queue != null) {
-            queue.correct(request, actualTokens);
+            queue.lines().correct(request, actualTokens);
         }
     }
 
     @Override
     public int waiting(String className) {
         ClassQueue queue = queues.get(className);
-        return queue == null ? 0 : queue.size();
+        return queue == null ? 0 : queue.lines().size();
+    }
+
+    @Override
+    public long waitingTokens(String target) {
+        long tokens = 0;
+        for (ClassQueue queue : byTier) {
+            tokens += queue.lines().waitingTokens(target);
+        }
+        return tokens;
+    }
+
+    @Override
+    public QueuedRequest first(String target) {
+        for (ClassQueue queue : byTier) {
+            QueuedRequest first = queue.lines().first(target);
+            if (first != null) {
+                return first;
+            }
+        }
+        return null;
     }
 
     /**
-     * Returns the credit of a class.
+     * Drops the requests that left the queue from the front of its deadlines.
      *
-     * @param queue The queue of the class.
-     * @return The credit in starts.
+     * @param queue The queue.
      */
-    private double credit(ClassQueue queue) {
-        return credits.getOrDefault(queue.serviceClass().name(), 0.0);
+    private void dropLeft(ClassQueue queue) {
+        while (!queue.deadlines().isEmpty()) {
+            QueuedRequest first = queue.deadlines().peek();
+            if (waiting.get(first.requestId()) == first) {
+                return;
+            }
+            queue.deadlines().remove();
+        }
     }
 
     /**
      * Accounts for a start.
      *
      * @param nowMillis The present monotonic time in milliseconds.
+     * @param started The queue of the request.
      * @param request The request that starts.
      * @return The request.
      */
-    private QueuedRequest started(long nowMillis, QueuedRequest request) {
+    private QueuedRequest started(long nowMillis, ClassQueue started, QueuedRequest request) {
+        waiting.remove(request.requestId());
         for (ClassQueue queue : byTier) {
-            ServiceClass serviceClass = queue.serviceClass();
-            boolean waits = queue.size() > 0 || serviceClass.name().equals(request.className());
-            double earned = waits ? credit(queue) + serviceClass.guaranteedShare() : 0;
-            credits.put(serviceClass.name(), Math.min(CREDIT_LIMIT, earned));
-        }
-        credits.merge(request.className(), -CREDIT_OF_START, (credit, cost) -> Math.max(0, credit + cost));
-        if (lastStartMillis >= 0) {
-            startIntervalMillis += SMOOTHING * (nowMillis - lastStartMillis - startIntervalMillis);
+            if (queue == started || queue.lines().waitingTokens(request.target()) > 0) {
+                queue.earn();
+            }
         }
-        lastStartMillis = nowMillis;
+        started.started(nowMillis);
+        DrainRate rate = drainRate(request.target());
+        rate.started(request.estimatedTokens());
+        rate.observe(nowMillis, waitingTokens(request.target()));
         return request;
     }
 
+    /**
+     * Forecasts the wait of a new request if its tier and those above get all capacity.
+     *
+     * @param queue The queue of its class.
+     * @param request The request.
+     * @return The wait in milliseconds.
+     */
+    private long forecastMillis(ClassQueue queue, QueuedRequest request) {
+        long ahead = queue.lines().tokensAhead(request);
+        for (ClassQueue other : byTier) {
+            if (other != queue
+                    && other.serviceClass().tier() <= queue.serviceClass().tier()) {
+                ahead += other.lines().waitingTokens(request.target());
+            }
+        }
+        return drainRate(request.target()).drainMillis(ahead);
+    }
+
+    /**
+     * Finds the queue of the lowest tier that waits.
+     *
+     * @return The queue.
+     */
+    private ClassQueue lowestTier() {
+        ClassQueue lowest = byTier.get(0);
+        for (ClassQueue queue : byTier) {
+            if (queue.lines().size() > 0) {
+                lowest = queue;
+            }
+        }
+        return lowest;
+    }
+
+    /**
+     * Returns the rate of a target.
+     *
+     * @param target The model or service.
+     * @return The rate.
+     */
+    private DrainRate drainRate(String target) {
+        return drainRates.computeIfAbsent(target, name -> new DrainRate());
+    }
+
     /**
      * Refuses a request with the time that the present queue needs to drain.
      *
-     * @param requestId The identifier of the request.
+     * @param request The request.
+     * @return The refusal.
+     */
+    private Refusal refuse(QueuedRequest request) {
+        return refusal(request, drainRate(request.target()).drainMillis(waitingTokens(request.target())));
+    }
+
+    /**
+     * Builds a refusal.
+     *
+     * @param request The request.
+     * @param retryAfterMillis The time after which a new try makes sense in milliseconds.
      * @return The refusal.
      */
-    private Refusal refuse(long requestId) {
-        int waiting = byTier.stream().mapToInt(ClassQueue::size).sum();
-        long drain = Math.round(waiting * startIntervalMillis);
-        return new Refusal(requestId, ErrorCode.OVERLOADED, Math.max(SHORTEST_RETRY_MILLIS, drain));
+    private static Refusal refusal(QueuedRequest request, long retryAfterMillis) {
+        long bounded = Math.min(LONGEST_RETRY_MILLIS, Math.max(SHORTEST_RETRY_MILLIS, retryAfterMillis));
+        return new Refusal(request.requestId(), ErrorCode.OVERLOADED, bounded);
     }
 }
--- /dev/null
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/WaitLimit.java
@@ -0,0 +1,52 @@
+package org.cranberrygauge.decision.admission;
+
+import org.cranberrygauge.model.service.ServiceClass;
+
+/**
+ * Decides up to which forecast wait a request is taken in.
+ *
+ * <p>Implementations are stateless and safe for use by several threads.
+ */
+public interface WaitLimit {
+
+    /**
+     * Returns the longest forecast wait with which a request is taken in.
+     *
+     * @param serviceClass The class of the request.
+     * @return The wait in milliseconds.
+     */
+    long limitMillis(ServiceClass serviceClass);
+
+    /** Takes in what can start before its deadline. */
+    enum Deadline implements WaitLimit {
+        /** The only instance. */
+        INSTANCE;
+
+        @Override
+        public long limitMillis(ServiceClass serviceClass) {
+            return serviceClass.longestWaitMillis();
+        }
+    }
+
+    /** Takes in what can still meet the target of its class. */
+    enum Target implements WaitLimit {
+        /** The only instance. */
+        INSTANCE;
+
+        @Override
+        public long limitMillis(ServiceClass serviceClass) {
+            return Math.min(serviceClass.longestWaitMillis(), serviceClass.firstTokenTargetMillis());
+        }
+    }
+
+    /** Takes in everything. */
+    enum Disabled implements WaitLimit {
+        /** The only instance. */
+        INSTANCE;
+
+        @Override
+        public long limitMillis(ServiceClass serviceClass) {
+            return Long.MAX_VALUE;
+        }
+    }
+}
--- /dev/null
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/Dispatcher.java
@@ -0,0 +1,355 @@
+package org.cranberrygauge.decision.dispatch;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+import org.cranberrygauge.decision.admission.AdmissionQueue.QueueStart;
+import org.cranberrygauge.decision.admission.QueuedRequest;
+import org.cranberrygauge.decision.admission.Refusal;
+import org.cranberrygauge.decision.preemption.PreemptionPolicy.RunningRequest;
+import org.cranberrygauge.decision.routing.BackendTable;
+import org.cranberrygauge.decision.routing.BackendView;
+import org.cranberrygauge.decision.routing.Candidates;
+import org.cranberrygauge.decision.routing.RoutingRequest;
+import org.cranberrygauge.model.service.ServiceClass;
+
+/**
+ * Starts, refuses and preempts the requests of one gateway.
+ *
+ * <p>Invariants: a request is started or refused exactly once for each time it is submitted, unless it is cancelled; a
+ * request that started because its class was owed a start is never preempted; no more requests are preempted for a target
+ * than higher-tier requests wait for it. Used by one thread at a time.
+ */
+public final class Dispatcher {
+
+    /** The most preempted requests of a target whose slot is not free yet. */
+    private static final int STOPPING_LIMIT = 4;
+
+    /** The decisions. */
+    private final DispatchPolicy policy;
+
+    /** Carries out what is decided. */
+    private final DispatchListener listener;
+
+    /** The source of randomness. */
+    private final RandomGenerator random;
+
+    /** The classes by name. */
+    private final Map<String, ServiceClass> classes = new HashMap<>();
+
+    /** The waiting and running requests by identifier. */
+    private final Map<Long, Submission> submissions = new HashMap<>();
+
+    /** The running requests that can be preempted, by target. */
+    private final Map<String, Map<Long, RunningRequest>> running = new HashMap<>();
+
+    /** The preempted requests whose slot is not free yet, by target. */
+    private final Map<String, Set<Long>> stopping = new HashMap<>();
+
+    /** The targets that requests waited for lately. */
+    private final Set<String> targets = new TreeSet<>();
+
+    /**
+     * Creates a dispatcher.
+     *
+     * @param policy The decisions.
+     * @param listener Carries out what is decided.
+     * @param random The source of randomness.
+     */
+    public Dispatcher(DispatchPolicy policy, DispatchListener listener, RandomGenerator random) {
+        this.policy = policy;
+        this.listener = listener;
+        this.random = random;
+    }
+
+    /**
+     * Returns the backend servers.
+     *
+     * @return The table.
+     */
+    public BackendTable table() {
+        return policy.table();
+    }
+
+    /**
+     * Replaces the classes.
+     *
+     * @param replacement The classes.
+     */
+    public void configure(List<ServiceClass> replacement) {
+        classes.clear();
+        replacement.forEach(serviceClass -> classes.put(serviceClass.name(), serviceClass));
+        policy.queue().configure(replacement);
+    }
+
+    /**
+     * Submits a request, also again after an attempt of it ended.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param request The request; its cost is that of the prompt and the longest answer.
+     * @param routing What routing needs to know.
+     * @param resumable Whether it can be stopped and go on elsewhere.
+     */
+    public void submit(long nowMillis, QueuedRequest request, RoutingRequest routing, boolean resumable) {
+        Submission before = submissions.get(request.requestId());
+        long cost = routing.promptTokens() + output(request, routing);
+        QueuedRequest queued = before == null ? request.withEstimatedTokens(cost) : request.again(nowMillis, cost);
+        int preemptions = before == null ? 0 : before.preemptions;
+        boolean ran = before != null && before.ran;
+        submissions.put(request.requestId(), new Submission(queued, routing, resumable, preemptions, ran));
+        targets.add(request.target());
+        refuse(policy.queue().offer(nowMillis, queued));
+        startReady(nowMillis);
+    }
+
+    /**
+     * Removes a request whose caller is gone.
+     *
+     * @param requestId The identifier of the request.
+     */
+    public void cancel(long requestId) {
+        policy.queue().remove(requestId);
+        forgetUnlessRan(requestId);
+    }
+
+    /**
+     * Notes that an attempt ended and frees its slot.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param requestId The identifier of the request.
+     * @param server The name of the backend server.
+     */
+    public void ended(long nowMillis, long requestId, String server) {
+        running.values().forEach(requests -> requests.remove(requestId));
+        stopping.values().forEach(requests -> requests.remove(requestId));
+        Submission submission = submissions.get(requestId);
+        if (submission != null && !submission.resumable) {
+            submissions.remove(requestId);
+        }
+        policy.table().ended(server);
+        startReady(nowMillis);
+    }
+
+    /**
+     * Notes that a request ended for good, and corrects the account of its customer.
+     *
+     * @param requestId The identifier of the request.
+     * @param actualTokens The actual cost in tokens, prompt and output.
+     */
+    public void finished(long requestId, long actualTokens) {
+        Submission submission = submissions.remove(requestId);
+        if (submission == null) {
+            return;
+        }
+        QueuedRequest request = submission.request;
+        policy.queue().finished(request, actualTokens);
+        int promptTokens = submission.routing.promptTokens();
+        if (promptTokens > 0 && actualTokens > promptTokens) {
+            policy.estimate().observe(request.customer(), request.className(), (int) (actualTokens - promptTokens));
+        }
+    }
+
+    /**
+     * Refuses what is past its deadline, starts what can start and preempts for what can't.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     */
+    public void tick(long nowMillis) {
+        policy.table().refresh(nowMillis);
+        refuse(policy.queue().expire(nowMillis));
+        startReady(nowMillis);
+        for (String target : targets) {
+            preempt(nowMillis, target);
+        }
+    }
+
+    /**
+     * Returns the number of waiting requests of a class.
+     *
+     * @param className The name of the class.
+     * @return The number.
+     */
+    public int waiting(String className) {
+        return policy.queue().waiting(className);
+    }
+
+    /**
+     * Returns the work that waits for all targets.
+     *
+     * @return The work in tokens.
+     */
+    public long waitingTokens() {
+        return targets.stream()
+                .mapToLong(target -> policy.queue().waitingTokens(target))
+                .sum();
+    }
+
+    /**
+     * Estimates the output of a request.
+     *
+     * @param request The request.
+     * @param routing What routing knows of it.
+     * @return The output in tokens.
+     */
+    private long output(QueuedRequest request, RoutingRequest routing) {
+        int limit = (int) Math.max(1, request.estimatedTokens() - routing.promptTokens());
+        if (routing.promptTokens() == 0) {
+            return limit;
+        }
+        return policy.estimate().remainingTokens(request.customer(), request.className(), 0, limit);
+    }
+
+    /**
+     * Starts requests while one can start.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     */
+    private void startReady(long nowMillis) {
+        Set<String> full = new HashSet<>();
+        Optional<QueueStart> next = policy.queue().next(nowMillis, request -> canStart(nowMillis, request, full));
+        while (next.isPresent()) {
+            start(nowMillis, next.get());
+            next = policy.queue().next(nowMillis, request -> canStart(nowMillis, request, full));
+        }
+    }
+
+    /**
+     * Tells whether a request could start now.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param request The request.
+     * @param full Takes the targets without a free slot.
+     * @return Whether a slot is free.
+     */
+    private boolean canStart(long nowMillis, QueuedRequest request, Set<String> full) {
+        if (full.contains(request.target())) {
+            return false;
+        }
+        if (policy.table().candidates(nowMillis, request.target()).size() == 0) {
+            full.add(request.target());
+            return false;
+        }
+        return true;
+    }
+
+    /**
+     * Starts a request.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param next The request.
+     */
+    private void start(long nowMillis, QueueStart next) {
+        QueuedRequest request = next.request();
+        Submission submission = submissions.get(request.requestId());
+        Candidates candidates = policy.table().candidates(nowMillis, request.target());
+        BackendView chosen = policy.routing()
+                .choose(nowMillis, submission.routing, candidates, random)
+                .orElseGet(() -> candidates.get(0));
+        policy.table().started(chosen.server().name());
+        submissions.put(request.requestId(), submission.started());
+        ServiceClass serviceClass = classes.get(request.className());
+        if (submission.resumable && !next.owed() && serviceClass != null) {
+            RunningRequest runs =
+                    new RunningRequest(request.requestId(), serviceClass.tier(), nowMillis, submission.preemptions);
+            running.computeIfAbsent(request.target(), name -> new LinkedHashMap<>())
+                    .put(request.requestId(), runs);
+        }
+        listener.start(request, chosen.server());
+    }
+
+    /**
+     * Preempts lower-tier requests while a higher-tier one waits too long.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param target The model or service.
+     */
+    private void preempt(long nowMillis, String target) {
+        QueuedRequest first = policy.queue().first(target);
+        ServiceClass waitingClass = first == null ? null : classes.get(first.className());
+        Map<Long, RunningRequest> requests = running.getOrDefault(target, Map.of());
+        if (waitingClass == null || requests.isEmpty()) {
+            return;
+        }
+        Set<Long> stops = stopping.computeIfAbsent(target, name -> new HashSet<>());
+        int limit = Math.min(STOPPING_LIMIT, policy.queue().waiting(first.className()));
+        while (stops.size() < limit) {
+            Optional<RunningRequest> victim = policy.preemption()
+                    .victim(
+                            nowMillis,
+                            waitingClass.tier(),
+                            nowMillis - first.arrivedAtMillis(),
+                            waitingClass.firstTokenTargetMillis(),
+                            requests.values());
+            if (victim.isEmpty()) {
+                return;
+            }
+            long requestId = victim.get().requestId();
+            requests.remove(requestId);
+            stops.add(requestId);
+            Submission submission = submissions.get(requestId);
+            submissions.put(requestId, submission.preempted());
+            listener.preempt(requestId);
+        }
+    }
+
+    /**
+     * Hands out refusals.
+     *
+     * @param refusals The refusals.
+     */
+    private void refuse(List<Refusal> refusals) {
+        for (Refusal refusal : refusals) {
+            forgetUnlessRan(refusal.requestId());
+            listener.refuse(refusal);
+        }
+    }
+
+    /**
+     * Forgets a request that never ran; one that ran is kept until its account is corrected.
+     *
+     * @param requestId The identifier of the request.
+     */
+    private void forgetUnlessRan(long requestId) {
+        Submission submission = submissions.get(requestId);
+        if (submission != null && !submission.ran) {
+            submissions.remove(requestId);
+        }
+    }
+
+    /**
+     * A request that was submitted and has not ended for good.
+     *
+     * @param request The request as it was queued last.
+     * @param routing What routing knows of it.
+     * @param resumable Whether it can be stopped and go on elsewhere.
+     * @param preemptions The number of times that it was preempted.
+     * @param ran Whether an attempt of it started.
+     */
+    private record Submission(
+            QueuedRequest request, RoutingRequest routing, boolean resumable, int preemptions, boolean ran) {
+
+        /**
+         * Notes a start.
+         *
+         * @return The refined submission.
+         */
+        private Submission started() {
+            return new Submission(request, routing, resumable, preemptions, true);
+        }
+
+        /**
+         * Counts a preemption.
+         *
+         * @return The refined submission.
+         */
+        private Submission preempted() {
+            return new Submission(request, routing, resumable, preemptions + 1, ran);
+        }
+    }
+}
--- /dev/null
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/estimate/package-info.java
@@ -0,0 +1,2 @@
+/** How long answers will be. */
+package org.cranberrygauge.decision.estimate;
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/membership/PeerReport.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/membership/PeerReport.java
@@ -12,6 +12,7 @@
  * @param logAgeMillis The time since the peer read the end of the log, when it spoke.
  * @param inFlight The requests in flight from the peer by backend server.
  * @param draining Whether the peer stops.
+ * @param waiting The requests that wait at the peer by class.
  */
 public record PeerReport(
         String gateway,
@@ -20,10 +21,44 @@
         long logOffset,
         long logAgeMillis,
         Map<String, Integer> inFlight,
-        boolean draining) {
+        boolean draining,
+        Map<String, Integer> waiting) {
 
-    /** Copies the map. */
+    /** Copies the maps. */
     public PeerReport {
         inFlight = Map.copyOf(inFlight);
+        waiting = Map.copyOf(waiting);
+    }
+
+    /**
+     * Creates the report of a peer at which nothing waits.
+     *
+     * @param gateway The incarnation of the peer.
+     * @param heardAtMillis The monotonic time of this process at which it was heard.
+     * @param configurationVersion The version in force at the peer.
+     * @param logOffset The offset up to which the peer has read the log.
+     * @param logAgeMillis The time since the peer read the end of the log, when it spoke.
+     * @param inFlight The requests in flight from the peer by backend server.
+     * @param draining Whether the peer stops.
+     */
+    public PeerReport(
+            String gateway,
+            long heardAtMillis,
+            long configurationVersion,
+            long logOffset,
+            long logAgeMillis,
+            Map<String, Integer> inFlight,
+            boolean draining) {
+        this(gateway, heardAtMillis, configurationVersion, logOffset, logAgeMillis, inFlight, draining, Map.of());
+    }
+
+    /**
+     * Returns the work that the peer asks for.
+     *
+     * @return The requests in flight and waiting.
+     */
+    public double demand() {
+        int requests = inFlight.values().stream().mapToInt(Integer::intValue).sum();
+        return requests + waiting.values().stream().mapToInt(Integer::intValue).sum();
     }
 }
--- /dev/null
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/preemption/package-info.java
@@ -0,0 +1,2 @@
+/** Which running request gives way to a waiting one of a higher tier. */
+package org.cranberrygauge.decision.preemption;
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/routing/BackendView.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/routing/BackendView.java
@@ -8,9 +8,17 @@
  * @param server The backend server.
  * @param ownInFlight The requests in flight from this gateway.
  * @param othersInFlight The requests in flight from its peers, as they last said.
- * @param available Whether it may get new work.
+ * @param ownLimit The requests that this gateway may have in flight.
+ * @param reportedInFlight The requests that the backend server last reported, discounted by the age of the report.
+ * @param slowness The time between tokens relative to that of its peers; 1 while unknown.
  */
-public record BackendView(BackendServer server, int ownInFlight, int othersInFlight, boolean available) {
+public record BackendView(
+        BackendServer server,
+        int ownInFlight,
+        int othersInFlight,
+        int ownLimit,
+        double reportedInFlight,
+        double slowness) {
 
     /**
      * Returns the requests in flight from all gateways.
@@ -22,11 +30,11 @@
     }
 
     /**
-     * Tells whether a slot is free.
+     * Returns the best guess of the load.
      *
-     * @return Whether new work may start here.
+     * @return The requests in flight, as counted or as reported, whichever is higher.
      */
-    public boolean hasFreeSlot() {
-        return available && inFlight() < server.slots();
+    public double load() {
+        return Math.max(inFlight(), reportedInFlight);
     }
 }
--- /dev/null
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/share/package-info.java
@@ -0,0 +1,2 @@
+/** How the slots of backend servers are divided between gateways. */
+package org.cranberrygauge.decision.share;
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -8,11 +8,11 @@
 import io.vertx.core.http.HttpServerOptions;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
-import org.cranberrygauge.decision.admission.TieredAdmissionQueue;
 import org.cranberrygauge.decision.configuration.ConfigurationMachine;
+import org.cranberrygauge.decision.dispatch.DispatchPolicy;
 import org.cranberrygauge.decision.membership.AdmissionFreshness;
 import org.cranberrygauge.decision.retry.RetryBudget;
-import org.cranberrygauge.decision.routing.RoutingPolicy;
+import org.cranberrygauge.decision.routing.BackendTable.Ejection;
 import org.cranberrygauge.decision.state.Effect;
 import org.cranberrygauge.decision.usage.UsageCounter;
 import org.cranberrygauge.gateway.call.ActiveCalls;
@@ -140,9 +140,8 @@
         platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
         follower = new LogFollower(vertx, platform, blackboard, time, events);
         appender = new LogAppender(vertx, platform, incarnation);
-        board = new BackendBoard(blackboard);
-        scheduler = new Scheduler(
-                new TieredAdmissionQueue(), RoutingPolicy.LeastInFlight.INSTANCE, board, time, new Random());
+        board = new BackendBoard(blackboard, settings.hostName());
+        scheduler = new Scheduler(DispatchPolicy.standard(), board, time, new Random(), this::onEjection);
         usage = new UsageCounter(incarnation);
         shipper = new UsageShipper(usage, appender);
         gate = new AdmissionGate(blackboard, AdmissionFreshness.Default.INSTANCE, time, settings.hostName());
@@ -226,10 +225,7 @@
 
     /** Starts what is done again and again. */
     private void startTimers() {
-        vertx.setPeriodic(TICK_MILLIS, timer -> {
-            board.refresh(time.monotonicMillis());
-            scheduler.tick();
-        });
+        vertx.setPeriodic(TICK_MILLIS, timer -> scheduler.tick());
         vertx.setPeriodic(LIST_MILLIS, timer -> platform.backendServers().thenAccept(blackboard::publish));
         vertx.setPeriodic(settings.usageIntervalMillis(), timer -> shipper.ship());
     }
@@ -320,11 +316,20 @@
     private void onEffect(Effect effect) {
         if (effect instanceof Effect.ChangeJudged judged && judged.verdict() == ConfigurationMachine.Verdict.ACCEPTED) {
             scheduler.configure(blackboard.configuration().classes());
-            board.refresh(time.monotonicMillis());
             active.endWithdrawn(blackboard.log().keys());
         }
     }
 
+    /**
+     * Records that a backend server was ejected or readmitted.
+     *
+     * @param ejection The change.
+     */
+    private void onEjection(Ejection ejection) {
+        events.emit(new GatewayEvents.BackendSpeedJudged(
+                ejection.server(), ejection.ejected() ? "ejected" : "readmitted", ejection.slowness()));
+    }
+
     /**
      * Builds the report for peers.
      *
@@ -337,8 +342,8 @@
                 blackboard.log().configuration().current().version(),
                 blackboard.position().offset(),
                 time.monotonicMillis() - blackboard.position().endReadAtMillis(),
-                board.inFlight(),
-                scheduler.waiting(blackboard.configuration().classes()),
+                scheduler.inFlight(),
+                scheduler.waiting(),
                 gate.isDraining());
     }
 
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/GatewayEvents.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/GatewayEvents.java
@@ -99,4 +99,24 @@
      * @param reason The reason code.
      */
     public record RequestCancelled(String requestId, String reason) implements Event {}
+
+    /**
+     * A request was stopped for one of a higher tier and goes on later.
+     *
+     * @param requestId The identifier of the request.
+     * @param attempt The identifier of the stopped attempt.
+     * @param backendServer The backend server.
+     * @param deliveredTokens The tokens that the caller has.
+     */
+    public record RequestPreempted(String requestId, String attempt, String backendServer, int deliveredTokens)
+            implements Event {}
+
+    /**
+     * A backend server was ejected or readmitted because of its speed.
+     *
+     * @param backendServer The backend server.
+     * @param verdict What was decided.
+     * @param slowness The time between its tokens relative to its peers.
+     */
+    public record BackendSpeedJudged(String backendServer, String verdict, double slowness) implements Event {}
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatCall.java
@@ -27,6 +27,9 @@
     /** The number of attempts after which a request is given up. */
     private static final int ATTEMPTS = 4;
 
+    /** The number of tokens of an attempt from which the speed of its backend server is measured. */
+    private static final int MEASURED_TOKENS = 4;
+
     /** What every request works with. */
     private final CallTools tools;
 
@@ -63,6 +66,15 @@
     /** The time of the last token in nanoseconds. */
     private long lastTokenNanos;
 
+    /** The time of the first token of the attempt in nanoseconds. */
+    private long attemptTokenNanos;
+
+    /** The number of tokens delivered before the attempt. */
+    private int deliveredBefore;
+
+    /** The number of attempts that were stopped for a higher tier. */
+    private int preemptions;
+
     /** The number of prompt tokens as the backend server counts them; -1 while unknown. */
     private int promptTokens = -1;
 
@@ -167,7 +179,7 @@
         ChatAttempt failed = attempt;
         release();
         tools.board().failed(tools.time().monotonicMillis(), failed.server());
-        boolean again = attempts < ATTEMPTS && tools.retries().tryRetry();
+        boolean again = attempts - preemptions < ATTEMPTS && tools.retries().tryRetry();
         String next = again ? (delivered > 0 ? "resume" : "retry") : "give_up";
         tools.metrics().failedAttempt(caller.serviceClass().name(), next);
         tools.events()
@@ -188,7 +200,8 @@
                         queued,
                         body.routing(),
                         server -> reply.context().runOnContext(ignored -> start(server)),
-                        refusal -> reply.context().runOnContext(ignored -> refused(refusal))));
+                        refusal -> reply.context().runOnContext(ignored -> refused(refusal)),
+                        () -> reply.context().runOnContext(ignored -> preempted())));
     }
 
     /**
@@ -198,7 +211,8 @@
      */
     private void start(BackendServer server) {
         if (ended) {
-            tools.scheduler().ended(server);
+            tools.scheduler().ended(number, server);
+            tools.scheduler().account(queued, 0);
             return;
         }
         attempts++;
@@ -207,6 +221,7 @@
             tools.metrics()
                     .queueWait(caller.customer().name(), caller.serviceClass().name(), waitedMillis);
         }
+        deliveredBefore = delivered;
         attempt = new ChatAttempt(reply.requestId() + "-" + attempts, server, this);
         tools.events()
                 .emit(new GatewayEvents.RequestStarted(
@@ -222,6 +237,21 @@
         attempt.start(tools.client(), headers, body.forBackend(delivered));
     }
 
+    /** Stops the attempt for a request of a higher tier and submits the rest again. */
+    private void preempted() {
+        if (ended || attempt == null) {
+            return;
+        }
+        ChatAttempt stopped = attempt;
+        stopped.cancel();
+        release();
+        tools.events()
+                .emit(new GatewayEvents.RequestPreempted(
+                        reply.requestId(), stopped.attempt(), stopped.server().name(), delivered));
+        preemptions++;
+        submit();
+    }
+
     /**
      * Refuses the request.
      *
@@ -265,7 +295,12 @@
 
     /** Frees the slot of the attempt. */
     private void release() {
-        tools.scheduler().ended(attempt.server());
+        int measured = delivered - deliveredBefore;
+        if (measured >= MEASURED_TOKENS) {
+            double nanos = (double) (lastTokenNanos - attemptTokenNanos) / (measured - 1);
+            tools.board().measured(attempt.server(), nanos / TimeUnit.MILLISECONDS.toNanos(1));
+        }
+        tools.scheduler().ended(number, attempt.server());
         attempt = null;
     }
 
@@ -292,6 +327,9 @@
             double micros = TimeUnit.NANOSECONDS.toMicros(nowNanos - lastTokenNanos);
             tools.metrics().betweenTokens(customer, className, micros / TimeUnit.MILLISECONDS.toMicros(1));
         }
+        if (delivered == deliveredBefore) {
+            attemptTokenNanos = nowNanos;
+        }
         lastTokenNanos = nowNanos;
         delivered++;
     }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
@@ -213,7 +213,7 @@
      */
     private void start(BackendServer chosen) {
         if (ended) {
-            tools.scheduler().ended(chosen);
+            tools.scheduler().ended(number, chosen);
             return;
         }
         attempts++;
@@ -372,7 +372,7 @@
 
     /** Frees the slot of the attempt. */
     private void release() {
-        tools.scheduler().ended(server);
+        tools.scheduler().ended(number, server);
         server = null;
     }
 
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/ExchangeService.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/ExchangeService.java
@@ -85,7 +85,8 @@
                                 report.getLogOffset(),
                                 report.getLogAgeMillis(),
                                 report.getInFlight(),
-                                report.isDraining()));
+                                report.isDraining(),
+                                report.getWaiting()));
     }
 
     /**
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/BackendBoard.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/BackendBoard.java
@@ -5,185 +5,147 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicReference;
+import java.util.Queue;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import org.cranberrygauge.decision.drain.DrainRegister;
 import org.cranberrygauge.decision.membership.PeerReport;
-import org.cranberrygauge.decision.routing.BackendView;
+import org.cranberrygauge.decision.routing.BackendTable;
+import org.cranberrygauge.decision.share.SlotDivision.GatewayDemand;
 import org.cranberrygauge.model.backend.BackendServer;
 import org.cranberrygauge.model.backend.HostState;
 import org.cranberrygauge.model.backend.ListedBackendServer;
-import org.cranberrygauge.model.configuration.Configuration;
 import org.cranberrygauge.runtime.blackboard.Blackboard;
 
 /**
- * The backend servers as routing sees them.
+ * Brings what the blackboard says of backend servers and peers into the table by which requests are dispatched.
  *
- * <p>Invariants: a drained, leaving or failing backend server is not available; counts of requests in flight never fall
- * below zero. Safe for use by several threads; the set of servers is replaced whole.
+ * <p>Invariants: a drained, leaving or failing backend server is not available. Failures and measurements are noted from
+ * any thread; they are applied by the thread that uses the table.
  */
 public final class BackendBoard {
 
-    /** The time for which a backend server gets no work after a failure in milliseconds. */
-    private static final long COOLDOWN_MILLIS = 1_000;
-
     /** The age after which a peer's counts are dropped in milliseconds. */
     private static final long PEER_EXPIRY_MILLIS = 2_000;
 
     /** The blackboard. */
     private final Blackboard blackboard;
 
-    /** The servers by what they serve. */
-    private final AtomicReference<Map<String, List<Entry>>> byTarget = new AtomicReference<>(Map.of());
+    /** The host of this gateway. */
+    private final String host;
+
+    /** The names of the backend servers that failed and were not yet marked. */
+    private final Queue<String> failures = new ConcurrentLinkedQueue<>();
 
-    /** The requests in flight from this gateway by backend server. */
-    private final Map<String, AtomicInteger> ownInFlight = new ConcurrentHashMap<>();
+    /** The measurements that were not yet taken in. */
+    private final Queue<Measurement> measurements = new ConcurrentLinkedQueue<>();
 
-    /** The monotonic time until which a backend server gets no work, by name. */
-    private final Map<String, Long> coolingUntilMillis = new ConcurrentHashMap<>();
+    /** The servers of the table. */
+    private List<BackendServer> servers = List.of();
 
     /**
      * Creates a board.
      *
      * @param blackboard The blackboard.
+     * @param host The host of this gateway.
      */
-    public BackendBoard(Blackboard blackboard) {
+    public BackendBoard(Blackboard blackboard, String host) {
         this.blackboard = blackboard;
+        this.host = host;
     }
 
     /**
-     * Rebuilds the set of servers from the blackboard.
-     *
-     * @param nowMillis The present monotonic time in milliseconds.
-     */
-    public void refresh(long nowMillis) {
-        Configuration configuration = blackboard.configuration();
-        DrainRegister drains = blackboard.log().drains();
-        Map<String, Entry> servers = new LinkedHashMap<>();
-        for (BackendServer server : configuration.backendServers()) {
-            servers.put(server.name(), new Entry(server, !drains.isDrained(server.name())));
-        }
-        for (ListedBackendServer listed : blackboard.listed()) {
-            boolean live = listed.state() == HostState.LIVE
-                    && !drains.isDrained(listed.server().name());
-            servers.put(listed.server().name(), new Entry(listed.server(), live));
-        }
-        Map<String, List<Entry>> next = new HashMap<>();
-        for (Entry entry : servers.values()) {
-            for (String target : entry.server().serves()) {
-                next.computeIfAbsent(target, name -> new ArrayList<>()).add(entry);
-            }
-        }
-        byTarget.set(Map.copyOf(next));
-        coolingUntilMillis.values().removeIf(until -> until <= nowMillis);
-    }
-
-    /**
-     * Lists the backend servers that can take a request now.
+     * Notes that a backend server failed, from any thread.
      *
      * @param nowMillis The present monotonic time in milliseconds.
-     * @param target The model or service.
-     * @return Those with a free slot.
-     */
-    public List<BackendView> candidates(long nowMillis, String target) {
-        List<BackendView> views = new ArrayList<>();
-        for (Entry entry : byTarget.get().getOrDefault(target, List.of())) {
-            BackendView view = view(nowMillis, entry);
-            if (view.hasFreeSlot()) {
-                views.add(view);
-            }
-        }
-        return views;
-    }
-
-    /**
-     * Tells whether any backend server serves a target, free or not.
-     *
-     * @param target The model or service.
-     * @return Whether one does.
-     */
-    public boolean isServed(String target) {
-        return !byTarget.get().getOrDefault(target, List.of()).isEmpty();
-    }
-
-    /**
-     * Counts a request that starts.
-     *
      * @param server The backend server.
      */
-    public void started(BackendServer server) {
-        counter(server.name()).incrementAndGet();
+    public void failed(long nowMillis, BackendServer server) {
+        failures.add(server.name());
     }
 
     /**
-     * Counts a request that ended.
+     * Notes the speed of a backend server, from any thread.
      *
      * @param server The backend server.
+     * @param intervalMillis The mean time between the tokens of a request in milliseconds.
      */
-    public void ended(BackendServer server) {
-        counter(server.name()).updateAndGet(count -> Math.max(0, count - 1));
+    public void measured(BackendServer server, double intervalMillis) {
+        measurements.add(new Measurement(server.name(), intervalMillis));
     }
 
     /**
-     * Notes that a backend server failed.
+     * Applies the noted failures and measurements.
      *
      * @param nowMillis The present monotonic time in milliseconds.
-     * @param server The backend server.
+     * @param table The table.
      */
-    public void failed(long nowMillis, BackendServer server) {
-        coolingUntilMillis.put(server.name(), nowMillis + COOLDOWN_MILLIS);
+    void applyNoted(long nowMillis, BackendTable table) {
+        for (String server = failures.poll(); server != null; server = failures.poll()) {
+            table.failed(nowMillis, server);
+        }
+        for (Measurement noted = measurements.poll(); noted != null; noted = measurements.poll()) {
+            table.measured(nowMillis, noted.server(), noted.intervalMillis());
+        }
     }
 
     /**
-     * Returns the requests in flight from this gateway.
+     * Applies what the blackboard says.
      *
-     * @return The numbers by backend server.
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param table The table.
+     * @param ownWaiting The number of requests that wait at this gateway.
      */
-    public Map<String, Integer> inFlight() {
-        Map<String, Integer> counts = new HashMap<>();
-        ownInFlight.forEach((name, count) -> {
-            if (count.get() > 0) {
-                counts.put(name, count.get());
-            }
-        });
-        return counts;
+    void refresh(long nowMillis, BackendTable table, int ownWaiting) {
+        DrainRegister drains = blackboard.log().drains();
+        Map<String, BackendServer> known = new LinkedHashMap<>();
+        Map<String, Boolean> available = new HashMap<>();
+        for (BackendServer server : blackboard.configuration().backendServers()) {
+            known.put(server.name(), server);
+            available.put(server.name(), !drains.isDrained(server.name()));
+        }
+        for (ListedBackendServer listed : blackboard.listed()) {
+            String name = listed.server().name();
+            known.put(name, listed.server());
+            available.put(name, listed.state() == HostState.LIVE && !drains.isDrained(name));
+        }
+        List<BackendServer> next = new ArrayList<>(known.values());
+        if (!next.equals(servers)) {
+            servers = next;
+            table.configure(next);
+        }
+        available.forEach(table::setAvailable);
+        exchange(nowMillis, table, ownWaiting);
     }
 
     /**
-     * Builds the view of a backend server.
+     * Applies what the peers said.
      *
      * @param nowMillis The present monotonic time in milliseconds.
-     * @param entry The backend server.
-     * @return The view.
+     * @param table The table.
+     * @param ownWaiting The number of requests that wait at this gateway.
      */
-    private BackendView view(long nowMillis, Entry entry) {
-        String name = entry.server().name();
-        int others = 0;
-        for (PeerReport peer : blackboard.peers().values()) {
-            if (nowMillis - peer.heardAtMillis() <= PEER_EXPIRY_MILLIS) {
-                others += peer.inFlight().getOrDefault(name, 0);
+    private void exchange(long nowMillis, BackendTable table, int ownWaiting) {
+        Map<String, Integer> others = new HashMap<>();
+        TreeMap<String, Double> demands = new TreeMap<>();
+        int own = table.inFlight().values().stream().mapToInt(Integer::intValue).sum();
+        demands.put(host, (double) (own + ownWaiting));
+        for (Map.Entry<String, PeerReport> peer : blackboard.peers().entrySet()) {
+            PeerReport report = peer.getValue();
+            boolean fresh = nowMillis - report.heardAtMillis() <= PEER_EXPIRY_MILLIS;
+            if (fresh && !peer.getKey().equals(host)) {
+                report.inFlight().forEach((server, count) -> others.merge(server, count, Integer::sum));
+                demands.put(peer.getKey(), report.demand());
             }
         }
-        boolean cooling = coolingUntilMillis.getOrDefault(name, Long.MIN_VALUE) > nowMillis;
-        return new BackendView(entry.server(), counter(name).get(), others, entry.available() && !cooling);
+        table.exchange(others, GatewayDemand.of(host, demands));
     }
 
     /**
-     * Returns the counter of a backend server.
+     * A measured speed.
      *
-     * @param name The name.
-     * @return The counter.
-     */
-    private AtomicInteger counter(String name) {
-        return ownInFlight.computeIfAbsent(name, key -> new AtomicInteger());
-    }
-
-    /**
-     * A backend server of the present set.
-     *
-     * @param server The backend server.
-     * @param available Whether it may get new work.
+     * @param server The name of the backend server.
+     * @param intervalMillis The mean time between tokens in milliseconds.
      */
-    private record Entry(BackendServer server, boolean available) {}
+    private record Measurement(String server, double intervalMillis) {}
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/PendingCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/PendingCall.java
@@ -13,6 +13,28 @@
  * @param routing What routing needs to know.
  * @param onStart Takes the backend server that it starts on.
  * @param onRefused Takes the refusal.
+ * @param onPreempted Stops the attempt and submits the request again, or null if it can't go on elsewhere.
  */
 public record PendingCall(
-        QueuedRequest queued, RoutingRequest routing, Consumer<BackendServer> onStart, Consumer<Refusal> onRefused) {}
+        QueuedRequest queued,
+        RoutingRequest routing,
+        Consumer<BackendServer> onStart,
+        Consumer<Refusal> onRefused,
+        Runnable onPreempted) {
+
+    /**
+     * Creates a call that can't be preempted.
+     *
+     * @param queued What admission needs to know.
+     * @param routing What routing needs to know.
+     * @param onStart Takes the backend server that it starts on.
+     * @param onRefused Takes the refusal.
+     */
+    public PendingCall(
+            QueuedRequest queued,
+            RoutingRequest routing,
+            Consumer<BackendServer> onStart,
+            Consumer<Refusal> onRefused) {
+        this(queued, routing, onStart, onRefused, null);
+    }
+}
