--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/DispatchListener.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/DispatchListener.java
@@ -16,8 +16,9 @@
      *
      * @param request The request with its estimated cost.
      * @param server The backend server.
+     * @param owed Whether it starts before higher tiers because its class is owed a start.
      */
-    void start(QueuedRequest request, BackendServer server);
+    void start(QueuedRequest request, BackendServer server, boolean owed);
 
     /**
      * Refuses a request.
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/Dispatcher.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/Dispatcher.java
@@ -260,7 +260,7 @@
             running.computeIfAbsent(request.target(), name -> new LinkedHashMap<>())
                     .put(request.requestId(), runs);
         }
-        listener.start(request, chosen.server());
+        listener.start(request, chosen.server(), next.owed());
     }
 
     /**
--- a/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/replay/TraceCommand.java
+++ b/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/replay/TraceCommand.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
 import org.cranberrygauge.model.configuration.Configuration;
@@ -36,6 +37,16 @@
     @Parameter(names = "--requests-per-second", description = "Mean number of requests in a second")
     private double requestsPerSecond = 20;
 
+    /** The profile. */
+    @Parameter(
+            names = "--profile",
+            description = "Profile of docs/TRACES.md, whose length and rate it sets; without one, plain mixed traffic")
+    private String profile = "";
+
+    /** The file for the faults. */
+    @Parameter(names = "--faults-output", description = "File for what goes wrong, one fault a line as JSON")
+    private Path faultsOutput;
+
     /** The file for the trace. */
     @Parameter(names = "--output", required = true, description = "File for the trace, one request a line as JSON")
     private Path output;
@@ -48,13 +59,36 @@
     public int run() {
         try {
             Configuration configuration = JsonCodec.read(Files.readString(configurationFile), Configuration.class);
-            List<TraceRequest> trace =
-                    new TraceGenerator(configuration, new Random(seed)).generate(seconds, requestsPerSecond);
-            Files.write(output, trace.stream().map(JsonCodec::write).toList());
+            if (profile.isEmpty()) {
+                write(output, new TraceGenerator(configuration, new Random(seed)).generate(seconds, requestsPerSecond));
+                return 0;
+            }
+            Trace trace = new ProfileGenerator(configuration).generate(TraceProfile.parse(profile), seed);
+            write(output, trace.requests());
+            if (faultsOutput != null) {
+                write(faultsOutput, trace.faults());
+            }
             return 0;
+        } catch (IllegalArgumentException exception) {
+            System.err.println("trace: --profile is \"" + profile + "\"; allowed is one of "
+                    + Arrays.stream(TraceProfile.values())
+                            .map(TraceProfile::text)
+                            .toList());
+            return SettingsParser.EXIT_STATUS;
         } catch (IOException | CranberrygaugeException exception) {
             System.err.println("trace: " + exception.getMessage());
             return SettingsParser.EXIT_STATUS;
         }
     }
+
+    /**
+     * Writes one object a line.
+     *
+     * @param file The file.
+     * @param lines The objects.
+     * @throws IOException If the file can't be written.
+     */
+    private static void write(Path file, List<?> lines) throws IOException {
+        Files.write(file, lines.stream().map(JsonCodec::write).toList());
+    }
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/Scheduler.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/Scheduler.java
@@ -179,7 +179,7 @@
     }
 
     @Override
-    public void start(QueuedRequest request, BackendServer server) {
+    public void start(QueuedRequest request, BackendServer server, boolean owed) {
         PendingCall call = calls.get(request.requestId());
         if (call == null) {
             ended(request.requestId(), server);
--- /dev/null
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/policy/Deployments.java
@@ -0,0 +1,29 @@
+package org.cranberrygauge.verification.policy;
+
+import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cranberrygauge.model.configuration.Configuration;
+import org.cranberrygauge.model.error.CranberrygaugeException;
+import org.cranberrygauge.operator.questionnaire.AnswerReader;
+import org.cranberrygauge.operator.questionnaire.ConfigurationGenerator;
+import org.cranberrygauge.operator.questionnaire.Questionnaire;
+
+/** The configurations of the example deployments. */
+final class Deployments {
+
+    /** Prevents instances. */
+    private Deployments() {}
+
+    /**
+     * Generates the configuration of an example.
+     *
+     * @param questionnaire The file with the answers.
+     * @return The configuration.
+     * @throws CranberrygaugeException If the answers can't be used.
+     */
+    static Configuration read(Path questionnaire) throws CranberrygaugeException {
+        AtomicInteger keys = new AtomicInteger();
+        ConfigurationGenerator generator = new ConfigurationGenerator(() -> "replay-" + keys.incrementAndGet());
+        return generator.generate(AnswerReader.read(questionnaire, Questionnaire.class), Configuration.empty());
+    }
+}
--- /dev/null
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/policy/PolicyVariant.java
@@ -0,0 +1,171 @@
+package org.cranberrygauge.verification.policy;
+
+import java.util.List;
+import java.util.function.Supplier;
+import org.cranberrygauge.decision.admission.AdmissionPolicy;
+import org.cranberrygauge.decision.admission.CustomerLines;
+import org.cranberrygauge.decision.admission.FirstInFirstOutQueue;
+import org.cranberrygauge.decision.admission.ShareRule;
+import org.cranberrygauge.decision.admission.TieredAdmissionQueue;
+import org.cranberrygauge.decision.admission.WaitLimit;
+import org.cranberrygauge.decision.dispatch.DispatchPolicy;
+import org.cranberrygauge.decision.estimate.OutputEstimate;
+import org.cranberrygauge.decision.preemption.PreemptionPolicy;
+import org.cranberrygauge.decision.routing.BackendTable;
+import org.cranberrygauge.decision.routing.PredictedFirstToken;
+import org.cranberrygauge.decision.routing.PrefixMemory;
+import org.cranberrygauge.decision.routing.RoutingPolicy;
+import org.cranberrygauge.decision.routing.SpeedRule;
+import org.cranberrygauge.decision.share.SlotDivision;
+
+/**
+ * One way to decide, for comparison.
+ *
+ * @param name The name.
+ * @param kind Whether it is ours, a baseline or an ablation.
+ * @param exchangeMillis The time between two exchanges of counts in milliseconds.
+ * @param reportsLoad Whether the loads that engines report are used.
+ * @param decisions Creates the decisions of one gateway.
+ */
+record PolicyVariant(
+        String name, Kind kind, long exchangeMillis, boolean reportsLoad, Supplier<DispatchPolicy> decisions) {
+
+    /** The time between two exchanges of gateways in milliseconds. */
+    private static final long EXCHANGE_MILLIS = 250;
+
+    /** The time between two exchanges that stands in for an owner that grants each slot. */
+    private static final long OWNER_MILLIS = 2;
+
+    /** Our policy. */
+    static final PolicyVariant OURS = of("ours", Kind.OURS, DispatchPolicy::standard);
+
+    /**
+     * Returns all variants.
+     *
+     * @return The variants, ours first.
+     */
+    static List<PolicyVariant> all() {
+        return List.of(
+                OURS,
+                routing("round-robin", RoutingPolicy.RoundRobin::new),
+                routing("random", () -> RoutingPolicy.Uniform.INSTANCE),
+                routing("least-in-flight", () -> RoutingPolicy.LeastInFlight.INSTANCE),
+                routing("two-choices", () -> RoutingPolicy.TwoChoices.INSTANCE),
+                of(
+                        "first-in-first-out",
+                        Kind.BASELINE,
+                        () -> DispatchPolicy.standard()
+                                .withQueue(new FirstInFirstOutQueue())
+                                .withPreemption(PreemptionPolicy.Disabled.INSTANCE)),
+                admission(
+                        "strict-priority",
+                        Kind.BASELINE,
+                        AdmissionPolicy.standard().withShares(ShareRule.Disabled.INSTANCE)),
+                division("per-gateway-static", Kind.BASELINE, SlotDivision.EqualParts.INSTANCE, EXCHANGE_MILLIS),
+                division("exchanged-counts", Kind.ABLATION, SlotDivision.ExchangedCounts.INSTANCE, EXCHANGE_MILLIS),
+                division("owner-grants-bound", Kind.ABLATION, SlotDivision.ExchangedCounts.INSTANCE, OWNER_MILLIS),
+                of(
+                        "no-preemption",
+                        Kind.ABLATION,
+                        () -> DispatchPolicy.standard().withPreemption(PreemptionPolicy.Disabled.INSTANCE)),
+                of(
+                        "no-estimate",
+                        Kind.ABLATION,
+                        () -> DispatchPolicy.standard().withEstimate(OutputEstimate.Disabled.INSTANCE)),
+                of(
+                        "no-prefix-memory",
+                        Kind.ABLATION,
+                        () -> DispatchPolicy.standard()
+                                .withRouting(new PredictedFirstToken(PrefixMemory.Disabled.INSTANCE))),
+                of(
+                        "no-ejection",
+                        Kind.ABLATION,
+                        () -> DispatchPolicy.standard()
+                                .withTable(new BackendTable(SlotDivision.DemandShare.INSTANCE, SpeedRule.DISABLED))),
+                admission(
+                        "no-forecast",
+                        Kind.ABLATION,
+                        AdmissionPolicy.standard().withWaitLimit(WaitLimit.Disabled.INSTANCE)),
+                admission(
+                        "forecast-to-deadline",
+                        Kind.ABLATION,
+                        AdmissionPolicy.standard().withWaitLimit(WaitLimit.Deadline.INSTANCE)),
+                admission(
+                        "forecast-to-target",
+                        Kind.ABLATION,
+                        AdmissionPolicy.standard().withWaitLimit(WaitLimit.Target.INSTANCE)),
+                admission(
+                        "customers-in-arrival-order",
+                        Kind.ABLATION,
+                        AdmissionPolicy.standard().withLines(CustomerLines.FirstInFirstOut::new)),
+                admission(
+                        "shares-not-deferred",
+                        Kind.ABLATION,
+                        AdmissionPolicy.standard().withShares(ShareRule.Strict.INSTANCE)),
+                new PolicyVariant(
+                        "with-reported-load", Kind.ABLATION, EXCHANGE_MILLIS, true, DispatchPolicy::standard));
+    }
+
+    /**
+     * Creates a variant.
+     *
+     * @param name The name.
+     * @param kind The kind.
+     * @param decisions Creates the decisions of one gateway.
+     * @return The variant.
+     */
+    private static PolicyVariant of(String name, Kind kind, Supplier<DispatchPolicy> decisions) {
+        return new PolicyVariant(name, kind, EXCHANGE_MILLIS, false, decisions);
+    }
+
+    /**
+     * Creates a baseline of routing.
+     *
+     * @param name The name.
+     * @param routing Creates the routing policy.
+     * @return The variant.
+     */
+    private static PolicyVariant routing(String name, Supplier<RoutingPolicy> routing) {
+        return of(name, Kind.BASELINE, () -> DispatchPolicy.standard().withRouting(routing.get()));
+    }
+
+    /**
+     * Creates a variant of admission.
+     *
+     * @param name The name.
+     * @param kind The kind.
+     * @param policy The rules of the queue.
+     * @return The variant.
+     */
+    private static PolicyVariant admission(String name, Kind kind, AdmissionPolicy policy) {
+        return of(name, kind, () -> DispatchPolicy.standard().withQueue(new TieredAdmissionQueue(policy)));
+    }
+
+    /**
+     * Creates a variant of the division of slots.
+     *
+     * @param name The name.
+     * @param kind The kind.
+     * @param division The division.
+     * @param exchangeMillis The time between two exchanges in milliseconds.
+     * @return The variant.
+     */
+    private static PolicyVariant division(String name, Kind kind, SlotDivision division, long exchangeMillis) {
+        return new PolicyVariant(
+                name,
+                kind,
+                exchangeMillis,
+                false,
+                () -> DispatchPolicy.standard().withTable(new BackendTable(division, SpeedRule.PEERS)));
+    }
+
+    /** The kinds of variants. */
+    enum Kind {
+        /** Our policy. */
+        OURS,
+        /** What others do. */
+        BASELINE,
+        /** Ours with one mechanism replaced. */
+        ABLATION
+    }
+}
