Take in what can meet its target, and never forecast away what has run

Cause: under a burst every request waited for up to its deadline, 5 s, and so missed its target of 1.4 s. Change: a new request is refused at once if its forecast wait is above 0.6 of the target of its class; one that ran in part is queued whatever the forecast, since refusing it wastes what it had generated.

--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/AdmissionPolicy.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/AdmissionPolicy.java
@@ -15,7 +15,7 @@
 
     /** The rules that gateways use. */
     private static final AdmissionPolicy STANDARD = new AdmissionPolicy(
-            ShareRule.Deferring.INSTANCE, CustomerLines.WeightedFair::new, WaitLimit.Deadline.INSTANCE);
+            ShareRule.Deferring.INSTANCE, CustomerLines.WeightedFair::new, WaitLimit.Target.INSTANCE);
 
     /**
      * Returns the rules that gateways use.
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/AdmissionQueue.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/AdmissionQueue.java
@@ -28,6 +28,15 @@
      */
     List<Refusal> offer(long nowMillis, QueuedRequest request);
 
+    /**
+     * Takes back a request that has run in part, whatever the forecast.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param request The request.
+     * @return Refusals that follow at once, of this request or of one that gave way to it.
+     */
+    List<Refusal> resume(long nowMillis, QueuedRequest request);
+
     /**
      * Takes the request that starts next.
      *
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/FirstInFirstOutQueue.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/FirstInFirstOutQueue.java
@@ -43,6 +43,11 @@
         return List.of();
     }
 
+    @Override
+    public List<Refusal> resume(long nowMillis, QueuedRequest request) {
+        return offer(nowMillis, request);
+    }
+
     @Override
     public Optional<QueueStart> next(long nowMillis, Predicate<QueuedRequest> canStart) {
         QueuedRequest request = lines.next(canStart);
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/TieredAdmissionQueue.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/TieredAdmissionQueue.java
@@ -86,14 +86,16 @@
         if (waitMillis > limitMillis) {
             return List.of(refusal(request, waitMillis - limitMillis));
         }
-        queue.add(nowMillis, request);
-        waiting.put(request.requestId(), request);
-        if (waiting.size() <= limit) {
-            return List.of();
+        return add(nowMillis, queue, request);
+    }
+
+    @Override
+    public List<Refusal> resume(long nowMillis, QueuedRequest request) {
+        ClassQueue queue = queues.get(request.className());
+        if (queue == null) {
+            return List.of(new Refusal(request.requestId(), ErrorCode.FORBIDDEN, SHORTEST_RETRY_MILLIS));
         }
-        QueuedRequest shed = lowestTier().lines().shedFirst();
-        remove(shed.requestId());
-        return List.of(refuse(shed));
+        return add(nowMillis, queue, request);
     }
 
     @Override
@@ -176,6 +178,25 @@
         return null;
     }
 
+    /**
+     * Adds a request, and sheds one of the lowest tier if the queue is full.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param queue The queue of its class.
+     * @param request The request.
+     * @return The refusal of the request that was shed.
+     */
+    private List<Refusal> add(long nowMillis, ClassQueue queue, QueuedRequest request) {
+        queue.add(nowMillis, request);
+        waiting.put(request.requestId(), request);
+        if (waiting.size() <= limit) {
+            return List.of();
+        }
+        QueuedRequest shed = lowestTier().lines().shedFirst();
+        remove(shed.requestId());
+        return List.of(refuse(shed));
+    }
+
     /**
      * Drops the requests that left the queue from the front of its deadlines.
      *
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/WaitLimit.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/WaitLimit.java
@@ -33,9 +33,13 @@
         /** The only instance. */
         INSTANCE;
 
+        /** The part of the target that may pass before the start, so that reading the prompt fits into the rest. */
+        private static final double USABLE_SHARE = 0.6;
+
         @Override
         public long limitMillis(ServiceClass serviceClass) {
-            return Math.min(serviceClass.longestWaitMillis(), serviceClass.firstTokenTargetMillis());
+            long usable = Math.round(USABLE_SHARE * serviceClass.firstTokenTargetMillis());
+            return Math.min(serviceClass.longestWaitMillis(), usable);
         }
     }
 
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/Dispatcher.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/Dispatcher.java
@@ -104,7 +104,7 @@
         boolean ran = before != null && before.ran;
         submissions.put(request.requestId(), new Submission(queued, routing, resumable, preemptions, ran));
         targets.add(request.target());
-        refuse(policy.queue().offer(nowMillis, queued));
+        refuse(ran ? policy.queue().resume(nowMillis, queued) : policy.queue().offer(nowMillis, queued));
         startReady(nowMillis);
     }
 
