--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/Dispatcher.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/Dispatcher.java
@@ -31,6 +31,9 @@
     /** The most preempted requests of a target whose slot is not free yet. */
     private static final int STOPPING_LIMIT = 4;
 
+    /** The number of prompt tokens that are read in the time of one output token of a loaded engine. */
+    private static final int PROMPT_TOKENS_PER_OUTPUT_TOKEN = 64;
+
     /** The decisions. */
     private final DispatchPolicy policy;
 
@@ -98,7 +101,7 @@
      */
     public void submit(long nowMillis, QueuedRequest request, RoutingRequest routing, boolean resumable) {
         Submission before = submissions.get(request.requestId());
-        long cost = routing.promptTokens() + output(request, routing);
+        long cost = work(routing.promptTokens(), output(request, routing));
         QueuedRequest queued = before == null ? request.withEstimatedTokens(cost) : request.again(nowMillis, cost);
         int preemptions = before == null ? 0 : before.preemptions;
         boolean ran = before != null && before.ran;
@@ -148,8 +151,8 @@
             return;
         }
         QueuedRequest request = submission.request;
-        policy.queue().finished(request, actualTokens);
         int promptTokens = submission.routing.promptTokens();
+        policy.queue().finished(request, work(promptTokens, Math.max(0, actualTokens - promptTokens)));
         if (promptTokens > 0 && actualTokens > promptTokens) {
             policy.estimate().observe(request.customer(), request.className(), (int) (actualTokens - promptTokens));
         }
@@ -190,6 +193,17 @@
                 .sum();
     }
 
+    /**
+     * Returns the work of a request, by which customers share and queues drain.
+     *
+     * @param promptTokens The prompt in tokens.
+     * @param outputTokens The output in tokens.
+     * @return The work in output tokens.
+     */
+    private static long work(int promptTokens, long outputTokens) {
+        return outputTokens + promptTokens / PROMPT_TOKENS_PER_OUTPUT_TOKEN;
+    }
+
     /**
      * Estimates the output of a request.
      *
