--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/QueuedRequest.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/QueuedRequest.java
@@ -39,4 +39,35 @@
                 arrivedAtMillis,
                 replacementMillis);
     }
+
+    /**
+     * Refines the request for a further attempt, whose wait counts from now.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param remainingTokens The estimated cost of what is left in tokens.
+     * @return The refined request.
+     */
+    public QueuedRequest again(long nowMillis, long remainingTokens) {
+        long longestWaitMillis = deadlineMillis - arrivedAtMillis;
+        return new QueuedRequest(
+                requestId,
+                customer,
+                customerWeight,
+                className,
+                target,
+                remainingTokens,
+                nowMillis,
+                nowMillis + longestWaitMillis);
+    }
+
+    /**
+     * Replaces the estimated cost.
+     *
+     * @param tokens The cost in tokens.
+     * @return The refined request.
+     */
+    public QueuedRequest withEstimatedTokens(long tokens) {
+        return new QueuedRequest(
+                requestId, customer, customerWeight, className, target, tokens, arrivedAtMillis, deadlineMillis);
+    }
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
@@ -218,8 +218,7 @@
                 .submit(new PendingCall(
                         queued,
                         new RoutingRequest(request.route().service(), "", 0),
-                        candidate -> tools.guard()
-                                .mayStart(fingerprint, request.route().service(), candidate),
+                        tools.guard().eligibility(fingerprint),
                         this::chosen,
                         refusal -> reply.context().runOnContext(ignored -> refused(refusal))));
     }
@@ -242,7 +241,7 @@
     private void start(BackendServer chosen) {
         if (ended) {
             tools.guard().ended(run(attempts + 1));
-            tools.scheduler().ended(chosen);
+            tools.scheduler().ended(number, chosen);
             return;
         }
         attempts++;
@@ -410,7 +409,7 @@
     /** Frees the slot of the attempt. */
     private void release() {
         tools.guard().ended(run(attempts));
-        tools.scheduler().ended(server);
+        tools.scheduler().ended(number, server);
         server = null;
     }
 
