Let the controller plan fleet and cleaning from what gateways report

Cause: the controller kept pools at their minimum and knew neither demand nor requests in flight. Change: the lease holder asks each member by status() once a second on threads of its own (at most one question to a gateway, four at once); the answer carries output tokens and calls by class, the exchange between peers does not. DemandMeter turns them into the demand by model, CleaningDesk writes drains with the fencing number. Settings for server rate, start-up, weights, idle and cleaning time.

--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
@@ -8,16 +8,28 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonObject;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.cranberrygauge.controller.cleaning.CleaningDesk;
+import org.cranberrygauge.controller.gateway.GatewayPoll;
 import org.cranberrygauge.controller.order.OrderDesk;
 import org.cranberrygauge.controller.usage.UsageReporter;
-import org.cranberrygauge.decision.fleet.FleetPlanner;
+import org.cranberrygauge.decision.cleaning.CleaningPlanner;
+import org.cranberrygauge.decision.fleet.DemandMeter;
+import org.cranberrygauge.decision.fleet.DemandMeter.GatewayLoad;
+import org.cranberrygauge.decision.fleet.FleetView.ModelDemand;
+import org.cranberrygauge.decision.fleet.ForecastFleetPlanner;
 import org.cranberrygauge.decision.lease.LeaseKeeper;
 import org.cranberrygauge.decision.state.Effect;
 import org.cranberrygauge.decision.state.LogState;
+import org.cranberrygauge.model.backend.BackendServer;
+import org.cranberrygauge.model.backend.HostState;
+import org.cranberrygauge.model.backend.ListedBackendServer;
+import org.cranberrygauge.model.configuration.Configuration;
 import org.cranberrygauge.model.configuration.ControlTimes;
 import org.cranberrygauge.model.record.LogRecord;
 import org.cranberrygauge.runtime.blackboard.Blackboard;
@@ -39,7 +51,13 @@
     private static final long TICK_MILLIS = 100;
 
     /** The time between two plans of the fleet in ticks. */
-    private static final int TICKS_PER_PLAN = 5;
+    private static final int TICKS_PER_PLAN = 10;
+
+    /** The time between two questions to a gateway in ticks. */
+    private static final int TICKS_PER_POLL = 10;
+
+    /** The age after which the load of a gateway counts for nothing in milliseconds. */
+    private static final long LOAD_AGE_MILLIS = 3_000;
 
     /** The longest time a planned stop waits for the log in milliseconds. */
     private static final long STOP_MILLIS = 1_000;
@@ -77,6 +95,9 @@
     /** The client of the platform. */
     private final HttpPlatform platform;
 
+    /** Asks gateways for their load. */
+    private final GatewayPoll poll;
+
     /** What this controller does, or null until a configuration is in force. */
     private volatile Duties duties;
 
@@ -105,6 +126,7 @@
         follower = new LogFollower(vertx, platform, blackboard, time, events);
         appender = new LogAppender(vertx, platform, incarnation);
         controlAppender = new ControlAppender(appender, blackboard);
+        poll = new GatewayPoll(time);
     }
 
     /**
@@ -139,6 +161,7 @@
                         incarnation, present.lease().state().lastClaimOffset())));
             }
         }
+        poll.stop();
         follower.stop();
         vertx.close();
     }
@@ -197,11 +220,33 @@
             return;
         }
         duties.usage().tick(state);
+        if (ticks % TICKS_PER_POLL == 0) {
+            poll.ask(state.members().all());
+        }
         if (ticks++ % TICKS_PER_PLAN == 0) {
-            duties.orders().tick(state, Map.of(), Map.of());
+            plan(nowMillis, state);
         }
     }
 
+    /**
+     * Plans the cleaning and the fleet.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param state The state machines.
+     */
+    private void plan(long nowMillis, LogState state) {
+        Configuration configuration = state.configuration().current().configuration();
+        List<BackendServer> servers = new ArrayList<>(configuration.backendServers());
+        blackboard.listed().stream()
+                .filter(listed -> listed.state() == HostState.LIVE)
+                .map(ListedBackendServer::server)
+                .forEach(servers::add);
+        Map<String, GatewayLoad> loads = poll.loads(nowMillis, LOAD_AGE_MILLIS);
+        Map<String, Integer> reserve = duties.cleaning().tick(time.wallMillis(), state, servers, loads);
+        Map<String, ModelDemand> demand = duties.meter().observe(configuration, servers, loads.values());
+        duties.orders().tick(state, demand, reserve);
+    }
+
     /**
      * Takes up the duties, once the times of the configuration are known.
      *
@@ -213,7 +258,7 @@
                 new LeaseKeeper(incarnation, settings.hostName(), times.leaseMillis(), time.monotonicMillis());
         OrderDesk orders = new OrderDesk(
                 incarnation,
-                FleetPlanner.Minimum.INSTANCE,
+                new ForecastFleetPlanner(settings.fleetParameters()),
                 lease,
                 blackboard,
                 follower,
@@ -222,7 +267,9 @@
                 time,
                 events);
         UsageReporter usage = new UsageReporter(incarnation, lease, follower, controlAppender, platform, time, events);
-        return new Duties(lease, orders, usage);
+        CleaningDesk cleaning =
+                new CleaningDesk(new CleaningPlanner(settings.cleaningMillis()), lease, controlAppender, events);
+        return new Duties(lease, orders, usage, cleaning, new DemandMeter());
     }
 
     /**
@@ -235,6 +282,7 @@
                 .put("controller", incarnation)
                 .put("holds_lease", duties != null && duties.lease().holds(time.monotonicMillis()))
                 .put("fencing_number", blackboard.log().lease().fencingNumber())
+                .put("appends_waiting", appender.backlog())
                 .put("log_offset", blackboard.position().offset());
         request.response().putHeader("Content-Type", "application/json").end(body.toBuffer());
     }
@@ -245,6 +293,9 @@
      * @param lease Decides whether this controller holds the lease.
      * @param orders Sends orders.
      * @param usage Reports usage.
+     * @param cleaning Carries out the cleaning.
+     * @param meter Works out the demand.
      */
-    private record Duties(LeaseKeeper lease, OrderDesk orders, UsageReporter usage) {}
+    private record Duties(
+            LeaseKeeper lease, OrderDesk orders, UsageReporter usage, CleaningDesk cleaning, DemandMeter meter) {}
 }
--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/ControllerEvents.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/ControllerEvents.java
@@ -76,4 +76,21 @@
      * @param reason The reason.
      */
     public record StopIncomplete(String controller, String reason) implements Event {}
+
+    /**
+     * A step of the cleaning of a backend server was written.
+     *
+     * @param backendServer The backend server.
+     * @param step The step.
+     */
+    public record CleaningStep(String backendServer, String step) implements Event {}
+
+    /**
+     * A backend server was not cleaned in its window; it is planned for the next.
+     *
+     * @param drainId The identifier of the drain.
+     * @param backendServer The backend server.
+     * @param reason The reason code.
+     */
+    public record CleaningMissed(String drainId, String backendServer, String reason) implements Event {}
 }
--- /dev/null
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/cleaning/package-info.java
@@ -0,0 +1,2 @@
+/** Carrying out the weekly cleaning. */
+package org.cranberrygauge.controller.cleaning;
--- /dev/null
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** What the controller asks of gateways. */
+package org.cranberrygauge.controller.gateway;
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -151,6 +151,7 @@
         usage = new UsageCounter(incarnation);
         shipper = new UsageShipper(vertx, usage, appender);
         usageCopies = new UsageCopyDesk(
+                usage,
                 new UsageReplication.ToOnePeer(incarnation, usage, UsageCopyDesk.KEYS_PER_COPY),
                 appender,
                 time,
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/ExchangeService.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/ExchangeService.java
@@ -70,7 +70,7 @@
 
     @Override
     public GatewayReport status() {
-        return ownReport.get();
+        return usageCopies.withSignals(ownReport.get());
     }
 
     @Override
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/usage/UsageCopyDesk.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/usage/UsageCopyDesk.java
@@ -8,7 +8,9 @@
 import org.cranberrygauge.decision.membership.GatewayMember;
 import org.cranberrygauge.decision.state.LogState;
 import org.cranberrygauge.decision.usage.UsageCopies;
+import org.cranberrygauge.decision.usage.UsageCounter;
 import org.cranberrygauge.decision.usage.UsageReplication;
+import org.cranberrygauge.decision.usage.UsageSignals;
 import org.cranberrygauge.gateway.GatewayEvents;
 import org.cranberrygauge.model.error.CranberrygaugeException;
 import org.cranberrygauge.model.record.LogRecord.UsageDelta;
@@ -34,6 +36,9 @@
     /** The time without a report after which a peer counts as silent in milliseconds. */
     private static final long SILENCE_MILLIS = 10_000;
 
+    /** The counter of this gateway. */
+    private final UsageCounter counter;
+
     /** Decides what is copied. */
     private final UsageReplication replication;
 
@@ -55,18 +60,36 @@
     /**
      * Creates a desk.
      *
+     * @param counter The counter of this gateway.
      * @param replication Decides what is copied.
      * @param appender The appender.
      * @param time The sources of time.
      * @param events The event log.
      */
-    public UsageCopyDesk(UsageReplication replication, LogAppender appender, TimeSource time, EventLog events) {
+    public UsageCopyDesk(
+            UsageCounter counter,
+            UsageReplication replication,
+            LogAppender appender,
+            TimeSource time,
+            EventLog events) {
+        this.counter = counter;
         this.replication = replication;
         this.appender = appender;
         this.time = time;
         this.events = events;
     }
 
+    /**
+     * Adds to a report what controllers reckon the demand from.
+     *
+     * @param report The report.
+     * @return The same report.
+     */
+    public GatewayReport withSignals(GatewayReport report) {
+        UsageSignals.of(counter.totals()).forEach(report::putToSignals);
+        return report;
+    }
+
     /**
      * Takes the copy that shall go to a peer and attaches it to a report.
      *
