--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
@@ -24,19 +24,18 @@
 import org.cranberrygauge.decision.fleet.FleetView.ModelDemand;
 import org.cranberrygauge.decision.fleet.ForecastFleetPlanner;
 import org.cranberrygauge.decision.lease.LeaseKeeper;
-import org.cranberrygauge.decision.state.Effect;
+import org.cranberrygauge.decision.snapshot.SnapshotSchedule;
 import org.cranberrygauge.decision.state.LogState;
 import org.cranberrygauge.model.backend.BackendServer;
 import org.cranberrygauge.model.backend.HostState;
 import org.cranberrygauge.model.backend.ListedBackendServer;
 import org.cranberrygauge.model.configuration.Configuration;
-import org.cranberrygauge.model.configuration.ControlTimes;
-import org.cranberrygauge.model.record.LogRecord;
 import org.cranberrygauge.runtime.blackboard.Blackboard;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.lifecycle.Program;
 import org.cranberrygauge.runtime.log.LogAppender;
 import org.cranberrygauge.runtime.log.LogFollower;
+import org.cranberrygauge.runtime.log.SnapshotWriter;
 import org.cranberrygauge.runtime.platform.HttpPlatform;
 import org.cranberrygauge.runtime.time.TimeSource;
 
@@ -92,14 +91,26 @@
     /** Appends the records of control. */
     private final ControlAppender controlAppender;
 
-    /** The client of the platform. */
-    private final HttpPlatform platform;
-
     /** Asks gateways for their load. */
     private final GatewayPoll poll;
 
-    /** What this controller does, or null until a configuration is in force. */
-    private volatile Duties duties;
+    /** Decides whether this controller holds the lease. */
+    private final LeaseKeeper lease;
+
+    /** Sends orders. */
+    private final OrderDesk orders;
+
+    /** Reports usage. */
+    private final UsageReporter usage;
+
+    /** Carries out the cleaning. */
+    private final CleaningDesk cleaning;
+
+    /** Works out the demand. */
+    private final DemandMeter meter = new DemandMeter();
+
+    /** Writes snapshots. */
+    private final SnapshotWriter snapshots;
 
     /** Whether the lease was held at the last tick. */
     private boolean held;
@@ -122,11 +133,29 @@
         vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
         incarnation = Program.incarnation(settings.hostName(), time.wallMillis());
         blackboard = new Blackboard(time.monotonicMillis());
-        platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
+        HttpPlatform platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
         follower = new LogFollower(vertx, platform, blackboard, time, events);
         appender = new LogAppender(vertx, platform, incarnation);
         controlAppender = new ControlAppender(appender, blackboard);
         poll = new GatewayPoll(time);
+        lease = new LeaseKeeper(incarnation, settings.hostName(), time.monotonicMillis());
+        orders = new OrderDesk(
+                incarnation,
+                new ForecastFleetPlanner(settings.fleetParameters()),
+                lease,
+                blackboard,
+                follower,
+                controlAppender,
+                platform,
+                time,
+                events);
+        usage = new UsageReporter(incarnation, lease, follower, controlAppender, platform, time, events);
+        cleaning = new CleaningDesk(new CleaningPlanner(settings.cleaningMillis()), lease, controlAppender, events);
+        snapshots = new SnapshotWriter(
+                incarnation,
+                new SnapshotSchedule.Periodic(settings.snapshotIntervalMillis()),
+                appender::append,
+                events);
     }
 
     /**
@@ -135,7 +164,7 @@
      * @return Completes when it listens.
      */
     public Future<HttpServer> start() {
-        follower.addListener(this::accept);
+        follower.addListener(orders::accept);
         follower.start();
         vertx.setPeriodic(TICK_MILLIS, timer -> follower.onContext(this::tick));
         return vertx.createHttpServer(new HttpServerOptions()
@@ -150,17 +179,13 @@
     /** Stops the controller: sends no order any more, gives the lease back and ends. */
     public void stop() {
         stopping = true;
-        Duties present = duties;
-        if (present != null) {
-            present.orders().stop();
-            Promise<Void> barrier = Promise.promise();
-            follower.onContext(state -> barrier.complete());
-            await(barrier.future());
-            if (present.lease().holds(time.monotonicMillis())) {
-                await(appender.append(new LogRecord.LeaseRelease(
-                        incarnation, present.lease().state().lastClaimOffset())));
-            }
-        }
+        Promise<Void> resigned = Promise.promise();
+        follower.onContext(state -> lease.resign(time.monotonicMillis())
+                .map(appender::append)
+                .orElse(Future.succeededFuture())
+                .<Void>mapEmpty()
+                .onComplete(resigned));
+        await(resigned.future());
         poll.stop();
         follower.stop();
         vertx.close();
@@ -181,17 +206,6 @@
         }
     }
 
-    /**
-     * Acts on what became of a record.
-     *
-     * @param effect The effect.
-     */
-    private void accept(Effect effect) {
-        if (duties != null) {
-            duties.orders().accept(effect);
-        }
-    }
-
     /**
      * Decides and acts once.
      *
@@ -201,14 +215,17 @@
         if (stopping || state.configuration().current().version() == 0) {
             return;
         }
-        if (duties == null) {
-            duties = duties(state.configuration().current().configuration().times());
-        }
         long nowMillis = time.monotonicMillis();
-        LeaseKeeper lease = duties.lease();
         lease.observe(nowMillis, state.lease());
         if (controlAppender.isFree(CLAIM)) {
-            lease.decide(nowMillis).ifPresent(claim -> controlAppender.append(CLAIM, claim));
+            lease.decide(
+                            nowMillis,
+                            state.configuration()
+                                    .current()
+                                    .configuration()
+                                    .times()
+                                    .leaseMillis())
+                    .ifPresent(claim -> controlAppender.append(CLAIM, claim));
         }
         boolean holds = lease.holds(nowMillis);
         if (holds != held) {
@@ -219,7 +236,8 @@
         if (!holds) {
             return;
         }
-        duties.usage().tick(state);
+        usage.tick(state);
+        snapshots.tick(state);
         if (ticks % TICKS_PER_POLL == 0) {
             poll.ask(state.members().all());
         }
@@ -242,34 +260,9 @@
                 .map(ListedBackendServer::server)
                 .forEach(servers::add);
         Map<String, GatewayLoad> loads = poll.loads(nowMillis, LOAD_AGE_MILLIS);
-        Map<String, Integer> reserve = duties.cleaning().tick(time.wallMillis(), state, servers, loads);
-        Map<String, ModelDemand> demand = duties.meter().observe(configuration, servers, loads.values());
-        duties.orders().tick(state, demand, reserve);
-    }
-
-    /**
-     * Takes up the duties, once the times of the configuration are known.
-     *
-     * @param times The times.
-     * @return The duties.
-     */
-    private Duties duties(ControlTimes times) {
-        LeaseKeeper lease =
-                new LeaseKeeper(incarnation, settings.hostName(), times.leaseMillis(), time.monotonicMillis());
-        OrderDesk orders = new OrderDesk(
-                incarnation,
-                new ForecastFleetPlanner(settings.fleetParameters()),
-                lease,
-                blackboard,
-                follower,
-                controlAppender,
-                platform,
-                time,
-                events);
-        UsageReporter usage = new UsageReporter(incarnation, lease, follower, controlAppender, platform, time, events);
-        CleaningDesk cleaning =
-                new CleaningDesk(new CleaningPlanner(settings.cleaningMillis()), lease, controlAppender, events);
-        return new Duties(lease, orders, usage, cleaning, new DemandMeter());
+        Map<String, Integer> reserve = cleaning.tick(time.wallMillis(), state, servers, loads);
+        Map<String, ModelDemand> demand = meter.observe(configuration, servers, loads.values());
+        orders.tick(state, demand, reserve);
     }
 
     /**
@@ -280,22 +273,10 @@
     private void answer(HttpServerRequest request) {
         JsonObject body = new JsonObject()
                 .put("controller", incarnation)
-                .put("holds_lease", duties != null && duties.lease().holds(time.monotonicMillis()))
+                .put("holds_lease", lease.holds(time.monotonicMillis()))
                 .put("fencing_number", blackboard.log().lease().fencingNumber())
                 .put("appends_waiting", appender.backlog())
                 .put("log_offset", blackboard.position().offset());
         request.response().putHeader("Content-Type", "application/json").end(body.toBuffer());
     }
-
-    /**
-     * What a controller does.
-     *
-     * @param lease Decides whether this controller holds the lease.
-     * @param orders Sends orders.
-     * @param usage Reports usage.
-     * @param cleaning Carries out the cleaning.
-     * @param meter Works out the demand.
-     */
-    private record Duties(
-            LeaseKeeper lease, OrderDesk orders, UsageReporter usage, CleaningDesk cleaning, DemandMeter meter) {}
 }
--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/ControllerSettings.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/ControllerSettings.java
@@ -90,6 +90,22 @@
         return cleaningMillis;
     }
 
+    /** The time between two snapshots in milliseconds. */
+    @Parameter(
+            names = "--snapshot-interval-millis",
+            validateWith = PositiveNumber.class,
+            description = "Milliseconds of the log's time between two snapshots; at most a quarter of its retention")
+    private long snapshotIntervalMillis = 900_000;
+
+    /**
+     * Returns the time between two snapshots.
+     *
+     * @return The time in milliseconds.
+     */
+    public long snapshotIntervalMillis() {
+        return snapshotIntervalMillis;
+    }
+
     /**
      * Returns the address for operations.
      *
--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/order/OrderDesk.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/order/OrderDesk.java
@@ -90,9 +90,6 @@
     /** The number of orders so far. */
     private long orders;
 
-    /** Whether a planned stop began, after which nothing is sent. */
-    private volatile boolean stopping;
-
     /**
      * Creates a desk.
      *
@@ -127,11 +124,6 @@
         this.events = events;
     }
 
-    /** Sends no order any more, so that the lease can be given back. */
-    public void stop() {
-        stopping = true;
-    }
-
     /**
      * Orders what is due, while the lease is held.
      *
@@ -170,9 +162,9 @@
         OrderIntent intent = judged.intent();
         long timeoutMillis = blackboard.configuration().times().orderTimeoutMillis();
         boolean lasts = lease.remainingMillis(time.monotonicMillis()) > timeoutMillis;
-        if (!judged.valid() || !lasts || stopping) {
+        if (!judged.valid() || !lasts) {
             busyPools.remove(intent.pool());
-            events.emit(new ControllerEvents.OrderDropped(intent.orderId(), stopping ? "stopping" : "lease_over"));
+            events.emit(new ControllerEvents.OrderDropped(intent.orderId(), "lease_over"));
             if (judged.valid()) {
                 close(intent.orderId(), intent.fencingNumber(), "dropped");
             }
@@ -201,7 +193,7 @@
      */
     private void plan(Configuration configuration, Map<String, ModelDemand> demand, Map<String, Integer> reserve) {
         long nowMillis = time.monotonicMillis();
-        if (!lease.holds(nowMillis) || stopping) {
+        if (!lease.holds(nowMillis)) {
             return;
         }
         FleetView view = new FleetView(configuration, pools(nowMillis), demand, pacing.unavailable(nowMillis), reserve);
--- a/cranberrygauge-controller/src/test/java/org/cranberrygauge/controller/ControlAppenderTest.java
+++ b/cranberrygauge-controller/src/test/java/org/cranberrygauge/controller/ControlAppenderTest.java
@@ -24,6 +24,7 @@
 class ControlAppenderTest {
 
     private static final long HOUR_MILLIS = 3_600_000;
+    private static final long LEASE_MILLIS = 6_000;
     private static final String CLAIM = "lease-claim";
 
     private final Vertx vertx = Vertx.vertx();
@@ -39,10 +40,10 @@
 
     @Test
     void an_hour_without_the_log_queues_one_claim() {
-        LeaseKeeper lease = new LeaseKeeper("host-1/1", "host-1", 6_000, 0);
+        LeaseKeeper lease = new LeaseKeeper("host-1/1", "host-1", 0);
         for (long nowMillis = 0; nowMillis < HOUR_MILLIS; nowMillis += 100) {
             if (controlAppender.isFree(CLAIM)) {
-                lease.decide(nowMillis).ifPresent(claim -> controlAppender.append(CLAIM, claim));
+                lease.decide(nowMillis, LEASE_MILLIS).ifPresent(claim -> controlAppender.append(CLAIM, claim));
             }
         }
         assertThat(appender.backlog()).isEqualTo(1);
@@ -50,20 +51,20 @@
 
     @Test
     void without_the_bound_an_hour_without_the_log_queues_a_claim_for_each_renewal() {
-        LeaseKeeper lease = new LeaseKeeper("host-1/1", "host-1", 6_000, 0);
+        LeaseKeeper lease = new LeaseKeeper("host-1/1", "host-1", 0);
         for (long nowMillis = 0; nowMillis < HOUR_MILLIS; nowMillis += 100) {
-            lease.decide(nowMillis).ifPresent(appender::append);
+            lease.decide(nowMillis, LEASE_MILLIS).ifPresent(appender::append);
         }
-        assertThat(appender.backlog()).isEqualTo(1_800);
+        assertThat(appender.backlog()).isEqualTo(600);
     }
 
     @Test
     void a_claim_that_the_log_takes_an_hour_late_gives_its_writer_no_lease() {
-        LeaseKeeper lease = new LeaseKeeper("host-1/1", "host-1", 6_000, 0);
+        LeaseKeeper lease = new LeaseKeeper("host-1/1", "host-1", 0);
         List<LeaseClaim> claims = new ArrayList<>();
         for (long nowMillis = 0; nowMillis < HOUR_MILLIS; nowMillis += 100) {
             if (controlAppender.isFree(CLAIM)) {
-                lease.decide(nowMillis).ifPresent(claim -> {
+                lease.decide(nowMillis, LEASE_MILLIS).ifPresent(claim -> {
                     claims.add(claim);
                     controlAppender.append(CLAIM, claim);
                 });
--- a/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/usage/UsageCounterTest.java
+++ b/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/usage/UsageCounterTest.java
@@ -46,8 +46,8 @@
         counter.fail();
         counter.count(CHAT, ONE_CALL);
         UsageDelta repeated = counter.next();
-        ledger.apply(repeated);
-        ledger.apply(failed);
+        ledger.apply(0, repeated);
+        ledger.apply(0, failed);
         assertThat(ledger.open()).containsEntry(CHAT, new UsageFigures(2, 20, 40));
     }
 
@@ -65,7 +65,7 @@
         threads.forEach(Thread::start);
         while (threads.stream().anyMatch(Thread::isAlive) || counter.isDirty()) {
             UsageDelta delta = counter.next();
-            ledger.apply(delta);
+            ledger.apply(0, delta);
             counter.confirm(delta);
         }
         for (Thread thread : threads) {
@@ -87,13 +87,13 @@
                 counted.fail();
             } else if (step == 1) {
                 sent.add(counted.next());
-                ledger.apply(sent.get(sent.size() - 1));
+                ledger.apply(0, sent.get(sent.size() - 1));
                 counted.confirm(sent.get(sent.size() - 1));
             } else if (step == 2) {
-                sent.forEach(ledger::apply);
+                sent.forEach(delta -> ledger.apply(0, delta));
             }
         }
-        ledger.apply(counted.next());
+        ledger.apply(0, counted.next());
         assertThat(ledger.open().getOrDefault(CHAT, UsageFigures.none()).calls())
                 .isEqualTo(steps.size());
     }
--- a/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/usage/UsageLedgerTest.java
+++ b/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/usage/UsageLedgerTest.java
@@ -24,9 +24,9 @@
     @Test
     void a_window_has_the_same_figures_for_a_second_holder_whose_first_close_is_void() {
         UsageLedger ledger = new UsageLedger();
-        ledger.apply(delta(1, 5));
+        ledger.apply(0, delta(1, 5));
         assertThat(ledger.apply(new WindowClose(1, "host-1/1", 7), 7)).isTrue();
-        ledger.apply(delta(2, 9));
+        ledger.apply(0, delta(2, 9));
         assertThat(ledger.apply(new WindowClose(1, "host-2/1", 9), 9)).isFalse();
         assertThat(ledger.nextToReport().orElseThrow().figures()).containsEntry(CHAT, new UsageFigures(5, 0, 0));
     }
@@ -41,7 +41,7 @@
     @Test
     void a_window_is_to_be_reported_until_its_acknowledgement_stands_in_the_log() {
         UsageLedger ledger = new UsageLedger();
-        ledger.apply(delta(1, 5));
+        ledger.apply(0, delta(1, 5));
         ledger.apply(new WindowClose(1, "host-1/1", 7), 7);
         ClosedWindow first = ledger.nextToReport().orElseThrow();
         assertThat(ledger.nextToReport()).contains(first);
@@ -58,7 +58,7 @@
         for (int step : steps) {
             if (step == 0) {
                 calls++;
-                ledger.apply(delta(calls, calls));
+                ledger.apply(0, delta(calls, calls));
             } else {
                 ledger.apply(new WindowClose(ledger.lastClosed() + 1, "host-1/1", 7), 7);
                 windows.add(ledger.nextToReport().orElseThrow());
--- a/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/usage/UsageReplicationTest.java
+++ b/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/usage/UsageReplicationTest.java
@@ -23,7 +23,7 @@
     @Test
     void usage_of_a_gateway_killed_in_a_log_outage_is_appended_by_its_peer() {
         countAndKill(new UsageReplication.ToOnePeer(GATEWAY, counter, 64));
-        copies.due(2_000, ledger, Set.of()).forEach(ledger::apply);
+        copies.due(2_000, ledger, Set.of()).forEach(delta -> ledger.apply(0, delta));
         assertThat(ledger.open()).containsEntry(CHAT, ONE_CALL);
     }
 
@@ -49,7 +49,7 @@
     void a_copy_that_the_gateway_logged_itself_is_dropped_and_changes_nothing() {
         countAndKill(new UsageReplication.ToOnePeer(GATEWAY, counter, 64));
         UsageDelta own = counter.next();
-        ledger.apply(own);
+        ledger.apply(0, own);
         assertThat(copies.due(12_000, ledger, Set.of())).isEmpty();
         assertThat(copies.keys()).isZero();
         assertThat(ledger.open()).containsEntry(CHAT, ONE_CALL);
