--- /dev/null
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Cost against attainment of fleet planners, by a stepped clock. */
+package org.cranberrygauge.verification.fleet;
