--- a/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/snapshot/SnapshotTest.java
+++ b/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/snapshot/SnapshotTest.java
@@ -98,8 +98,7 @@
                 snapshot.configuration(),
                 snapshot.lease(),
                 new HashSet<>(snapshot.members()),
-                new HashSet<>(snapshot.drains()),
-                snapshot.endedDrains(),
+                snapshot.drains(),
                 new HashSet<>(snapshot.openOrders()),
                 snapshot.previous());
     }
