--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/reservation/Reservations.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/reservation/Reservations.java
@@ -20,6 +20,9 @@
  */
 public final class Reservations {
 
+    /** The time after which a reserved call can no longer be on its way to a backend server in milliseconds. */
+    private static final long LONGEST_CALL_MILLIS = 600_000;
+
     /** The winners by key. */
     private final Map<Name, ReservationState> winners = new ConcurrentHashMap<>();
 
@@ -69,14 +72,19 @@
     }
 
     /**
-     * Frees the key of a reservation for an operator; void while the call runs, since it could then run twice.
+     * Frees the key of a reservation for an operator; void while the call runs or may still be on its way to the backend
+     * server, since it could then run twice.
      *
+     * @param logTimeMillis The time of the log in milliseconds of the epoch.
      * @param reservationId The identifier of the reservation.
      * @return Whether the key is free.
      */
-    public boolean release(String reservationId) {
+    public boolean release(long logTimeMillis, String reservationId) {
         Name name = names.get(reservationId);
-        if (name == null || winners.get(name).outcome() == null) {
+        ReservationState state = name == null ? null : winners.get(name);
+        if (state == null
+                || state.outcome() == null
+                || logTimeMillis - state.appendedAtMillis() < LONGEST_CALL_MILLIS) {
             return false;
         }
         forget(reservationId);
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/state/LogState.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/state/LogState.java
@@ -179,7 +179,7 @@
         } else if (record instanceof LogRecord.ReservationOutcome outcome) {
             reservations.record(outcome);
         } else if (record instanceof LogRecord.ReservationRelease release) {
-            reservations.release(release.reservationId());
+            reservations.release(logTimeMillis, release.reservationId());
         } else if (record instanceof LogRecord.OrderIntent intent) {
             boolean valid = intent.fencingNumber() == lease.fencingNumber() && !lease.released();
             if (valid) {
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/FreshnessSearch.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/FreshnessSearch.java
@@ -67,11 +67,32 @@
     /** Who may be declared gone. */
     enum Declaration {
         /** A gateway whose host is dead, which is what a truthful list of hosts shows in the end. */
-        DEAD_HOST,
+        DEAD_HOST("when its host is dead (a truthful list of hosts)"),
         /** Any gateway that no reader of the log heard for the freshness bound. */
-        SILENCE,
+        SILENCE("when no reader of the log heard it for the bound"),
         /** Any gateway that neither a reader of the log nor any other gateway heard for the freshness bound. */
-        SILENCE_TO_ALL
+        SILENCE_TO_ALL("when nobody heard it for the bound");
+
+        /** The text for the page. */
+        private final String text;
+
+        /**
+         * Creates a declaration.
+         *
+         * @param text The text for the page.
+         */
+        Declaration(String text) {
+            this.text = text;
+        }
+
+        /**
+         * Returns the text for the page.
+         *
+         * @return The text.
+         */
+        String text() {
+            return text;
+        }
     }
 
     /**
