--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/state/Effect.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/state/Effect.java
@@ -15,6 +15,15 @@
      */
     record ReservationJudged(String reservationId, ReservationVerdict verdict) implements Effect {}
 
+    /**
+     * The release of an idempotency key by an operator was judged.
+     *
+     * @param reservationId The identifier of the reservation.
+     * @param operator The operator.
+     * @param freed Whether the key is free.
+     */
+    record ReleaseJudged(String reservationId, String operator, boolean freed) implements Effect {}
+
     /**
      * A change of the configuration was judged.
      *
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/state/LogState.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/state/LogState.java
@@ -179,7 +179,8 @@
         } else if (record instanceof LogRecord.ReservationOutcome outcome) {
             reservations.record(outcome);
         } else if (record instanceof LogRecord.ReservationRelease release) {
-            reservations.release(logTimeMillis, release.reservationId());
+            boolean freed = reservations.release(logTimeMillis, release.reservationId());
+            effects.add(new Effect.ReleaseJudged(release.reservationId(), release.operator(), freed));
         } else if (record instanceof LogRecord.OrderIntent intent) {
             boolean valid = intent.fencingNumber() == lease.fencingNumber() && !lease.released();
             if (valid) {
--- a/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/state/LogStateTest.java
+++ b/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/state/LogStateTest.java
@@ -48,6 +48,18 @@
         assertThat(state.reservations().lookup("c", "/b", "key", "body")).contains(ReservationVerdict.Running.INSTANCE);
     }
 
+    @Test
+    void an_operator_is_told_whether_a_release_freed_the_key() {
+        state.apply(1, 0, entry("g", 1, new LogRecord.Reservation("r", "c", "/b", "key", "body", "g", 0)));
+        LogRecord.ReservationRelease release = new LogRecord.ReservationRelease("r", "operator");
+
+        assertThat(state.apply(2, HOUR_MILLIS, entry("o", 1, release)))
+                .containsExactly(new Effect.ReleaseJudged("r", "operator", false));
+        state.apply(3, HOUR_MILLIS, entry("x", 1, new LogRecord.GatewayLeft("g", "test")));
+        assertThat(state.apply(4, HOUR_MILLIS, entry("o", 2, release)))
+                .containsExactly(new Effect.ReleaseJudged("r", "operator", true));
+    }
+
     @Test
     void an_intent_after_the_lease_was_released_is_void() {
         state.apply(1, 0, entry("c", 1, new LogRecord.LeaseClaim("c", "h", 0, 6_000)));
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/log/LogFollower.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/log/LogFollower.java
@@ -72,6 +72,9 @@
     /** The index of keys of the configuration in force. */
     private KeyRing keys = KeyRing.empty();
 
+    /** Whether it was told that no snapshot was found, and none was since. */
+    private boolean missingTold;
+
     /** Whether following goes on. */
     private volatile boolean running = true;
 
@@ -223,10 +226,14 @@
     private void restore(SnapshotReader reader, PlatformLog.Page page) {
         Snapshot newest = reader.newest().orElse(null);
         if (newest == null || !state.restore(newest)) {
-            events.emit(new LogEvents.SnapshotMissing(state.offset(), page.firstOffset()));
+            if (!missingTold) {
+                events.emit(new LogEvents.SnapshotMissing(state.offset(), page.firstOffset()));
+            }
+            missingTold = true;
             later(this::readOnce);
             return;
         }
+        missingTold = false;
         events.emit(new LogEvents.SnapshotRestored(newest.offset()));
         synchronized (kept) {
             kept.clear();
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/ConfigurationScenario.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/ConfigurationScenario.java
@@ -75,6 +75,12 @@
     /** Whether the withdrawal was accepted. */
     private boolean accepted;
 
+    /** The time at which the withdrawal was accepted in milliseconds; 0 for not. */
+    private long acceptedAtMillis;
+
+    /** The time of the last request that any gateway admitted by the key in milliseconds. */
+    private long lastAdmittedMillis;
+
     /** The number of requests that were admitted by the key after its withdrawal was accepted. */
     private int admittedWithdrawn;
 
@@ -139,6 +145,33 @@
                 Finding.of(Invariant.WITHDRAWN_KEY, admittedWithdrawn > 0, !accepted, counted));
     }
 
+    /**
+     * Returns the time from the record of the withdrawal in the log to its acceptance.
+     *
+     * @return The time in milliseconds; -1 if it was not accepted.
+     */
+    long acceptanceMillis() {
+        return acceptedAtMillis == 0 ? -1 : acceptedAtMillis - withdrawnAtMillis();
+    }
+
+    /**
+     * Returns the time from the record of the withdrawal in the log to the last request admitted by the key.
+     *
+     * @return The time in milliseconds; -1 if the withdrawal did not take effect.
+     */
+    long workedOnMillis() {
+        return withdrawnVersion == 0 ? -1 : Math.max(0, lastAdmittedMillis - withdrawnAtMillis());
+    }
+
+    /**
+     * Returns the time at which the log took the withdrawal.
+     *
+     * @return The time in milliseconds.
+     */
+    private long withdrawnAtMillis() {
+        return world.log().entry(withdrawnVersion).appendedAtMillis();
+    }
+
     /** Withdraws the key. */
     private void withdraw() {
         Configuration without = initial.withCustomer(initial.customers().get(0).withKeys(List.of()));
@@ -219,6 +252,7 @@
         }
         if (all && !accepted) {
             accepted = true;
+            acceptedAtMillis = world.now();
             world.timeline().note("accepted");
         }
         if (!accepted) {
@@ -292,7 +326,11 @@
             boolean known = KeyRing.of(log.state().configuration().current().configuration())
                     .owner(KEY)
                     .isPresent();
-            if (known && accepted && rule().mayAdmit(world.now(), view())) {
+            if (!known || !rule().mayAdmit(world.now(), view())) {
+                return;
+            }
+            lastAdmittedMillis = world.now();
+            if (accepted) {
                 admittedWithdrawn++;
                 world.timeline().note(process.name() + " admits by the withdrawn key");
             }
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/FaultMatrixPage.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/FaultMatrixPage.java
@@ -64,6 +64,7 @@
         ablations();
         reservationAblation();
         fencingAblation();
+        withdrawalTimes(singles);
         return text.toString();
     }
 
@@ -202,6 +203,57 @@
         }
     }
 
+    /**
+     * Writes how long a withdrawn key worked on, and how long acceptance took.
+     *
+     * @param singles The runs with one fault.
+     */
+    private void withdrawalTimes(FaultMatrix singles) {
+        line("");
+        line("## How long a withdrawn key works on");
+        line("");
+        line(
+                "Over the cells with one fault, from the record in the log, on the stepped clock. Reads every 50 ms, exchanges");
+        line(
+                "and rounds of confirmation every 200 ms; freshness bound 3000 ms; the operator declares a silent gateway gone after");
+        line("5000 ms. Rows by the fault; a frozen gateway admits nothing while it is frozen.");
+        line("");
+        line("| fault | cells | key works on: median | longest | accepted | median | longest |");
+        line("|---|---:|---:|---:|---:|---:|---:|");
+        for (Fault fault : Fault.values()) {
+            List<ConfigurationScenario> runs = of(singles.results(), Protocol.CONFIGURATION).stream()
+                    .filter(result -> result.cell().injections().stream().anyMatch(one -> one.fault() == fault))
+                    .map(result -> (ConfigurationScenario) result.scenario())
+                    .toList();
+            long[] worked = runs.stream()
+                    .mapToLong(ConfigurationScenario::workedOnMillis)
+                    .filter(millis -> millis >= 0)
+                    .sorted()
+                    .toArray();
+            long[] accepted = runs.stream()
+                    .mapToLong(ConfigurationScenario::acceptanceMillis)
+                    .filter(millis -> millis >= 0)
+                    .sorted()
+                    .toArray();
+            line("| " + fault.name().toLowerCase(Locale.ROOT) + " | " + runs.size() + " | " + spread(worked) + " | "
+                    + accepted.length + " | " + spread(accepted) + " |");
+        }
+        line("");
+    }
+
+    /**
+     * Writes median and longest of times.
+     *
+     * @param sortedMillis The times in milliseconds in rising order.
+     * @return Two cells.
+     */
+    private static String spread(long[] sortedMillis) {
+        if (sortedMillis.length == 0) {
+            return "none | none";
+        }
+        return sortedMillis[sortedMillis.length / 2] + " ms | " + sortedMillis[sortedMillis.length - 1] + " ms";
+    }
+
     /**
      * Lists the invariants that were broken.
      *
