--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
@@ -8,11 +8,16 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonObject;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.cranberrygauge.controller.order.OrderDesk;
 import org.cranberrygauge.controller.usage.UsageReporter;
 import org.cranberrygauge.decision.fleet.FleetPlanner;
 import org.cranberrygauge.decision.lease.LeaseKeeper;
 import org.cranberrygauge.decision.snapshot.SnapshotSchedule;
+import org.cranberrygauge.decision.state.Effect;
 import org.cranberrygauge.decision.state.LogState;
 import org.cranberrygauge.runtime.blackboard.Blackboard;
 import org.cranberrygauge.runtime.event.EventLog;
@@ -39,6 +44,9 @@
     /** The longest time a planned stop waits for the log in milliseconds. */
     private static final long STOP_MILLIS = 1_000;
 
+    /** The purpose of a claim of the lease. */
+    private static final String CLAIM = "lease-claim";
+
     /** The settings. */
     private final ControllerSettings settings;
 
@@ -63,6 +71,12 @@
     /** The appender to the log. */
     private final LogAppender appender;
 
+    /** Appends the records of control. */
+    private final ControlAppender controlAppender;
+
+    /** The client of the platform. */
+    private final HttpPlatform platform;
+
     /** Decides whether this controller holds the lease. */
     private final LeaseKeeper lease;
 
@@ -96,9 +110,10 @@
         vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
         incarnation = Program.incarnation(settings.hostName(), time.wallMillis());
         blackboard = new Blackboard(time.monotonicMillis());
-        HttpPlatform platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
+        platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
         follower = new LogFollower(vertx, platform, blackboard, time, events);
         appender = new LogAppender(vertx, platform, incarnation);
+        controlAppender = new ControlAppender(appender, blackboard);
         lease = new LeaseKeeper(incarnation, settings.hostName(), time.monotonicMillis());
         orders = new OrderDesk(
                 incarnation,
@@ -106,11 +121,11 @@
                 lease,
                 blackboard,
                 follower,
-                appender,
+                controlAppender,
                 platform,
                 time,
                 events);
-        usage = new UsageReporter(incarnation, lease, follower, appender, platform, time, events);
+        usage = new UsageReporter(incarnation, lease, follower, controlAppender, platform, time, events);
         snapshots = new SnapshotWriter(
                 incarnation,
                 new SnapshotSchedule.Periodic(settings.snapshotIntervalMillis()),
@@ -124,7 +139,7 @@
      * @return Completes when it listens.
      */
     public Future<HttpServer> start() {
-        follower.addListener(orders::accept);
+        follower.addListener(this::accept);
         follower.start();
         vertx.setPeriodic(TICK_MILLIS, timer -> follower.onContext(this::tick));
         return vertx.createHttpServer(new HttpServerOptions()
@@ -136,23 +151,45 @@
                         events.emit(new ControllerEvents.ControllerListening(incarnation, server.actualPort())));
     }
 
-    /** Stops the controller and gives the lease back. */
+    /** Stops the controller: sends no order any more, gives the lease back and ends. */
     public void stop() {
         stopping = true;
-        long untilMillis = time.monotonicMillis() + STOP_MILLIS;
+        orders.stop();
         Promise<Void> resigned = Promise.promise();
         follower.onContext(state -> lease.resign(time.monotonicMillis())
                 .map(appender::append)
                 .orElse(Future.succeededFuture())
                 .<Void>mapEmpty()
                 .onComplete(resigned));
-        while (!resigned.future().isComplete() && time.monotonicMillis() < untilMillis) {
-            Thread.onSpinWait();
-        }
+        await(resigned.future());
         follower.stop();
         vertx.close();
     }
 
+    /**
+     * Waits for a future for a limited time.
+     *
+     * @param future The future.
+     */
+    private void await(Future<?> future) {
+        try {
+            future.toCompletionStage().toCompletableFuture().get(STOP_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException exception) {
+            events.emit(new ControllerEvents.StopIncomplete(incarnation, String.valueOf(exception.getMessage())));
+        }
+    }
+
+    /**
+     * Acts on what became of a record.
+     *
+     * @param effect The effect.
+     */
+    private void accept(Effect effect) {
+        orders.accept(effect);
+    }
+
     /**
      * Decides and acts once.
      *
@@ -164,10 +201,16 @@
         }
         long nowMillis = time.monotonicMillis();
         lease.observe(nowMillis, state.lease());
-        lease.decide(
-                        nowMillis,
-                        state.configuration().current().configuration().times().leaseMillis())
-                .ifPresent(appender::append);
+        if (controlAppender.isFree(CLAIM)) {
+            lease.decide(
+                            nowMillis,
+                            state.configuration()
+                                    .current()
+                                    .configuration()
+                                    .times()
+                                    .leaseMillis())
+                    .ifPresent(claim -> controlAppender.append(CLAIM, claim));
+        }
         boolean holds = lease.holds(nowMillis);
         if (holds != held) {
             held = holds;
@@ -180,7 +223,7 @@
         usage.tick(state);
         snapshots.tick(state);
         if (ticks++ % TICKS_PER_PLAN == 0) {
-            orders.tick(state);
+            orders.tick(state, Map.of(), Map.of());
         }
     }
 
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/snapshot/Snapshot.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/snapshot/Snapshot.java
@@ -22,6 +22,7 @@
  * @param lease The lease.
  * @param members The gateways.
  * @param drains The drains.
+ * @param endedDrains The identifiers of the drains that ended lately, the newest last.
  * @param reservations The remembered reservations in the order in which they were reserved.
  * @param usage The usage.
  * @param writers How far the entries of each writer were applied, the one that was idle longest first.
@@ -35,6 +36,7 @@
         LeaseState lease,
         List<GatewayMember> members,
         List<DrainStarted> drains,
+        List<String> endedDrains,
         List<ReservationState> reservations,
         UsageLedger.Totals usage,
         List<WriterPosition> writers,
@@ -45,6 +47,7 @@
     public Snapshot {
         members = List.copyOf(members);
         drains = List.copyOf(drains);
+        endedDrains = List.copyOf(endedDrains);
         reservations = List.copyOf(reservations);
         writers = List.copyOf(writers);
         openOrders = List.copyOf(openOrders);
