Name changes of one part of a configuration as typed edits

Cause: a change carries the whole configuration; an edit is what an operator means and what a log record can be later.

--- /dev/null
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/edit/package-info.java
@@ -0,0 +1,2 @@
+/** Changes of one part of a configuration. */
+package org.cranberrygauge.decision.edit;
