Keep the newest events of a gateway for operators; add the benchmark of capacity

Cause: explain needs to know what a gateway decided; nothing kept it. The cost at the target size was not known. Change: EventRing (bounded, without locks) behind /decisions?about=; comparison of configurations for plan; bin/bench capacity measures slopes on the real code.

--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -6,6 +6,7 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.cranberrygauge.decision.admission.TieredAdmissionQueue;
@@ -35,6 +36,7 @@
 import org.cranberrygauge.protocol.generated.GatewayReport;
 import org.cranberrygauge.runtime.blackboard.Blackboard;
 import org.cranberrygauge.runtime.event.EventLog;
+import org.cranberrygauge.runtime.event.EventRing;
 import org.cranberrygauge.runtime.lifecycle.Program;
 import org.cranberrygauge.runtime.log.LogAppender;
 import org.cranberrygauge.runtime.log.LogFollower;
@@ -63,12 +65,18 @@
     /** The number of retries that can be saved. */
     private static final int RETRY_BURST = 20;
 
+    /** The number of newest events that are kept for operators. */
+    private static final int KEPT_EVENTS = 4_096;
+
     /** The settings. */
     private final GatewaySettings settings;
 
     /** The event log. */
     private final EventLog events;
 
+    /** The newest events. */
+    private final EventRing ring;
+
     /** The sources of time. */
     private final TimeSource time = TimeSource.System.INSTANCE;
 
@@ -131,14 +139,15 @@
      */
     public Gateway(GatewaySettings settings, EventLog events) {
         this.settings = settings;
-        this.events = events;
+        this.ring = new EventRing(KEPT_EVENTS, time::wallMillis);
+        this.events = new EventLog.Compound(List.of(events, ring));
         vertx = Vertx.vertx(new VertxOptions()
                 .setEventLoopPoolSize(settings.eventLoops() + 1)
                 .setWorkerPoolSize(1));
         incarnation = Program.incarnation(settings.hostName(), time.wallMillis());
         blackboard = new Blackboard(time.monotonicMillis());
         platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
-        follower = new LogFollower(vertx, platform, blackboard, time, events);
+        follower = new LogFollower(vertx, platform, blackboard, time, this.events);
         appender = new LogAppender(vertx, platform, incarnation);
         board = new BackendBoard(blackboard);
         scheduler = new Scheduler(
@@ -254,7 +263,7 @@
                 time,
                 incarnation);
         CallerHandler callers = new CallerHandler(vertx, settings, tools, blackboard, gate);
-        OperationsHandler operations = new OperationsHandler(registry, gate, blackboard, incarnation);
+        OperationsHandler operations = new OperationsHandler(registry, gate, blackboard, ring, incarnation);
         return server(settings.operationsAddress())
                 .requestHandler(operations)
                 .listen()
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/OperationsHandler.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/OperationsHandler.java
@@ -5,7 +5,9 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonObject;
 import org.cranberrygauge.model.error.CranberrygaugeException;
+import org.cranberrygauge.protocol.JsonCodec;
 import org.cranberrygauge.runtime.blackboard.Blackboard;
+import org.cranberrygauge.runtime.event.EventRing;
 import org.cranberrygauge.runtime.metrics.MetricsEndpoint;
 
 /**
@@ -33,6 +35,9 @@
     /** The blackboard. */
     private final Blackboard blackboard;
 
+    /** The newest events. */
+    private final EventRing ring;
+
     /** The incarnation of the gateway. */
     private final String gateway;
 
@@ -42,12 +47,15 @@
      * @param registry The registry of metrics.
      * @param gate Tells whether the gateway admits.
      * @param blackboard The blackboard.
+     * @param ring The newest events.
      * @param gateway The incarnation of the gateway.
      */
-    public OperationsHandler(PrometheusRegistry registry, AdmissionGate gate, Blackboard blackboard, String gateway) {
+    public OperationsHandler(
+            PrometheusRegistry registry, AdmissionGate gate, Blackboard blackboard, EventRing ring, String gateway) {
         this.metrics = new MetricsEndpoint(registry);
         this.gate = gate;
         this.blackboard = blackboard;
+        this.ring = ring;
         this.gateway = gateway;
     }
 
@@ -58,10 +66,21 @@
             case "/health/live" -> answer(request, OK, new JsonObject().put("live", true));
             case "/health/ready" -> ready(request);
             case "/state" -> answer(request, OK, state());
+            case "/decisions" -> decisions(request);
             default -> answer(request, NOT_FOUND, new JsonObject().put("message", "no such path"));
         }
     }
 
+    /**
+     * Answers with what was decided about a request or a backend server.
+     *
+     * @param request The request, with the subject as its parameter "about".
+     */
+    private void decisions(HttpServerRequest request) {
+        String subject = request.getParam("about", "");
+        request.response().putHeader("Content-Type", "application/json").end(JsonCodec.write(ring.about(subject)));
+    }
+
     /**
      * Answers whether the gateway is ready.
      *
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/event/EventLog.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/event/EventLog.java
@@ -2,7 +2,10 @@
 
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.RecordComponent;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import org.tinylog.Logger;
 
 /** Takes events and writes each as one line of key=value pairs. */
@@ -30,6 +33,26 @@
         }
     }
 
+    /**
+     * Passes each event on to several logs.
+     *
+     * <p>Immutable; safe for use by several threads if its parts are.
+     *
+     * @param parts The logs.
+     */
+    record Compound(List<EventLog> parts) implements EventLog {
+
+        /** Copies the list. */
+        public Compound {
+            parts = List.copyOf(parts);
+        }
+
+        @Override
+        public void emit(Event event) {
+            parts.forEach(part -> part.emit(event));
+        }
+    }
+
     /** Drops events. */
     enum NoOp implements EventLog {
         /** The only instance. */
@@ -48,13 +71,35 @@
      * @return The line.
      */
     static String line(Event event) {
-        StringBuilder line =
-                new StringBuilder("event=").append(snakeCase(event.getClass().getSimpleName()));
+        StringBuilder line = new StringBuilder("event=").append(name(event));
+        fields(event)
+                .forEach((name, value) ->
+                        line.append(' ').append(name).append('=').append(quoted(value)));
+        return line.toString();
+    }
+
+    /**
+     * Returns the name of an event.
+     *
+     * @param event The event.
+     * @return The name in snake case.
+     */
+    static String name(Event event) {
+        return snakeCase(event.getClass().getSimpleName());
+    }
+
+    /**
+     * Returns the fields of an event.
+     *
+     * @param event The event.
+     * @return The values by the names of the fields in snake case, in their order.
+     */
+    static Map<String, String> fields(Event event) {
+        Map<String, String> fields = new LinkedHashMap<>();
         for (RecordComponent component : event.getClass().getRecordComponents()) {
-            line.append(' ').append(snakeCase(component.getName())).append('=');
-            line.append(quoted(String.valueOf(read(event, component))));
+            fields.put(snakeCase(component.getName()), String.valueOf(read(event, component)));
         }
-        return line.toString();
+        return fields;
     }
 
     /**
--- /dev/null
+++ b/cranberrygauge-runtime/src/test/java/org/cranberrygauge/runtime/event/EventRingTest.java
@@ -0,0 +1,43 @@
+package org.cranberrygauge.runtime.event;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class EventRingTest {
+
+    private final EventRing ring = new EventRing(3, () -> 42);
+
+    @Test
+    void the_events_of_a_request_are_found_in_their_order() {
+        ring.emit(new Started("one", "engine-1"));
+        ring.emit(new Started("two", "engine-1"));
+        ring.emit(new Refused("one", "overloaded"));
+        assertThat(ring.about("one")).extracting(EventRing.Entry::event).containsExactly("started", "refused");
+        assertThat(ring.about("engine-1")).hasSize(2);
+        assertThat(ring.about("one").get(1).fields()).containsEntry("reason", "overloaded");
+    }
+
+    @Test
+    void only_the_newest_events_are_kept() {
+        for (int number = 0; number < 10; number++) {
+            ring.emit(new Started("request-" + number, "engine-1"));
+        }
+        assertThat(ring.about("engine-1")).hasSize(3);
+        assertThat(ring.about("request-0")).isEmpty();
+        assertThat(ring.about("request-9")).hasSize(1);
+    }
+
+    @Test
+    void a_compound_log_passes_each_event_to_all_parts() {
+        EventRing other = new EventRing(3, () -> 1);
+        new EventLog.Compound(List.of(ring, other)).emit(new Started("one", "engine-1"));
+        assertThat(ring.about("one")).hasSize(1);
+        assertThat(other.about("one")).hasSize(1);
+    }
+
+    private record Started(String requestId, String backendServer) implements Event {}
+
+    private record Refused(String requestId, String reason) implements Event {}
+}
--- /dev/null
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/ExchangeMeasures.java
@@ -0,0 +1,271 @@
+package org.cranberrygauge.verification.capacity;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.apache.thrift.TDeserializer;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.cranberrygauge.decision.membership.PeerReport;
+import org.cranberrygauge.decision.topology.ControlNode;
+import org.cranberrygauge.decision.topology.ExchangePlan;
+import org.cranberrygauge.gateway.schedule.BackendBoard;
+import org.cranberrygauge.model.backend.BackendServer;
+import org.cranberrygauge.model.backend.HostState;
+import org.cranberrygauge.model.backend.ListedBackendServer;
+import org.cranberrygauge.protocol.generated.GatewayReport;
+import org.cranberrygauge.runtime.blackboard.Blackboard;
+
+/**
+ * Measures the exchange of reports between many nodes in one process, by Thrift, without sockets.
+ *
+ * <p>A message counts where it is sent and where it is taken in, as a node pays for both. Used by one thread.
+ */
+final class ExchangeMeasures {
+
+    /** The numbers of nodes. */
+    static final int[] NODES = {4, 8, 16, 32, 64};
+
+    /** The backend servers with requests in flight from one node when every node uses every server. */
+    static final int SERVERS_IN_USE = 139;
+
+    /** The backend servers with requests in flight from one node of a cell. */
+    static final int CELL_SERVERS = 24;
+
+    /** The bytes of the frame, the method name and the message header of a call or answer. */
+    private static final int FRAME_BYTES = 20;
+
+    /** The numbers of peers whose counts a routing decision adds up. */
+    private static final int[] PEERS = {3, 16, 63};
+
+    /** The numbers of backend servers. */
+    private static final int[] SERVERS = {8, 64, 134, 400, 940};
+
+    /** The meter. */
+    private final Meter meter;
+
+    /** The writer of messages. */
+    private final TSerializer serializer;
+
+    /** The reader of messages. */
+    private final TDeserializer deserializer;
+
+    /**
+     * Creates the measures.
+     *
+     * @param meter The meter.
+     * @throws TException If the codec can't be set up.
+     */
+    ExchangeMeasures(Meter meter) throws TException {
+        this.meter = meter;
+        this.serializer = new TSerializer(new TCompactProtocol.Factory());
+        this.deserializer = new TDeserializer(new TCompactProtocol.Factory());
+    }
+
+    /**
+     * Measures all.
+     *
+     * @return The slopes.
+     * @throws TException If a message can't be written.
+     */
+    List<Slope> measure() throws TException {
+        List<Slope> slopes = new ArrayList<>();
+        rounds("all to all", ExchangePlan.AllToAll.INSTANCE, SERVERS_IN_USE, slopes);
+        rounds("cells", ExchangePlan.Cells.standard(), CELL_SERVERS, slopes);
+        reports(slopes);
+        routing(slopes);
+        plan(slopes);
+        return slopes;
+    }
+
+    /**
+     * Makes nodes spread over the data centres.
+     *
+     * @param count The number of nodes.
+     * @return The nodes.
+     */
+    static List<ControlNode> nodes(int count) {
+        return IntStream.range(0, count)
+                .mapToObj(number -> new ControlNode("host-" + number, "centre-" + number % Population.DATA_CENTRES))
+                .toList();
+    }
+
+    /**
+     * Counts the messages of the busiest node in one round, sent and taken in.
+     *
+     * @param plan The plan.
+     * @param nodes The nodes.
+     * @return The number.
+     */
+    static int messages(ExchangePlan plan, List<ControlNode> nodes) {
+        Map<ControlNode, Integer> calls = new HashMap<>();
+        for (ControlNode node : nodes) {
+            Set<ControlNode> peers = plan.peersOf(node, nodes);
+            calls.merge(node, peers.size(), Integer::sum);
+            peers.forEach(peer -> calls.merge(peer, 1, Integer::sum));
+        }
+        return 2 * calls.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+    }
+
+    /**
+     * Measures one round of exchange at the busiest node.
+     *
+     * @param name The name of the plan.
+     * @param plan The plan.
+     * @param servers The number of backend servers in a report.
+     * @param slopes Takes the slopes.
+     * @throws TException If a message can't be written.
+     */
+    private void rounds(String name, ExchangePlan plan, int servers, List<Slope> slopes) throws TException {
+        List<Sample> messages = new ArrayList<>();
+        List<Sample> bytes = new ArrayList<>();
+        List<Sample> micros = new ArrayList<>();
+        GatewayReport report = Population.report(1, servers);
+        byte[] wire = serializer.serialize(report);
+        for (int count : NODES) {
+            int number = messages(plan, nodes(count));
+            messages.add(new Sample(count, number));
+            bytes.add(new Sample(count, (double) number * (wire.length + FRAME_BYTES)));
+            micros.add(new Sample(count, meter.micros(() -> round(report, wire, number))));
+        }
+        slopes.add(Slope.of("exchange messages a round: " + name, "nodes", "messages", messages));
+        slopes.add(Slope.of("exchange bytes a round: " + name, "nodes", "bytes", bytes));
+        slopes.add(Slope.of("exchange work a round: " + name, "nodes", "microseconds", micros));
+    }
+
+    /**
+     * Writes and reads the messages of one node in one round.
+     *
+     * @param report The report.
+     * @param wire The report as written.
+     * @param messages The number of messages, of which half are sent.
+     * @return The last report that was read.
+     */
+    private Object round(GatewayReport report, byte[] wire, int messages) {
+        try {
+            Object last = null;
+            for (int message = 0; message < messages / 2; message++) {
+                serializer.serialize(report);
+                GatewayReport read = new GatewayReport();
+                deserializer.deserialize(read, wire);
+                last = peerReport(read);
+            }
+            return last;
+        } catch (TException exception) {
+            throw new IllegalStateException("memory can always be written", exception);
+        }
+    }
+
+    /**
+     * Measures the size of a report.
+     *
+     * @param slopes Takes the slopes.
+     * @throws TException If a message can't be written.
+     */
+    private void reports(List<Slope> slopes) throws TException {
+        List<Sample> bytes = new ArrayList<>();
+        for (int servers : SERVERS) {
+            bytes.add(new Sample(servers, serializer.serialize(Population.report(1, servers)).length));
+        }
+        slopes.add(Slope.of("report bytes", "backend servers in use", "bytes", bytes));
+    }
+
+    /**
+     * Measures the view of the backend servers.
+     *
+     * @param slopes Takes the slopes.
+     */
+    private void routing(List<Slope> slopes) {
+        List<Sample> refresh = new ArrayList<>();
+        List<Sample> decide = new ArrayList<>();
+        for (int servers : SERVERS) {
+            for (int peers : PEERS) {
+                BackendBoard board = board(servers, peers);
+                decide.add(new Sample((double) servers * peers, meter.micros(() -> board.candidates(1, "model-0"))));
+                if (peers == PEERS[0]) {
+                    refresh.add(new Sample(servers, meter.micros(() -> refreshed(board))));
+                }
+            }
+        }
+        slopes.add(Slope.of("routing candidates", "backend servers of a model times peers", "microseconds", decide));
+        slopes.add(Slope.of("routing view refresh", "backend servers", "microseconds", refresh));
+    }
+
+    /**
+     * Measures the computation of the cells.
+     *
+     * @param slopes Takes the slopes.
+     */
+    private void plan(List<Slope> slopes) {
+        List<Sample> micros = new ArrayList<>();
+        for (int count : new int[] {4, 8, 16, 32, 64, 128, 330}) {
+            List<ControlNode> nodes = nodes(count);
+            micros.add(new Sample(
+                    count, meter.micros(() -> ExchangePlan.Cells.standard().peersOf(nodes.get(0), nodes))));
+        }
+        slopes.add(Slope.of("cells computed after a change of members", "nodes", "microseconds", micros));
+    }
+
+    /**
+     * Builds a board whose servers all run one model.
+     *
+     * @param servers The number of backend servers.
+     * @param peers The number of peers.
+     * @return The board.
+     */
+    private static BackendBoard board(int servers, int peers) {
+        Blackboard blackboard = new Blackboard(0);
+        blackboard.publish(IntStream.range(0, servers)
+                .mapToObj(Population::server)
+                .map(server -> new BackendServer(
+                        server.name(),
+                        server.address(),
+                        server.dataCentre(),
+                        server.kind(),
+                        Set.of("model-0"),
+                        server.supply(),
+                        server.slots(),
+                        server.checksFencing()))
+                .map(server -> new ListedBackendServer(server, HostState.LIVE, ""))
+                .toList());
+        for (int peer = 0; peer < peers; peer++) {
+            PeerReport report = peerReport(Population.report(peer, Math.min(servers, SERVERS_IN_USE)));
+            blackboard.peers().put("host-" + peer, report);
+        }
+        BackendBoard board = new BackendBoard(blackboard);
+        board.refresh(1);
+        return board;
+    }
+
+    /**
+     * Refreshes a board.
+     *
+     * @param board The board.
+     * @return The board.
+     */
+    private static Object refreshed(BackendBoard board) {
+        board.refresh(1);
+        return board;
+    }
+
+    /**
+     * Converts a message.
+     *
+     * @param report The message.
+     * @return The report.
+     */
+    private static PeerReport peerReport(GatewayReport report) {
+        return new PeerReport(
+                report.getGateway(),
+                0,
+                report.getConfigurationVersion(),
+                report.getLogOffset(),
+                report.getLogAgeMillis(),
+                report.getInFlight(),
+                report.isDraining());
+    }
+}
--- /dev/null
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/MetricsMeasures.java
@@ -0,0 +1,122 @@
+package org.cranberrygauge.verification.capacity;
+
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.cranberrygauge.gateway.metrics.GatewayMetrics;
+
+/**
+ * Measures the metrics of one gateway.
+ *
+ * <p>Used by one thread.
+ */
+final class MetricsMeasures {
+
+    /** The numbers of customers, each in all classes. */
+    private static final int[] CUSTOMERS = {10, 50, 100, 200, 400, 670};
+
+    /** The time that is observed in milliseconds. */
+    private static final double OBSERVED_MILLIS = 25;
+
+    /** The meter. */
+    private final Meter meter;
+
+    /**
+     * Creates the measures.
+     *
+     * @param meter The meter.
+     */
+    MetricsMeasures(Meter meter) {
+        this.meter = meter;
+    }
+
+    /**
+     * Measures all.
+     *
+     * @return The slopes.
+     */
+    List<Slope> measure() {
+        List<Sample> bytes = new ArrayList<>();
+        List<Sample> scrape = new ArrayList<>();
+        List<Sample> memory = new ArrayList<>();
+        List<Sample> token = new ArrayList<>();
+        for (int customers : CUSTOMERS) {
+            double pairs = (double) customers * Population.CLASSES;
+            memory.add(new Sample(pairs, meter.bytes(MetricsMeasures::registry, customers)));
+            PrometheusRegistry registry = registry(customers);
+            bytes.add(new Sample(pairs, scrape(registry)));
+            scrape.add(new Sample(pairs, meter.micros(() -> scrape(registry))));
+            GatewayMetrics metrics = new GatewayMetrics(new PrometheusRegistry());
+            fill(metrics, customers);
+            String customer = "customer-" + customers / 2;
+            token.add(new Sample(pairs, meter.micros(() -> observed(metrics, customer))));
+        }
+        return List.of(
+                Slope.of("metrics bytes of a scrape", "pairs of customer and class", "bytes", bytes),
+                Slope.of("metrics work of a scrape", "pairs of customer and class", "microseconds", scrape),
+                Slope.of("memory: metrics", "pairs of customer and class", "bytes", memory),
+                Slope.of("metrics work of one token", "pairs of customer and class", "microseconds", token));
+    }
+
+    /**
+     * Builds a registry in which every pair was seen.
+     *
+     * @param customers The number of customers.
+     * @return The registry.
+     */
+    private static PrometheusRegistry registry(int customers) {
+        PrometheusRegistry registry = new PrometheusRegistry();
+        fill(new GatewayMetrics(registry), customers);
+        return registry;
+    }
+
+    /**
+     * Observes every pair once.
+     *
+     * @param metrics The metrics.
+     * @param customers The number of customers.
+     */
+    private static void fill(GatewayMetrics metrics, int customers) {
+        for (int customer = 0; customer < customers; customer++) {
+            for (int tier = 0; tier < Population.CLASSES; tier++) {
+                String name = "customer-" + customer;
+                String className = "class-" + tier;
+                metrics.firstToken(name, className, OBSERVED_MILLIS);
+                metrics.betweenTokens(name, className, OBSERVED_MILLIS);
+                metrics.queueWait(name, className, OBSERVED_MILLIS);
+                metrics.total(name, className, OBSERVED_MILLIS);
+            }
+        }
+    }
+
+    /**
+     * Observes one token.
+     *
+     * @param metrics The metrics.
+     * @param customer The customer.
+     * @return The metrics.
+     */
+    private static Object observed(GatewayMetrics metrics, String customer) {
+        metrics.betweenTokens(customer, "class-3", OBSERVED_MILLIS);
+        return metrics;
+    }
+
+    /**
+     * Writes the metrics.
+     *
+     * @param registry The registry.
+     * @return The size in bytes.
+     */
+    private static int scrape(PrometheusRegistry registry) {
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(output, registry.scrape());
+        } catch (IOException exception) {
+            throw new IllegalStateException("memory can always be written", exception);
+        }
+        return output.size();
+    }
+}
--- /dev/null
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/Sample.java
@@ -0,0 +1,9 @@
+package org.cranberrygauge.verification.capacity;
+
+/**
+ * One measured point.
+ *
+ * @param x The size that was varied.
+ * @param y The measured value.
+ */
+public record Sample(double x, double y) {}
