Give operators the commands that a running deployment needs

Cause: only generate, apply and a short status were there; a change of one key meant editing a whole file. Change: questionnaire, check (file, line and field of each problem), plan, customer, key, class, schedule, backend (each based on the version it was worked out from), explain, usage, history, status with attainment from the gateways' histograms, help with examples, exit statuses in the help; metrics can be compressed; each pair of a cell calls once. Ruled out: taking attainment from the log, which does not carry it; guessing the address of a gateway's operations, which is a setting. Checked: mvn -o verify for all modules but controller and emulator, which are built by it too.

--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/topology/ExchangePlan.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/topology/ExchangePlan.java
@@ -28,6 +28,20 @@
      */
     Set<ControlNode> peersOf(ControlNode self, Collection<ControlNode> members);
 
+    /**
+     * Lists the nodes that a node calls where each pair needs one call only, since the answer carries a report too.
+     *
+     * @param self The node.
+     * @param members All nodes, with or without the node itself.
+     * @return The part of its peers that it calls; the others call it.
+     */
+    default Set<ControlNode> callsOf(ControlNode self, Collection<ControlNode> members) {
+        Set<ControlNode> calls = new LinkedHashSet<>(peersOf(self, members));
+        calls.removeIf(peer -> peersOf(peer, members).contains(self)
+                && RendezvousHash.score(self.name(), peer.name()) < RendezvousHash.score(peer.name(), self.name()));
+        return calls;
+    }
+
     /** Exchanges with every node, which is the baseline for few nodes. */
     enum AllToAll implements ExchangePlan {
         /** The only instance. */
--- a/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/topology/ExchangePlanTest.java
+++ b/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/topology/ExchangePlanTest.java
@@ -43,6 +43,21 @@
         assertThat(ExchangePlan.AllToAll.INSTANCE.peersOf(nodes.get(0), nodes)).hasSize(count - 1);
     }
 
+    @Test
+    void each_pair_of_a_cell_calls_once() {
+        List<ControlNode> nodes = nodes(60);
+        for (Cell cell : plan.cells(nodes)) {
+            for (ControlNode one : cell.members()) {
+                for (ControlNode other : cell.members()) {
+                    if (one.name().compareTo(other.name()) < 0) {
+                        assertThat(plan.callsOf(one, nodes).contains(other))
+                                .isNotEqualTo(plan.callsOf(other, nodes).contains(one));
+                    }
+                }
+            }
+        }
+    }
+
     @Test
     void every_node_reaches_the_same_plan_whatever_the_order_of_the_members() {
         List<ControlNode> nodes = nodes(330);
--- a/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/OperatorMain.java
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/OperatorMain.java
@@ -3,14 +3,26 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.cranberrygauge.model.error.CranberrygaugeException;
 import org.cranberrygauge.model.error.ErrorCode;
 import org.cranberrygauge.operator.command.ApplyCommand;
+import org.cranberrygauge.operator.command.BackendCommand;
+import org.cranberrygauge.operator.command.CheckCommand;
+import org.cranberrygauge.operator.command.ClassCommand;
 import org.cranberrygauge.operator.command.Command;
+import org.cranberrygauge.operator.command.CustomerCommand;
 import org.cranberrygauge.operator.command.ExitStatus;
+import org.cranberrygauge.operator.command.ExplainCommand;
 import org.cranberrygauge.operator.command.GenerateCommand;
+import org.cranberrygauge.operator.command.HistoryCommand;
+import org.cranberrygauge.operator.command.KeyCommand;
+import org.cranberrygauge.operator.command.PlanCommand;
+import org.cranberrygauge.operator.command.QuestionnaireCommand;
+import org.cranberrygauge.operator.command.ScheduleCommand;
 import org.cranberrygauge.operator.command.StatusCommand;
+import org.cranberrygauge.operator.command.UsageCommand;
 import org.cranberrygauge.runtime.lifecycle.Program;
 import org.cranberrygauge.runtime.setting.SettingException;
 import org.cranberrygauge.runtime.setting.SettingsParser;
@@ -25,6 +37,9 @@
     /** The name of the program. */
     private static final String NAME = "cranberrygauge";
 
+    /** The flag that asks for help. */
+    private static final String HELP = "--help";
+
     /** Prevents instances. */
     private OperatorMain() {}
 
@@ -45,9 +60,20 @@
      */
     static ExitStatus run(String... arguments) {
         Map<String, Command> commands = new LinkedHashMap<>();
+        commands.put("questionnaire", new QuestionnaireCommand());
+        commands.put("check", new CheckCommand());
         commands.put("generate", new GenerateCommand());
+        commands.put("plan", new PlanCommand());
         commands.put("apply", new ApplyCommand());
+        commands.put("customer", new CustomerCommand());
+        commands.put("key", new KeyCommand());
+        commands.put("class", new ClassCommand());
+        commands.put("schedule", new ScheduleCommand());
+        commands.put("backend", new BackendCommand());
         commands.put("status", new StatusCommand());
+        commands.put("explain", new ExplainCommand());
+        commands.put("usage", new UsageCommand());
+        commands.put("history", new HistoryCommand());
         GeneralSettings general = new GeneralSettings();
         SettingsParser parser = new SettingsParser(NAME, System.getenv());
         JCommander.Builder builder = JCommander.newBuilder()
@@ -56,6 +82,10 @@
                 .defaultProvider(parser.environmentProvider());
         commands.forEach(builder::addCommand);
         JCommander commander = builder.build();
+        if (arguments.length > 1 && List.of(arguments).contains(HELP) && commands.containsKey(arguments[0])) {
+            System.out.print(CommandHelp.of(NAME, commander, arguments[0], commands.get(arguments[0])));
+            return ExitStatus.DONE;
+        }
         try {
             parser.parse(commander, arguments);
         } catch (SettingException exception) {
@@ -67,7 +97,7 @@
             return ExitStatus.DONE;
         }
         if (general.help || commander.getParsedCommand() == null) {
-            commander.usage();
+            System.out.print(CommandHelp.overview(NAME, commander));
             return general.help ? ExitStatus.DONE : ExitStatus.USAGE;
         }
         return run(commands.get(commander.getParsedCommand()));
--- a/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/command/ApplyCommand.java
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/command/ApplyCommand.java
@@ -7,6 +7,7 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.UUID;
 import org.cranberrygauge.model.configuration.Configuration;
 import org.cranberrygauge.model.error.CranberrygaugeException;
@@ -56,4 +57,9 @@
             platform.close();
         }
     }
+
+    @Override
+    public List<String> examples() {
+        return List.of("apply --platform-address 10.0.0.1:7000 --configuration configuration.json --operator ana");
+    }
 }
--- /dev/null
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/command/CheckCommand.java
@@ -0,0 +1,82 @@
+package org.cranberrygauge.operator.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.cranberrygauge.decision.configuration.ConfigurationChecks;
+import org.cranberrygauge.decision.configuration.ConfigurationProblem;
+import org.cranberrygauge.model.configuration.Configuration;
+import org.cranberrygauge.model.error.CranberrygaugeException;
+import org.cranberrygauge.model.error.ErrorCode;
+import org.cranberrygauge.operator.questionnaire.AnswerLines;
+import org.cranberrygauge.operator.questionnaire.AnswerReader;
+import org.cranberrygauge.operator.questionnaire.ConfigurationGenerator;
+import org.cranberrygauge.operator.questionnaire.KeySource;
+import org.cranberrygauge.operator.questionnaire.Questionnaire;
+
+/**
+ * Checks a questionnaire and tells each problem with file, line and field.
+ *
+ * <p>Writes nothing. Filled in by the settings parser, and used by one thread.
+ */
+@Parameters(commandDescription = "Checks a filled-in questionnaire; tells file, line and field of each problem")
+public final class CheckCommand implements Command {
+
+    /** The questionnaire. */
+    @Parameter(names = "--questionnaire", required = true, description = "File with the answers, as YAML")
+    private Path questionnaire;
+
+    @Override
+    public ExitStatus run(PrintStream output) throws CranberrygaugeException {
+        String text = text(questionnaire);
+        Questionnaire answers = AnswerReader.read(questionnaire.toString(), text, Questionnaire.class);
+        Configuration configuration =
+                new ConfigurationGenerator(new KeySource.Secure()).build(answers, Configuration.empty());
+        List<ConfigurationProblem> problems = ConfigurationChecks.problems(configuration);
+        AnswerLines lines = lines(text);
+        for (ConfigurationProblem problem : problems) {
+            output.println(questionnaire + ":" + lines.lineOf(problem.path()) + ": " + problem);
+        }
+        output.println(problems.isEmpty() ? "valid: " + questionnaire : problems.size() + " problems");
+        return problems.isEmpty() ? ExitStatus.DONE : ExitStatus.INVALID;
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @param file The file.
+     * @return The text.
+     * @throws CranberrygaugeException If it can't be read.
+     */
+    private static String text(Path file) throws CranberrygaugeException {
+        try {
+            return Files.readString(file);
+        } catch (IOException exception) {
+            throw new CranberrygaugeException(
+                    ErrorCode.INVALID_CONFIGURATION, file + ": can't be read: " + exception.getMessage(), exception);
+        }
+    }
+
+    /**
+     * Finds the lines of the fields.
+     *
+     * @param text The text, which was read before.
+     * @return The lines.
+     */
+    private static AnswerLines lines(String text) {
+        try {
+            return AnswerLines.of(text);
+        } catch (IOException exception) {
+            throw new IllegalStateException("the answers were read before", exception);
+        }
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of("check --questionnaire answers.yaml");
+    }
+}
--- a/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/command/GenerateCommand.java
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/command/GenerateCommand.java
@@ -6,6 +6,7 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.cranberrygauge.model.configuration.Configuration;
@@ -60,4 +61,11 @@
                     ErrorCode.INVALID_CONFIGURATION, "a file can't be read or written: " + exception, exception);
         }
     }
+
+    @Override
+    public List<String> examples() {
+        return List.of(
+                "generate --questionnaire answers.yaml --output configuration.json --keys-output keys.json",
+                "generate --questionnaire answers.yaml --before configuration.json --output next.json --keys-output new-keys.json");
+    }
 }
--- a/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/command/PlatformSettings.java
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/command/PlatformSettings.java
@@ -3,8 +3,11 @@
 import com.beust.jcommander.Parameter;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import java.util.ArrayList;
+import java.util.List;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.operator.log.LogSession;
+import org.cranberrygauge.operator.view.OperationsClient;
 import org.cranberrygauge.runtime.lifecycle.Program;
 import org.cranberrygauge.runtime.platform.HttpPlatform;
 import org.cranberrygauge.runtime.setting.AddressConverter;
@@ -33,6 +36,16 @@
             description = "Milliseconds after which the command gives up")
     private long timeoutMillis = 10_000;
 
+    /** The addresses of the gateways' operations. */
+    @Parameter(
+            names = "--operations-addresses",
+            converter = AddressConverter.class,
+            description = "HOST:PORT of each gateway's operations, separated by commas, for figures and decisions")
+    private List<NetworkAddress> operationsAddresses = new ArrayList<>();
+
+    /** The client of the platform, made when first needed. */
+    private HttpPlatform platform;
+
     /** The Vert.x instance, made when first needed. */
     private Vertx vertx;
 
@@ -45,11 +58,29 @@
     public LogSession open(String operator) {
         vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
         TimeSource time = TimeSource.System.INSTANCE;
-        HttpPlatform platform = new HttpPlatform(vertx, platformAddress, timeoutMillis);
+        platform = new HttpPlatform(vertx, platformAddress, timeoutMillis);
         return new LogSession(
                 platform, time, Program.incarnation("operator:" + operator, time.wallMillis()), timeoutMillis);
     }
 
+    /**
+     * Returns the client of the platform.
+     *
+     * @return The client, once a session was opened.
+     */
+    public HttpPlatform platform() {
+        return platform;
+    }
+
+    /**
+     * Returns a client of the gateways' operations.
+     *
+     * @return The client, once a session was opened.
+     */
+    public OperationsClient operations() {
+        return new OperationsClient(vertx, operationsAddresses, timeoutMillis);
+    }
+
     /**
      * Returns the time after which the command gives up.
      *
--- a/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/command/StatusCommand.java
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/command/StatusCommand.java
@@ -1,49 +1,54 @@
 package org.cranberrygauge.operator.command;
 
+import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import java.io.PrintStream;
-import org.cranberrygauge.decision.membership.GatewayMember;
-import org.cranberrygauge.decision.state.LogState;
+import java.util.List;
 import org.cranberrygauge.model.error.CranberrygaugeException;
-import org.cranberrygauge.operator.log.GatewayStatus;
 import org.cranberrygauge.operator.log.LogSession;
+import org.cranberrygauge.operator.view.StatusView;
+import org.cranberrygauge.protocol.JsonCodec;
 
 /**
- * Shows who is in charge and what is in force.
+ * Shows how the system does, in one screen.
  *
  * <p>Filled in by the settings parser, and used by one thread.
  */
-@Parameters(commandDescription = "Shows who is in charge and what is in force on each gateway")
+@Parameters(
+        commandDescription = "Shows attainment by class, the worst-served customer, cost, who is in charge and"
+                + " what is in force on each gateway")
 public final class StatusCommand implements Command {
 
     /** The settings of the platform. */
     @ParametersDelegate
     private final PlatformSettings platform = new PlatformSettings();
 
+    /** Whether to print JSON. */
+    @Parameter(names = "--json", description = "Prints JSON")
+    private boolean json;
+
     @Override
     public ExitStatus run(PrintStream output) throws CranberrygaugeException {
         try {
             LogSession session = platform.open("status");
-            LogState state = session.readToEnd();
-            output.println(
-                    "configuration version " + state.configuration().current().version() + " by "
-                            + state.configuration().lastOperator());
-            output.println("lease held by " + state.lease().holder() + ", fencing number "
-                    + state.lease().fencingNumber());
-            output.println("last closed usage window " + state.usage().lastClosed());
-            for (GatewayMember member : state.members().all()) {
-                output.println(GatewayStatus.ask(member)
-                        .map(report -> member.host() + ": version " + report.getConfigurationVersion()
-                                + ", log offset " + report.getLogOffset() + ", in flight "
-                                + report.getInFlight().values().stream()
-                                        .mapToInt(Integer::intValue)
-                                        .sum())
-                        .orElse(member.host() + ": no answer"));
+            StatusView view = StatusView.read(
+                    session.readToEnd(), platform.operations(), platform.platform(), platform.timeoutMillis());
+            if (json) {
+                output.println(JsonCodec.write(view));
+            } else {
+                view.lines().forEach(output::println);
             }
             return ExitStatus.DONE;
         } finally {
             platform.close();
         }
     }
+
+    @Override
+    public List<String> examples() {
+        return List.of(
+                "status --platform-address 10.0.0.1:7000 --operations-addresses 10.0.0.2:9000,10.0.0.3:9000",
+                "status --platform-address 10.0.0.1:7000 --json");
+    }
 }
--- a/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/log/LogSession.java
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/log/LogSession.java
@@ -43,6 +43,9 @@
     /** The state machines. */
     private final LogState state = new LogState();
 
+    /** What the log tells of the past. */
+    private final LogHistory history = new LogHistory();
+
     /** What became of changes that were read. */
     private final List<Effect.ChangeJudged> changes = new ArrayList<>();
 
@@ -124,6 +127,15 @@
         return List.copyOf(changes);
     }
 
+    /**
+     * Returns what the log tells of the past.
+     *
+     * @return The history up to what was read.
+     */
+    public LogHistory history() {
+        return history;
+    }
+
     /**
      * Applies an entry.
      *
@@ -131,8 +143,10 @@
      */
     private void apply(PlatformLog.StoredEntry entry) {
         try {
-            for (Effect effect :
-                    state.apply(entry.offset(), entry.appendedAtMillis(), LogCodec.read(entry.payload()))) {
+            LogEntry read = LogCodec.read(entry.payload());
+            List<Effect> effects = state.apply(entry.offset(), entry.appendedAtMillis(), read);
+            history.take(entry.offset(), entry.appendedAtMillis(), read, effects, state.usage());
+            for (Effect effect : effects) {
                 if (effect instanceof Effect.ChangeJudged judged) {
                     changes.add(judged);
                 }
--- a/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/questionnaire/ConfigurationGenerator.java
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/questionnaire/ConfigurationGenerator.java
@@ -1,7 +1,5 @@
 package org.cranberrygauge.operator.questionnaire;
 
-import java.time.LocalTime;
-import java.time.format.DateTimeParseException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -37,9 +35,6 @@
     /** The name of a customer's first key. */
     private static final String FIRST_KEY = "first";
 
-    /** The number of minutes in an hour. */
-    private static final int MINUTES_PER_HOUR = 60;
-
     /** The source of new keys. */
     private final KeySource keySource;
 
@@ -64,8 +59,31 @@
      * @throws CranberrygaugeException If the answers do not fit together.
      */
     public Configuration generate(Questionnaire answers, Configuration before) throws CranberrygaugeException {
+        Configuration configuration = build(answers, before);
+        List<ConfigurationProblem> problems = ConfigurationChecks.problems(configuration);
+        if (!problems.isEmpty()) {
+            throw new CranberrygaugeException(
+                    ErrorCode.INVALID_CONFIGURATION,
+                    String.join(
+                            "; ",
+                            problems.stream()
+                                    .map(ConfigurationProblem::toString)
+                                    .toList()));
+        }
+        return configuration;
+    }
+
+    /**
+     * Builds a configuration without checking it as a whole.
+     *
+     * @param answers The answers.
+     * @param before The configuration in force, whose keys are kept.
+     * @return The configuration, which may have problems.
+     * @throws CranberrygaugeException If a time of day can't be read.
+     */
+    public Configuration build(Questionnaire answers, Configuration before) throws CranberrygaugeException {
         newKeys.clear();
-        Configuration configuration = new Configuration(
+        return new Configuration(
                 String.valueOf(answers.deployment()),
                 answers.dataCentres().stream()
                         .map(name -> new DataCentre(name, answers.region()))
@@ -82,17 +100,6 @@
                 answers.fleet().stream().map(ConfigurationGenerator::pool).toList(),
                 cleaning(answers),
                 answers.times());
-        List<ConfigurationProblem> problems = ConfigurationChecks.problems(configuration);
-        if (!problems.isEmpty()) {
-            throw new CranberrygaugeException(
-                    ErrorCode.INVALID_CONFIGURATION,
-                    String.join(
-                            "; ",
-                            problems.stream()
-                                    .map(ConfigurationProblem::toString)
-                                    .toList()));
-        }
-        return configuration;
     }
 
     /**
@@ -238,27 +245,11 @@
         List<CleaningWindow> windows = new ArrayList<>();
         for (Questionnaire.CleaningAnswer answer : answers.cleaning()) {
             windows.add(new CleaningWindow(
-                    answer.dataCentre(), answer.day(), minuteOfDay(answer.start()), answer.durationMinutes()));
+                    answer.dataCentre(),
+                    answer.day(),
+                    TimeOfDay.minute("cleaning.start", answer.start()),
+                    answer.durationMinutes()));
         }
         return windows;
     }
-
-    /**
-     * Reads a time of day.
-     *
-     * @param text The text.
-     * @return The minute of the day.
-     * @throws CranberrygaugeException If it can't be read.
-     */
-    private static int minuteOfDay(String text) throws CranberrygaugeException {
-        try {
-            LocalTime time = LocalTime.parse(text);
-            return time.getHour() * MINUTES_PER_HOUR + time.getMinute();
-        } catch (DateTimeParseException exception) {
-            throw new CranberrygaugeException(
-                    ErrorCode.INVALID_CONFIGURATION,
-                    "cleaning.start is \"" + text + "\"; allowed is HH:MM from 00:00 to 23:59",
-                    exception);
-        }
-    }
 }
--- /dev/null
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/view/package-info.java
@@ -0,0 +1,2 @@
+/** What operators see of the running system. */
+package org.cranberrygauge.operator.view;
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/CapacityCommand.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/CapacityCommand.java
@@ -78,7 +78,7 @@
                 System.getProperty("java.version"),
                 Runtime.getRuntime().availableProcessors(),
                 slopes,
-                new TargetModel(slopes).estimates());
+                TargetModel.estimates(slopes));
         Files.createDirectories(output.toAbsolutePath().getParent());
         Files.writeString(output, mapper.writeValueAsString(results) + "\n");
         if (Files.exists(page)) {
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/CapacityPage.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/CapacityPage.java
@@ -52,7 +52,7 @@
         for (Estimate estimate : results.estimates()) {
             text.append("| ").append(estimate.role());
             text.append(" | ").append(estimate.quantity());
-            text.append(" | ").append(estimate.form());
+            text.append(" | ").append(estimate.form()).append(estimate.counted() ? " *" : "");
             text.append(" | ").append(number(estimate.value())).append(' ').append(estimate.unit());
             text.append(" | ").append(estimate.budget() > 0 ? number(estimate.budget()) : "none");
             text.append(" | ").append(estimate.fits() ? "yes" : "**no**");
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/Estimate.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/Estimate.java
@@ -11,6 +11,7 @@
  * @param budget The budget in the same unit; 0 where there is none.
  * @param basis The slopes and figures it follows from.
  * @param extrapolated Whether a size lies outside what was measured.
+ * @param counted Whether it counts towards the sum of one node in the form that is needed.
  */
 public record Estimate(
         String role,
@@ -20,7 +21,8 @@
         String unit,
         double budget,
         String basis,
-        boolean extrapolated) {
+        boolean extrapolated,
+        boolean counted) {
 
     /**
      * Tells whether the value fits its budget.
@@ -30,4 +32,13 @@
     public boolean fits() {
         return budget <= 0 || value <= budget;
     }
+
+    /**
+     * Counts it towards the sum of one node.
+     *
+     * @return The counted estimate.
+     */
+    Estimate asCounted() {
+        return new Estimate(role, quantity, form, value, unit, budget, basis, extrapolated, true);
+    }
 }
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/ExchangeMeasures.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/ExchangeMeasures.java
@@ -102,9 +102,10 @@
      * @return The number.
      */
     static int messages(ExchangePlan plan, List<ControlNode> nodes) {
+        boolean once = plan instanceof ExchangePlan.Cells;
         Map<ControlNode, Integer> calls = new HashMap<>();
         for (ControlNode node : nodes) {
-            Set<ControlNode> peers = plan.peersOf(node, nodes);
+            Set<ControlNode> peers = once ? plan.callsOf(node, nodes) : plan.peersOf(node, nodes);
             calls.merge(node, peers.size(), Integer::sum);
             peers.forEach(peer -> calls.merge(peer, 1, Integer::sum));
         }
--- /dev/null
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/FailureModel.java
@@ -0,0 +1,126 @@
+package org.cranberrygauge.verification.capacity;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cranberrygauge.decision.topology.ControlNode;
+import org.cranberrygauge.decision.topology.ExchangePlan;
+
+/**
+ * Works out what failures cost at the target size.
+ *
+ * <p>Used by one thread.
+ */
+final class FailureModel {
+
+    /** The hosts of a rack, which is an assumption. */
+    private static final int RACK_HOSTS = 16;
+
+    /** The hosts that fail, are restarted or are replaced on a day. */
+    private static final int RESTARTS_PER_DAY = 7 + 240;
+
+    /** The share of the data centres that lie in the smaller region. */
+    private static final double SMALLER_REGION = 3.0 / Population.DATA_CENTRES;
+
+    /** Takes the estimates. */
+    private final EstimateTable table;
+
+    /**
+     * Creates a model.
+     *
+     * @param table Takes the estimates.
+     */
+    FailureModel(EstimateTable table) {
+        this.table = table;
+    }
+
+    /** Adds all estimates. */
+    void add() {
+        table.role("failures");
+        List<ControlNode> nodes = ExchangeMeasures.nodes(TargetSize.NODES);
+        table.figure("join and leave records", 2.0 * RESTARTS_PER_DAY, "records/day", "7 failures and 240 restarts");
+        table.figure(
+                "nodes that change cell when a host is lost", moved(nodes, 1), "nodes", "mean of 30 losses, computed");
+        table.figure(
+                "nodes that change cell when a rack is lost",
+                moved(nodes, RACK_HOSTS),
+                "nodes",
+                "16 hosts of one data centre, mean of 30 losses, computed");
+        List<ControlNode> rest = nodes.stream()
+                .filter(node -> !node.dataCentre().equals("centre-0"))
+                .toList();
+        table.figure("nodes that change cell when a data centre is lost", changed(nodes, rest), "nodes", "computed");
+        table.figure(
+                "requests on each other node when a data centre is lost",
+                TargetSize.REQUESTS_PER_SECOND / rest.size(),
+                "requests/s",
+                "23.3 before");
+        double changes = TargetSize.AVERAGE_CHANGES_PER_SECOND * TargetSize.HOUR_SECONDS;
+        table.figure(
+                "changes that wait in an hour between regions, one authority",
+                changes * SMALLER_REGION,
+                "changes",
+                "3 of 7 data centres are cut off from the log");
+        table.figure(
+                "reserved calls refused in that hour, one log",
+                TargetSize.RESERVED_PER_SECOND * TargetSize.HOUR_SECONDS * SMALLER_REGION,
+                "calls",
+                "each told as not run, with when to come back");
+        table.figure(
+                "reserved calls refused in that hour, a log for each region",
+                0,
+                "calls",
+                "if each at-most-once route has a home region and its callers reach it");
+    }
+
+    /**
+     * Computes the mean number of nodes that change their cell.
+     *
+     * @param nodes The nodes.
+     * @param lost The number of nodes of one data centre that are lost at once.
+     * @return The mean.
+     */
+    private static double moved(List<ControlNode> nodes, int lost) {
+        int rounds = 30;
+        double sum = 0;
+        for (int round = 0; round < rounds; round++) {
+            List<ControlNode> rest = new ArrayList<>(nodes);
+            for (int number = 0; number < lost; number++) {
+                int host = (round + number * Population.DATA_CENTRES) % nodes.size();
+                rest.remove(nodes.get(host));
+            }
+            sum += changed(nodes, rest);
+        }
+        return sum / rounds;
+    }
+
+    /**
+     * Counts the nodes whose cell differs.
+     *
+     * @param before The nodes before.
+     * @param after The nodes after.
+     * @return The number.
+     */
+    private static double changed(List<ControlNode> before, List<ControlNode> after) {
+        Map<ControlNode, String> old = cells(before);
+        Map<ControlNode, String> next = cells(after);
+        return after.stream()
+                .filter(node -> !old.get(node).equals(next.get(node)))
+                .count();
+    }
+
+    /**
+     * Finds the cell of each node.
+     *
+     * @param nodes The nodes.
+     * @return The names of the cells.
+     */
+    private static Map<ControlNode, String> cells(List<ControlNode> nodes) {
+        Map<ControlNode, String> names = new HashMap<>();
+        ExchangePlan.Cells.standard()
+                .cells(nodes)
+                .forEach(cell -> cell.members().forEach(node -> names.put(node, cell.name())));
+        return names;
+    }
+}
--- /dev/null
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/LogRoles.java
@@ -0,0 +1,206 @@
+package org.cranberrygauge.verification.capacity;
+
+/**
+ * Works out what the roles cost that write to the log or follow it.
+ *
+ * <p>Used by one thread.
+ */
+final class LogRoles {
+
+    /** The usage deltas of one gateway a second. */
+    private static final double DELTAS_PER_SECOND = 1;
+
+    /** The lease claims a second of the whole system. */
+    private static final double CLAIMS_PER_SECOND = 0.5;
+
+    /** The time for which a writer gathers records in the form that is needed, in milliseconds. */
+    private static final double GATHER_MILLIS = 50;
+
+    /** The owners of each reservation in the form that is needed. */
+    private static final double OWNERS = 2;
+
+    /** The members that a reader of the log serves. */
+    private static final double SERVED_MEMBERS = 7;
+
+    /** The number of microseconds in a second. */
+    private static final double MICROS_PER_SECOND = 1_000_000;
+
+    /** The slopes. */
+    private final SlopeTable slopes;
+
+    /** Takes the estimates. */
+    private final EstimateTable table;
+
+    /** The number of cells. */
+    private final int cells;
+
+    /**
+     * Creates the roles.
+     *
+     * @param slopes The slopes.
+     * @param table Takes the estimates.
+     * @param cells The number of cells.
+     */
+    LogRoles(SlopeTable slopes, EstimateTable table, int cells) {
+        this.slopes = slopes;
+        this.table = table;
+        this.cells = cells;
+    }
+
+    /** Adds all estimates. */
+    void add() {
+        reading();
+        writing();
+        configuration();
+        reservations();
+        usage();
+        lease();
+    }
+
+    /** Reading the log. */
+    private void reading() {
+        table.role("log reading");
+        double pairs = TargetSize.REQUESTS_PER_SECOND / TargetSize.NODES / DELTAS_PER_SECOND;
+        double deltas = TargetSize.NODES * DELTAS_PER_SECOND;
+        double reservedBytes = slopes.at("log bytes: reservation", 1) + slopes.at("log bytes: reservation outcome", 1);
+        double reservedWork = slopes.at("log read and apply: reservation", 1)
+                + slopes.at("log read and apply: reservation outcome", 1);
+        double traffic =
+                TargetSize.RESERVED_PER_SECOND * reservedBytes + deltas * slopes.at("log bytes: usage delta", pairs);
+        double work = TargetSize.RESERVED_PER_SECOND * reservedWork
+                + deltas * slopes.at("log read and apply: usage delta", pairs);
+        String all = "385 reservations, 385 outcomes, 330 usage deltas of 23 pairs a second; every node reads all";
+        table.today("traffic", traffic, Budget.TRAFFIC, all).extrapolated(true);
+        table.today("work", work, Budget.WORK, all).extrapolated(true);
+        table.today("bytes of a day, read at each start", traffic * TargetSize.DAY_SECONDS, Budget.SIZE, "no snapshot")
+                .extrapolated(true);
+        double replay = work * TargetSize.DAY_SECONDS / MICROS_PER_SECOND;
+        table.today("work of that read", replay, Budget.TIME, "no snapshot; one core")
+                .extrapolated(true);
+        double share = OWNERS / cells * TargetSize.RESERVED_PER_SECOND;
+        double control = TargetSize.CHANGES_PER_SECOND * slopes.at("edit bytes", TargetSize.CUSTOMERS)
+                + CLAIMS_PER_SECOND * slopes.at("log bytes: lease claim", 1);
+        String divided = "one of two readers of a cell: control records for itself and 7 members, and the reservations"
+                + " that its cell owns (2 of " + cells + " cells each); usage is read by the lease holder only";
+        table.needed("traffic", share * reservedBytes + (1 + SERVED_MEMBERS) * control, Budget.TRAFFIC, divided)
+                .extrapolated(true)
+                .counted();
+        table.needed(
+                        "work",
+                        share * reservedWork + CLAIMS_PER_SECOND * slopes.at("log read and apply: lease claim", 1),
+                        Budget.WORK,
+                        divided)
+                .extrapolated(true)
+                .counted();
+    }
+
+    /** Writing the log. */
+    private void writing() {
+        table.role("log writing");
+        double records = 2 * TargetSize.RESERVED_PER_SECOND + TargetSize.NODES * DELTAS_PER_SECOND;
+        table.today("appends, 330 writers", appends(TargetSize.NODES, records), Budget.APPENDS, "1100 records/s");
+        table.needed("appends, " + cells + " writers", appends(cells, records), Budget.APPENDS, "one writer a cell");
+        table.needed(
+                "appends, 7 writers",
+                appends(Population.DATA_CENTRES, records),
+                Budget.APPENDS,
+                "one writer a data centre; gathers 5 ms");
+        double gathered = Population.DATA_CENTRES * TargetSize.MILLIS_PER_SECOND / GATHER_MILLIS;
+        table.needed(
+                        "appends, 7 writers that gather 50 ms",
+                        gathered,
+                        Budget.APPENDS,
+                        "at most one entry a writer each 50 ms; adds up to 50 ms to a reserved call")
+                .extrapolated(true);
+    }
+
+    /** The configuration. */
+    private void configuration() {
+        table.role("configuration");
+        double changes = TargetSize.CHANGES_PER_SECOND;
+        double bytes = slopes.configuration("configuration bytes by ");
+        table.today("one change, a whole record", bytes, Budget.SIZE, "670 customers, 940 backend servers");
+        table.today("traffic", changes * bytes, Budget.TRAFFIC, "0.17 changes/s, ten times the day's average");
+        table.today(
+                "traffic on the average of a day",
+                TargetSize.AVERAGE_CHANGES_PER_SECOND * bytes,
+                Budget.TRAFFIC,
+                "0.017 changes/s");
+        double arrival = TargetSize.MILLIS_PER_SECOND * bytes / Budget.TRAFFIC.limit();
+        table.today("time in which a change arrives", arrival, Budget.CHANGE, "whole record at 21 KiB/s");
+        table.today(
+                "read and apply",
+                changes * slopes.configuration("configuration read and apply by "),
+                Budget.WORK,
+                "0.17 changes/s");
+        table.today(
+                        "memory",
+                        slopes.configuration("configuration memory by "),
+                        Budget.MEMORY,
+                        "one copy; two during a change")
+                .counted();
+        double edit = slopes.at("edit bytes", TargetSize.CUSTOMERS);
+        table.needed("one change, an edit", edit, Budget.SIZE, "a customer with two keys");
+        table.needed(
+                "time in which a change arrives",
+                TargetSize.MILLIS_PER_SECOND * edit / Budget.TRAFFIC.limit(),
+                Budget.CHANGE,
+                "an edit at 21 KiB/s, without the way through log and reader");
+        double work =
+                slopes.at("edit apply", TargetSize.CUSTOMERS) + slopes.at("key index build", TargetSize.CUSTOMERS);
+        table.needed("apply and key index", changes * work, Budget.WORK, "0.17 changes/s")
+                .counted();
+    }
+
+    /** Reservations. */
+    private void reservations() {
+        table.role("reservations");
+        Slope memory = slopes.slope("memory: reservations");
+        double day = TargetSize.RESERVED_PER_SECOND * TargetSize.DAY_SECONDS;
+        table.today("memory", memory.at(day), Budget.MEMORY, "385/s kept for a day by every node")
+                .extrapolated(true);
+        double hour = TargetSize.RESERVED_PER_SECOND * TargetSize.HOUR_SECONDS * OWNERS / TargetSize.NODES;
+        table.needed("memory", memory.at(hour), Budget.MEMORY, "kept for an hour by 2 nodes, by rendezvous hash")
+                .extrapolated(memory.isExtrapolated(hour))
+                .counted();
+    }
+
+    /** Usage. */
+    private void usage() {
+        table.role("usage");
+        Slope memory = slopes.slope("memory: usage ledger");
+        double all = TargetSize.NODES * TargetSize.PAIRS;
+        table.today("memory", memory.at(all), Budget.MEMORY, "330 gateways times 5360 pairs, if each pair meets each")
+                .extrapolated(true);
+        double summed = Population.DATA_CENTRES * TargetSize.PAIRS;
+        table.needed("memory", memory.at(summed), Budget.MEMORY, "7 writers that sum up, times 5360 pairs")
+                .extrapolated(memory.isExtrapolated(summed))
+                .counted();
+        double delta = slopes.at("log bytes: usage delta", TargetSize.REQUESTS_PER_SECOND / TargetSize.NODES);
+        table.today("deltas written", DELTAS_PER_SECOND * delta, Budget.TRAFFIC, "one a second with 23 pairs")
+                .counted();
+    }
+
+    /** Lease and orders. */
+    private void lease() {
+        table.role("lease and orders");
+        table.today("appends", CLAIMS_PER_SECOND, Budget.APPENDS, "one holder, three renewals in 6 s");
+        table.today(
+                "work on each node",
+                CLAIMS_PER_SECOND * slopes.at("log read and apply: lease claim", 1),
+                Budget.WORK,
+                "0.5 claims/s");
+    }
+
+    /**
+     * Works out the appends of several writers.
+     *
+     * @param writers The number of writers.
+     * @param records The records a second of all of them.
+     * @return The entries a second of all of them.
+     */
+    private double appends(int writers, double records) {
+        double between = TargetSize.MILLIS_PER_SECOND * writers / records;
+        return writers * TargetSize.MILLIS_PER_SECOND / slopes.at("time between entries of one writer", between);
+    }
+}
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/Meter.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/Meter.java
@@ -18,6 +18,9 @@
     /** The number of batches, of which the median counts. */
     private static final int BATCHES = 7;
 
+    /** The number of builds, of which the median counts. */
+    private static final int BUILDS = 3;
+
     /** The processor time that one batch takes at least in nanoseconds. */
     private static final long BATCH_NANOS = 40_000_000;
 
@@ -54,9 +57,25 @@
      *
      * @param build Builds the structure of a size.
      * @param size The size.
-     * @return The heap in bytes.
+     * @return The median of several builds in bytes.
      */
     public double bytes(IntFunction<Object> build, int size) {
+        List<Double> builds = new ArrayList<>();
+        for (int round = 0; round < BUILDS; round++) {
+            builds.add(bytesOnce(build, size));
+        }
+        Collections.sort(builds);
+        return builds.get(BUILDS / 2);
+    }
+
+    /**
+     * Measures the heap of one build.
+     *
+     * @param build Builds the structure of a size.
+     * @param size The size.
+     * @return The heap in bytes.
+     */
+    private double bytesOnce(IntFunction<Object> build, int size) {
         kept = null;
         long before = usedBytes();
         kept = build.apply(size);
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/MetricsMeasures.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/MetricsMeasures.java
@@ -1,12 +1,10 @@
 package org.cranberrygauge.verification.capacity;
 
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import org.cranberrygauge.gateway.metrics.GatewayMetrics;
+import org.cranberrygauge.runtime.metrics.MetricsEndpoint;
 
 /**
  * Measures the metrics of one gateway.
@@ -43,12 +41,14 @@
         List<Sample> scrape = new ArrayList<>();
         List<Sample> memory = new ArrayList<>();
         List<Sample> token = new ArrayList<>();
+        List<Sample> compressed = new ArrayList<>();
         for (int customers : CUSTOMERS) {
             double pairs = (double) customers * Population.CLASSES;
             memory.add(new Sample(pairs, meter.bytes(MetricsMeasures::registry, customers)));
             PrometheusRegistry registry = registry(customers);
-            bytes.add(new Sample(pairs, scrape(registry)));
-            scrape.add(new Sample(pairs, meter.micros(() -> scrape(registry))));
+            bytes.add(new Sample(pairs, scrape(registry, false)));
+            compressed.add(new Sample(pairs, scrape(registry, true)));
+            scrape.add(new Sample(pairs, meter.micros(() -> scrape(registry, true))));
             GatewayMetrics metrics = new GatewayMetrics(new PrometheusRegistry());
             fill(metrics, customers);
             String customer = "customer-" + customers / 2;
@@ -56,7 +56,8 @@
         }
         return List.of(
                 Slope.of("metrics bytes of a scrape", "pairs of customer and class", "bytes", bytes),
-                Slope.of("metrics work of a scrape", "pairs of customer and class", "microseconds", scrape),
+                Slope.of("metrics bytes of a compressed scrape", "pairs of customer and class", "bytes", compressed),
+                Slope.of("metrics work of a compressed scrape", "pairs of customer and class", "microseconds", scrape),
                 Slope.of("memory: metrics", "pairs of customer and class", "bytes", memory),
                 Slope.of("metrics work of one token", "pairs of customer and class", "microseconds", token));
     }
@@ -108,15 +109,10 @@
      * Writes the metrics.
      *
      * @param registry The registry.
+     * @param compress Whether to compress them.
      * @return The size in bytes.
      */
-    private static int scrape(PrometheusRegistry registry) {
-        ByteArrayOutputStream output = new ByteArrayOutputStream();
-        try {
-            PrometheusTextFormatWriter.create().write(output, registry.scrape());
-        } catch (IOException exception) {
-            throw new IllegalStateException("memory can always be written", exception);
-        }
-        return output.size();
+    private static int scrape(PrometheusRegistry registry, boolean compress) {
+        return new MetricsEndpoint(registry).text(compress).length;
     }
 }
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/Slope.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/Slope.java
@@ -1,5 +1,6 @@
 package org.cranberrygauge.verification.capacity;
 
+import java.util.Comparator;
 import java.util.List;
 
 /**
@@ -32,13 +33,40 @@
     }
 
     /**
-     * Returns the cost at a size, never less than nothing.
+     * Returns the cost at a size: between two measured sizes by interpolation, outside of them by the fitted line.
      *
      * @param size The size.
-     * @return The cost.
+     * @return The cost, never less than nothing.
      */
     public double at(double size) {
-        return Math.max(0, fit.at(size));
+        if (isExtrapolated(size)) {
+            return Math.max(0, fit.at(size));
+        }
+        List<Sample> ordered =
+                samples.stream().sorted(Comparator.comparingDouble(Sample::x)).toList();
+        Sample below = ordered.get(0);
+        for (Sample above : ordered) {
+            if (above.x() >= size) {
+                return interpolate(below, above, size);
+            }
+            below = above;
+        }
+        return below.y();
+    }
+
+    /**
+     * Interpolates between two points.
+     *
+     * @param below The point at or below the size.
+     * @param above The point at or above the size.
+     * @param size The size.
+     * @return The value.
+     */
+    private static double interpolate(Sample below, Sample above, double size) {
+        if (above.x() == below.x()) {
+            return above.y();
+        }
+        return below.y() + (above.y() - below.y()) * (size - below.x()) / (above.x() - below.x());
     }
 
     /**
