Tell an outage apart from a change that stands in the log

Change: a call has a quarter of the time, so that a lost answer is retried; after the change is read back, a failing log gives 'appended, not yet confirmed'.

--- a/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/log/ChangeApplier.java
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/log/ChangeApplier.java
@@ -9,6 +9,7 @@
 import org.cranberrygauge.decision.configuration.ConfigurationProblem;
 import org.cranberrygauge.decision.membership.GatewayMember;
 import org.cranberrygauge.decision.state.Effect;
+import org.cranberrygauge.decision.state.LogState;
 import org.cranberrygauge.model.configuration.Configuration;
 import org.cranberrygauge.model.error.CranberrygaugeException;
 import org.cranberrygauge.model.error.ErrorCode;
@@ -89,10 +90,9 @@
      *
      * @param version The version.
      * @param output Takes what is told.
-     * @return How it ended.
-     * @throws CranberrygaugeException If the log does not answer.
+     * @return How it ended; the change stands in the log, so that an outage of the log now is no doubt about it.
      */
-    private ExitStatus confirm(long version, PrintStream output) throws CranberrygaugeException {
+    private ExitStatus confirm(long version, PrintStream output) {
         long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
         List<String> missing = missing(version);
         while (!missing.isEmpty() && System.nanoTime() < untilNanos) {
@@ -111,12 +111,17 @@
      * Lists the gateways that do not have a version.
      *
      * @param version The version.
-     * @return The hosts.
-     * @throws CranberrygaugeException If the log does not answer.
+     * @return The hosts, or the log itself if it does not tell which gateways there are.
      */
-    private List<String> missing(long version) throws CranberrygaugeException {
+    private List<String> missing(long version) {
         List<String> missing = new ArrayList<>();
-        for (GatewayMember member : session.readToEnd().members().all()) {
+        LogState state;
+        try {
+            state = session.readToEnd();
+        } catch (CranberrygaugeException exception) {
+            return List.of("gateways not known, since " + exception.getMessage());
+        }
+        for (GatewayMember member : state.members().all()) {
             boolean confirmed = GatewayStatus.ask(member)
                     .filter(report -> report.getConfigurationVersion() >= version)
                     .isPresent();
--- a/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/log/LogSession.java
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/log/LogSession.java
@@ -28,6 +28,9 @@
     /** The highest number of entries in one read. */
     private static final int READ_LIMIT = 1_000;
 
+    /** The number of tries that fit into the time of an append. */
+    private static final long TRIES = 4;
+
     /** The log. */
     private final PlatformLog log;
 
@@ -37,9 +40,12 @@
     /** The incarnation that writes. */
     private final String writer;
 
-    /** The time after which a call is given up in milliseconds. */
+    /** The time after which an append is given up in milliseconds. */
     private final long timeoutMillis;
 
+    /** The time after which one call is given up in milliseconds. */
+    private final long callTimeoutMillis;
+
     /** The state machines. */
     private final LogState state = new LogState();
 
@@ -58,13 +64,14 @@
      * @param log The log.
      * @param time The sources of time.
      * @param writer The incarnation that writes.
-     * @param timeoutMillis The time after which a call is given up in milliseconds.
+     * @param timeoutMillis The time after which an append is given up in milliseconds; a quarter of it for one call.
      */
     public LogSession(PlatformLog log, TimeSource time, String writer, long timeoutMillis) {
         this.log = log;
         this.time = time;
         this.writer = writer;
         this.timeoutMillis = timeoutMillis;
+        this.callTimeoutMillis = Math.max(1, timeoutMillis / TRIES);
     }
 
     /**
@@ -166,13 +173,18 @@
      */
     private <T> T await(CompletionStage<T> stage) throws CranberrygaugeException {
         try {
-            return stage.toCompletableFuture().get(timeoutMillis, TimeUnit.MILLISECONDS);
+            return stage.toCompletableFuture().get(callTimeoutMillis, TimeUnit.MILLISECONDS);
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
             throw new CranberrygaugeException(ErrorCode.LOG_UNAVAILABLE, "interrupted", exception);
-        } catch (ExecutionException | TimeoutException exception) {
+        } catch (ExecutionException exception) {
             throw new CranberrygaugeException(
                     ErrorCode.LOG_UNAVAILABLE, "the log does not answer: " + exception.getMessage(), exception);
+        } catch (TimeoutException exception) {
+            throw new CranberrygaugeException(
+                    ErrorCode.LOG_UNAVAILABLE,
+                    "the log does not answer within " + callTimeoutMillis + " ms",
+                    exception);
         }
     }
 }
