--- a/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/command/StatusCommand.java
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/command/StatusCommand.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import org.cranberrygauge.model.error.CranberrygaugeException;
 import org.cranberrygauge.operator.log.LogSession;
+import org.cranberrygauge.operator.view.OutageView;
 import org.cranberrygauge.operator.view.StatusView;
 import org.cranberrygauge.protocol.JsonCodec;
 
@@ -30,8 +31,8 @@
 
     @Override
     public ExitStatus run(PrintStream output) throws CranberrygaugeException {
+        LogSession session = platform.open("status");
         try {
-            LogSession session = platform.open("status");
             StatusView view = StatusView.read(
                     session.readToEnd(), platform.operations(), platform.platform(), platform.timeoutMillis());
             if (json) {
@@ -40,6 +41,14 @@
                 view.lines().forEach(output::println);
             }
             return ExitStatus.DONE;
+        } catch (CranberrygaugeException exception) {
+            OutageView view = OutageView.read(exception.getMessage(), platform.operations());
+            if (json) {
+                output.println(JsonCodec.write(view));
+            } else {
+                view.lines().forEach(output::println);
+            }
+            return ExitStatus.OUTAGE;
         } finally {
             platform.close();
         }
--- a/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/view/OperationsClient.java
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/view/OperationsClient.java
@@ -67,6 +67,15 @@
         return read("/metrics");
     }
 
+    /**
+     * Reads the state of each gateway.
+     *
+     * @return The JSON text by address; a gateway that does not answer is left out.
+     */
+    public Map<NetworkAddress, String> states() {
+        return read("/state");
+    }
+
     /**
      * Reads what each gateway decided about a subject.
      *
