--- a/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/questionnaire/AnswerReader.java
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/questionnaire/AnswerReader.java
@@ -5,10 +5,15 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.exc.InvalidFormatException;
+import com.fasterxml.jackson.databind.exc.MismatchedInputException;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.TreeSet;
 import java.util.stream.Collectors;
 import org.cranberrygauge.model.error.CranberrygaugeException;
 import org.cranberrygauge.model.error.ErrorCode;
@@ -79,10 +84,51 @@
         JsonLocation location = exception.getLocation();
         String line = location == null ? "" : ":" + location.getLineNr();
         String field = exception instanceof JsonMappingException mapping ? path(mapping) : "";
-        String message = exception.getOriginalMessage().lines().findFirst().orElse("can't be read");
+        String message = message(exception);
         return name + line + ": " + (field.isEmpty() ? "" : field + ": ") + message;
     }
 
+    /**
+     * Tells what is wrong and what is allowed.
+     *
+     * @param exception The error.
+     * @return The message.
+     */
+    private static String message(JsonProcessingException exception) {
+        if (exception instanceof UnrecognizedPropertyException unknown) {
+            TreeSet<String> known = new TreeSet<>();
+            unknown.getKnownPropertyIds().forEach(name -> known.add(String.valueOf(name)));
+            return "unknown field; allowed are " + String.join(", ", known);
+        }
+        if (exception instanceof InvalidFormatException invalid) {
+            return "\"" + invalid.getValue() + "\" is not allowed; allowed is " + allowed(invalid.getTargetType());
+        }
+        if (exception instanceof MismatchedInputException mismatched
+                && exception.getOriginalMessage().startsWith("Cannot map `null`")) {
+            return "is missing; allowed is " + allowed(mismatched.getTargetType());
+        }
+        return exception.getOriginalMessage().lines().findFirst().orElse("can't be read");
+    }
+
+    /**
+     * Tells what a type allows.
+     *
+     * @param type The type.
+     * @return The text.
+     */
+    private static String allowed(Class<?> type) {
+        if (type == null) {
+            return "another value";
+        }
+        if (type.isEnum()) {
+            return Arrays.stream(type.getEnumConstants()).map(String::valueOf).collect(Collectors.joining(", "));
+        }
+        if (type == boolean.class || type == Boolean.class) {
+            return "true or false";
+        }
+        return type == double.class || type == Double.class ? "a number" : "a whole number";
+    }
+
     /**
      * Writes the path of a field.
      *
