--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
@@ -1,24 +1,30 @@
 package org.cranberrygauge.controller;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonObject;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.cranberrygauge.controller.order.OrderDesk;
 import org.cranberrygauge.controller.usage.UsageReporter;
 import org.cranberrygauge.decision.fleet.FleetPlanner;
 import org.cranberrygauge.decision.lease.LeaseKeeper;
+import org.cranberrygauge.decision.snapshot.SnapshotSchedule;
+import org.cranberrygauge.decision.state.Effect;
 import org.cranberrygauge.decision.state.LogState;
-import org.cranberrygauge.model.configuration.ControlTimes;
-import org.cranberrygauge.model.record.LogRecord;
 import org.cranberrygauge.runtime.blackboard.Blackboard;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.lifecycle.Program;
 import org.cranberrygauge.runtime.log.LogAppender;
 import org.cranberrygauge.runtime.log.LogFollower;
+import org.cranberrygauge.runtime.log.SnapshotWriter;
 import org.cranberrygauge.runtime.platform.HttpPlatform;
 import org.cranberrygauge.runtime.time.TimeSource;
 
@@ -38,6 +44,9 @@
     /** The longest time a planned stop waits for the log in milliseconds. */
     private static final long STOP_MILLIS = 1_000;
 
+    /** The purpose of a claim of the lease. */
+    private static final String CLAIM = "lease-claim";
+
     /** The settings. */
     private final ControllerSettings settings;
 
@@ -62,6 +71,12 @@
     /** The appender to the log. */
     private final LogAppender appender;
 
+    /** Appends the records of control. */
+    private final ControlAppender controlAppender;
+
+    /** The client of the platform. */
+    private final HttpPlatform platform;
+
     /** Decides whether this controller holds the lease. */
     private final LeaseKeeper lease;
 
@@ -71,6 +86,9 @@
     /** Reports usage. */
     private final UsageReporter usage;
 
+    /** Writes snapshots. */
+    private final SnapshotWriter snapshots;
+
     /** Whether the lease was held at the last tick. */
     private boolean held;
 
@@ -92,22 +110,27 @@
         vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
         incarnation = Program.incarnation(settings.hostName(), time.wallMillis());
         blackboard = new Blackboard(time.monotonicMillis());
-        HttpPlatform platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
+        platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
         follower = new LogFollower(vertx, platform, blackboard, time, events);
         appender = new LogAppender(vertx, platform, incarnation);
-        lease = new LeaseKeeper(
-                incarnation, settings.hostName(), ControlTimes.standard().leaseMillis(), time.monotonicMillis());
+        controlAppender = new ControlAppender(appender, blackboard);
+        lease = new LeaseKeeper(incarnation, settings.hostName(), time.monotonicMillis());
         orders = new OrderDesk(
                 incarnation,
                 FleetPlanner.Minimum.INSTANCE,
                 lease,
                 blackboard,
                 follower,
-                appender,
+                controlAppender,
                 platform,
                 time,
                 events);
-        usage = new UsageReporter(incarnation, lease, follower, appender, platform, time, events);
+        usage = new UsageReporter(incarnation, lease, follower, controlAppender, platform, time, events);
+        snapshots = new SnapshotWriter(
+                incarnation,
+                new SnapshotSchedule.Periodic(settings.snapshotIntervalMillis()),
+                appender::append,
+                events);
     }
 
     /**
@@ -116,7 +139,7 @@
      * @return Completes when it listens.
      */
     public Future<HttpServer> start() {
-        follower.addListener(orders::accept);
+        follower.addListener(this::accept);
         follower.start();
         vertx.setPeriodic(TICK_MILLIS, timer -> follower.onContext(this::tick));
         return vertx.createHttpServer(new HttpServerOptions()
@@ -128,21 +151,45 @@
                         events.emit(new ControllerEvents.ControllerListening(incarnation, server.actualPort())));
     }
 
-    /** Stops the controller and gives the lease back. */
+    /** Stops the controller: sends no order any more, gives the lease back and ends. */
     public void stop() {
         stopping = true;
-        long nowMillis = time.monotonicMillis();
-        if (lease.holds(nowMillis)) {
-            Future<Long> released = appender.append(
-                    new LogRecord.LeaseRelease(incarnation, lease.state().lastClaimOffset()));
-            while (!released.isComplete() && time.monotonicMillis() < nowMillis + STOP_MILLIS) {
-                Thread.onSpinWait();
-            }
-        }
+        orders.stop();
+        Promise<Void> resigned = Promise.promise();
+        follower.onContext(state -> lease.resign(time.monotonicMillis())
+                .map(appender::append)
+                .orElse(Future.succeededFuture())
+                .<Void>mapEmpty()
+                .onComplete(resigned));
+        await(resigned.future());
         follower.stop();
         vertx.close();
     }
 
+    /**
+     * Waits for a future for a limited time.
+     *
+     * @param future The future.
+     */
+    private void await(Future<?> future) {
+        try {
+            future.toCompletionStage().toCompletableFuture().get(STOP_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException exception) {
+            events.emit(new ControllerEvents.StopIncomplete(incarnation, String.valueOf(exception.getMessage())));
+        }
+    }
+
+    /**
+     * Acts on what became of a record.
+     *
+     * @param effect The effect.
+     */
+    private void accept(Effect effect) {
+        orders.accept(effect);
+    }
+
     /**
      * Decides and acts once.
      *
@@ -154,7 +201,16 @@
         }
         long nowMillis = time.monotonicMillis();
         lease.observe(nowMillis, state.lease());
-        lease.decide(nowMillis).ifPresent(appender::append);
+        if (controlAppender.isFree(CLAIM)) {
+            lease.decide(
+                            nowMillis,
+                            state.configuration()
+                                    .current()
+                                    .configuration()
+                                    .times()
+                                    .leaseMillis())
+                    .ifPresent(claim -> controlAppender.append(CLAIM, claim));
+        }
         boolean holds = lease.holds(nowMillis);
         if (holds != held) {
             held = holds;
@@ -165,8 +221,9 @@
             return;
         }
         usage.tick(state);
+        snapshots.tick(state);
         if (ticks++ % TICKS_PER_PLAN == 0) {
-            orders.tick(state);
+            orders.tick(state, Map.of(), Map.of());
         }
     }
 
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -4,31 +4,36 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
-import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import java.util.List;
 import java.util.Random;
-import java.util.concurrent.TimeUnit;
 import org.cranberrygauge.decision.admission.TieredAdmissionQueue;
 import org.cranberrygauge.decision.configuration.ConfigurationMachine;
 import org.cranberrygauge.decision.membership.AdmissionFreshness;
+import org.cranberrygauge.decision.quarantine.Quarantine;
+import org.cranberrygauge.decision.quarantine.QuarantineLimits;
 import org.cranberrygauge.decision.retry.RetryBudget;
+import org.cranberrygauge.decision.retry.RetryBudgets;
 import org.cranberrygauge.decision.routing.RoutingPolicy;
 import org.cranberrygauge.decision.state.Effect;
 import org.cranberrygauge.decision.usage.UsageCounter;
+import org.cranberrygauge.decision.usage.UsageReplication;
 import org.cranberrygauge.gateway.call.ActiveCalls;
 import org.cranberrygauge.gateway.call.BackendClient;
 import org.cranberrygauge.gateway.call.CallTools;
+import org.cranberrygauge.gateway.call.CrashDetector;
+import org.cranberrygauge.gateway.call.CrashGuard;
 import org.cranberrygauge.gateway.exchange.ExchangeServer;
 import org.cranberrygauge.gateway.exchange.ExchangeService;
 import org.cranberrygauge.gateway.exchange.PeerExchange;
 import org.cranberrygauge.gateway.http.AdmissionGate;
 import org.cranberrygauge.gateway.http.CallerHandler;
+import org.cranberrygauge.gateway.http.GatewayServers;
 import org.cranberrygauge.gateway.http.OperationsHandler;
 import org.cranberrygauge.gateway.metrics.GatewayMetrics;
 import org.cranberrygauge.gateway.reservation.ReservationDesk;
 import org.cranberrygauge.gateway.schedule.BackendBoard;
 import org.cranberrygauge.gateway.schedule.Scheduler;
+import org.cranberrygauge.gateway.usage.UsageCopyDesk;
 import org.cranberrygauge.gateway.usage.UsageShipper;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.model.error.CranberrygaugeException;
@@ -59,10 +64,10 @@
     /** The time between two looks at running requests during a planned stop in milliseconds. */
     private static final long DRAIN_POLL_MILLIS = 50;
 
-    /** The share of successes that may be retried. */
+    /** The share of successes that a customer may retry in a class. */
     private static final double RETRY_SHARE = 0.1;
 
-    /** The number of retries that can be saved. */
+    /** The number of retries that a customer can save in a class. */
     private static final int RETRY_BURST = 20;
 
     /** The number of newest events that are kept for operators. */
@@ -113,23 +118,29 @@
     /** Sends usage to the log. */
     private final UsageShipper shipper;
 
+    /** Gives copies of usage to a peer and holds those of peers. */
+    private final UsageCopyDesk usageCopies;
+
     /** Tells whether the gateway admits. */
     private final AdmissionGate gate;
 
     /** The registry of metrics. */
     private final PrometheusRegistry registry = new PrometheusRegistry();
 
+    /** The quarantine. */
+    private final Quarantine quarantine;
+
+    /** What this gateway answers to its peers. */
+    private ExchangeService service;
+
     /** The server of the exchange. */
     private ExchangeServer exchangeServer;
 
     /** The exchange with peers. */
     private PeerExchange peerExchange;
 
-    /** The server of callers. */
-    private HttpServer callerServer;
-
-    /** The server of operations. */
-    private HttpServer operationsServer;
+    /** The HTTP servers. */
+    private final GatewayServers servers;
 
     /**
      * Creates a gateway.
@@ -138,12 +149,25 @@
      * @param events The event log.
      */
     public Gateway(GatewaySettings settings, EventLog events) {
+        this(settings, events, new Quarantine.Default(QuarantineLimits.standard()));
+    }
+
+    /**
+     * Creates a gateway with a quarantine of its own, which a measurement may switch off.
+     *
+     * @param settings The settings.
+     * @param events The event log.
+     * @param quarantine The quarantine.
+     */
+    public Gateway(GatewaySettings settings, EventLog events, Quarantine quarantine) {
         this.settings = settings;
+        this.quarantine = quarantine;
         this.ring = new EventRing(KEPT_EVENTS, time::wallMillis);
         this.events = new EventLog.Compound(List.of(events, ring));
         vertx = Vertx.vertx(new VertxOptions()
                 .setEventLoopPoolSize(settings.eventLoops() + 1)
                 .setWorkerPoolSize(1));
+        servers = new GatewayServers(vertx, settings);
         incarnation = Program.incarnation(settings.hostName(), time.wallMillis());
         blackboard = new Blackboard(time.monotonicMillis());
         platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
@@ -153,8 +177,14 @@
         scheduler = new Scheduler(
                 new TieredAdmissionQueue(), RoutingPolicy.LeastInFlight.INSTANCE, board, time, new Random());
         usage = new UsageCounter(incarnation);
-        shipper = new UsageShipper(usage, appender);
-        gate = new AdmissionGate(blackboard, AdmissionFreshness.Default.INSTANCE, time, settings.hostName());
+        shipper = new UsageShipper(vertx, usage, appender);
+        usageCopies = new UsageCopyDesk(
+                new UsageReplication.ToOnePeer(incarnation, usage, UsageCopyDesk.KEYS_PER_COPY),
+                appender,
+                time,
+                this.events);
+        gate = new AdmissionGate(
+                blackboard, AdmissionFreshness.Default.INSTANCE, time, settings.hostName(), incarnation);
     }
 
     /**
@@ -167,7 +197,8 @@
                 vertx, appender, follower.state().reservations(), settings.reservationTimeoutMillis());
         follower.addListener(desk::accept);
         follower.addListener(this::onEffect);
-        ExchangeService service = new ExchangeService(blackboard, follower, this::ownReport, time);
+        service = new ExchangeService(
+                blackboard, follower, this::ownReport, usageCopies, time, quarantine, active::reconsider);
         try {
             exchangeServer = new ExchangeServer(settings.exchangeAddress(), service);
         } catch (CranberrygaugeException exception) {
@@ -178,15 +209,12 @@
                 settings.exchangeIntervalMillis(),
                 service,
                 this::ownReport,
+                usageCopies,
                 blackboard,
                 follower,
                 time);
         follower.start();
-        appender.append(new LogRecord.GatewayJoined(
-                incarnation,
-                settings.hostName(),
-                settings.dataCentre(),
-                settings.exchangeAddress().host() + ":" + exchangeServer.port()));
+        join();
         startTimers();
         return listen(desk);
     }
@@ -205,7 +233,7 @@
             interrupted = !pause(DRAIN_POLL_MILLIS);
         }
         int cut = active.size();
-        await(shipper.ship());
+        await(shipper.flush());
         await(appender.append(new LogRecord.GatewayLeft(incarnation, "planned_stop")));
         follower.stop();
         peerExchange.stop();
@@ -221,7 +249,7 @@
      * @return The port.
      */
     public int callerPort() {
-        return callerServer.actualPort();
+        return servers.callerPort();
     }
 
     /**
@@ -230,17 +258,56 @@
      * @return The port.
      */
     public int operationsPort() {
-        return operationsServer.actualPort();
+        return servers.operationsPort();
+    }
+
+    /** Joins, also again after this gateway was declared gone or replaced; a second join has no effect. */
+    private void join() {
+        appender.append(new LogRecord.GatewayJoined(
+                incarnation,
+                settings.hostName(),
+                settings.dataCentre(),
+                settings.exchangeAddress().host() + ":" + exchangeServer.port()));
+    }
+
+    /** Joins again if this gateway is no member and nothing that it wrote is under way. */
+    private void joinIfMissing() {
+        boolean missing = !blackboard.log().members().contains(incarnation);
+        if (missing && appender.backlog() == 0 && !gate.isDraining()) {
+            join();
+        }
+    }
+
+    /**
+     * Returns the port for peers.
+     *
+     * @return The port.
+     */
+    public int exchangePort() {
+        return exchangeServer.port();
+    }
+
+    /**
+     * Adds a peer that was not known at the start.
+     *
+     * @param peer The address of its exchange.
+     */
+    public void addPeer(NetworkAddress peer) {
+        peerExchange.add(peer);
     }
 
     /** Starts what is done again and again. */
     private void startTimers() {
+        vertx.setPeriodic(LIST_MILLIS, timer -> joinIfMissing());
         vertx.setPeriodic(TICK_MILLIS, timer -> {
             board.refresh(time.monotonicMillis());
             scheduler.tick();
         });
         vertx.setPeriodic(LIST_MILLIS, timer -> platform.backendServers().thenAccept(blackboard::publish));
-        vertx.setPeriodic(settings.usageIntervalMillis(), timer -> shipper.ship());
+        vertx.setPeriodic(settings.usageIntervalMillis(), timer -> {
+            shipper.ship();
+            follower.onContext(usageCopies::appendDue);
+        });
     }
 
     /**
@@ -255,7 +322,8 @@
                 board,
                 new BackendClient(vertx, settings.backendCredential(), settings.backendTimeoutMillis()),
                 desk,
-                new RetryBudget.Share(RETRY_SHARE, RETRY_BURST),
+                new RetryBudgets.PerCustomer(() -> new RetryBudget.Share(RETRY_SHARE, RETRY_BURST)),
+                new CrashGuard(quarantine, new CrashDetector(vertx, board, time), board, time, this::tellPeers),
                 usage,
                 new GatewayMetrics(registry),
                 events,
@@ -264,63 +332,11 @@
                 incarnation);
         CallerHandler callers = new CallerHandler(vertx, settings, tools, blackboard, gate);
         OperationsHandler operations = new OperationsHandler(registry, gate, blackboard, ring, incarnation);
-        return server(settings.operationsAddress())
-                .requestHandler(operations)
-                .listen()
-                .compose(listening -> {
-                    operationsServer = listening;
-                    return server(settings.listenAddress())
-                            .requestHandler(callers)
-                            .listen();
-                })
-                .compose(listening -> {
-                    callerServer = listening;
-                    return moreCallerServers(callers);
-                })
+        return servers.listen(callers, operations)
                 .onSuccess(done -> events.emit(new GatewayEvents.GatewayListening(
                         incarnation, callerPort(), operationsPort(), exchangeServer.port())));
     }
 
-    /**
-     * Lets the other event loops listen to callers too.
-     *
-     * @param callers The handler.
-     * @return Completes when they listen.
-     */
-    private Future<Void> moreCallerServers(CallerHandler callers) {
-        NetworkAddress address = new NetworkAddress(settings.listenAddress().host(), callerPort());
-        Future<Void> all = Future.succeededFuture();
-        for (int loop = 1; loop < settings.eventLoops(); loop++) {
-            all = all.compose(done -> vertx.deployVerticle(new CallerVerticle(options(address), callers))
-                    .mapEmpty());
-        }
-        return all;
-    }
-
-    /**
-     * Creates a server.
-     *
-     * @param address The address.
-     * @return The server.
-     */
-    private HttpServer server(NetworkAddress address) {
-        return vertx.createHttpServer(options(address));
-    }
-
-    /**
-     * Builds the options of a server.
-     *
-     * @param address The address.
-     * @return The options.
-     */
-    private HttpServerOptions options(NetworkAddress address) {
-        return new HttpServerOptions()
-                .setHost(address.host())
-                .setPort(address.port())
-                .setMaxHeaderSize(settings.headerLimitBytes())
-                .setIdleTimeout((int) TimeUnit.MILLISECONDS.toSeconds(settings.backendTimeoutMillis()) * 2);
-    }
-
     /**
      * Acts on what became of a record.
      *
@@ -340,7 +356,7 @@
      * @return The report.
      */
     private GatewayReport ownReport() {
-        return new GatewayReport(
+        GatewayReport report = new GatewayReport(
                 incarnation,
                 settings.hostName(),
                 blackboard.log().configuration().current().version(),
@@ -349,6 +365,12 @@
                 board.inFlight(),
                 scheduler.waiting(blackboard.configuration().classes()),
                 gate.isDraining());
+        return report.setQuarantined(service.suspects());
+    }
+
+    /** Tells the peers at once what this gateway knows of suspected requests. */
+    private void tellPeers() {
+        peerExchange.exchangeNow();
     }
 
     /**
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/LogMeasures.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/LogMeasures.java
@@ -158,7 +158,7 @@
     private static Object reservations(int count) {
         Reservations reservations = new Reservations();
         for (int number = 0; number < count; number++) {
-            reservations.reserve(number + 1L, (LogRecord.Reservation) Population.reservation(number));
+            reservations.reserve(number + 1L, number, (LogRecord.Reservation) Population.reservation(number));
             reservations.record((LogRecord.ReservationOutcome) Population.outcome(number));
         }
         return reservations;
@@ -173,7 +173,7 @@
     private static Object ledger(int gateways) {
         UsageLedger ledger = new UsageLedger();
         for (int gateway = 0; gateway < gateways; gateway++) {
-            ledger.apply(Population.usage(gateway, 1, PAIRS));
+            ledger.apply(gateway, Population.usage(gateway, 1, PAIRS));
         }
         return ledger;
     }
