--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -6,14 +6,14 @@
 import io.vertx.core.VertxOptions;
 import java.util.List;
 import java.util.Random;
-import org.cranberrygauge.decision.admission.TieredAdmissionQueue;
 import org.cranberrygauge.decision.configuration.ConfigurationMachine;
+import org.cranberrygauge.decision.dispatch.DispatchPolicy;
 import org.cranberrygauge.decision.membership.AdmissionFreshness;
 import org.cranberrygauge.decision.quarantine.Quarantine;
 import org.cranberrygauge.decision.quarantine.QuarantineLimits;
 import org.cranberrygauge.decision.retry.RetryBudget;
 import org.cranberrygauge.decision.retry.RetryBudgets;
-import org.cranberrygauge.decision.routing.RoutingPolicy;
+import org.cranberrygauge.decision.routing.BackendTable.Ejection;
 import org.cranberrygauge.decision.state.Effect;
 import org.cranberrygauge.decision.usage.UsageCounter;
 import org.cranberrygauge.decision.usage.UsageReplication;
@@ -173,9 +173,8 @@
         platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
         follower = new LogFollower(vertx, platform, blackboard, time, this.events);
         appender = new LogAppender(vertx, platform, incarnation);
-        board = new BackendBoard(blackboard);
-        scheduler = new Scheduler(
-                new TieredAdmissionQueue(), RoutingPolicy.LeastInFlight.INSTANCE, board, time, new Random());
+        board = new BackendBoard(blackboard, settings.hostName());
+        scheduler = new Scheduler(DispatchPolicy.standard(), board, time, new Random(), this::onEjection);
         usage = new UsageCounter(incarnation);
         shipper = new UsageShipper(vertx, usage, appender);
         usageCopies = new UsageCopyDesk(
@@ -299,10 +298,7 @@
     /** Starts what is done again and again. */
     private void startTimers() {
         vertx.setPeriodic(LIST_MILLIS, timer -> joinIfMissing());
-        vertx.setPeriodic(TICK_MILLIS, timer -> {
-            board.refresh(time.monotonicMillis());
-            scheduler.tick();
-        });
+        vertx.setPeriodic(TICK_MILLIS, timer -> scheduler.tick());
         vertx.setPeriodic(LIST_MILLIS, timer -> platform.backendServers().thenAccept(blackboard::publish));
         vertx.setPeriodic(settings.usageIntervalMillis(), timer -> {
             shipper.ship();
@@ -323,7 +319,7 @@
                 new BackendClient(vertx, settings.backendCredential(), settings.backendTimeoutMillis()),
                 desk,
                 new RetryBudgets.PerCustomer(() -> new RetryBudget.Share(RETRY_SHARE, RETRY_BURST)),
-                new CrashGuard(quarantine, new CrashDetector(vertx, board, time), board, time, this::tellPeers),
+                new CrashGuard(quarantine, new CrashDetector(vertx, board, time), time, this::tellPeers),
                 usage,
                 new GatewayMetrics(registry),
                 events,
@@ -345,11 +341,20 @@
     private void onEffect(Effect effect) {
         if (effect instanceof Effect.ChangeJudged judged && judged.verdict() == ConfigurationMachine.Verdict.ACCEPTED) {
             scheduler.configure(blackboard.configuration().classes());
-            board.refresh(time.monotonicMillis());
             active.endWithdrawn(blackboard.log().keys());
         }
     }
 
+    /**
+     * Records that a backend server was ejected or readmitted.
+     *
+     * @param ejection The change.
+     */
+    private void onEjection(Ejection ejection) {
+        events.emit(new GatewayEvents.BackendSpeedJudged(
+                ejection.server(), ejection.ejected() ? "ejected" : "readmitted", ejection.slowness()));
+    }
+
     /**
      * Builds the report for peers.
      *
@@ -362,8 +367,8 @@
                 blackboard.log().configuration().current().version(),
                 blackboard.position().offset(),
                 time.monotonicMillis() - blackboard.position().endReadAtMillis(),
-                board.inFlight(),
-                scheduler.waiting(blackboard.configuration().classes()),
+                scheduler.inFlight(),
+                scheduler.waiting(),
                 gate.isDraining());
         return report.setQuarantined(service.suspects());
     }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatCall.java
@@ -4,7 +4,7 @@
 import io.vertx.core.json.JsonObject;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
+import java.util.OptionalDouble;
 import org.cranberrygauge.decision.admission.QueuedRequest;
 import org.cranberrygauge.decision.admission.Refusal;
 import org.cranberrygauge.decision.quarantine.RequestFingerprint;
@@ -59,17 +59,17 @@
     /** The answer as gathered for callers that asked for no stream. */
     private final WholeAnswer whole = new WholeAnswer();
 
+    /** The tokens that the caller got. */
+    private final TokenMeter meter = new TokenMeter();
+
     /** The attempt that runs, or null. */
     private ChatAttempt attempt;
 
     /** The number of attempts so far. */
     private int attempts;
 
-    /** The number of tokens delivered. */
-    private int delivered;
-
-    /** The time of the last token in nanoseconds. */
-    private long lastTokenNanos;
+    /** The number of attempts that were stopped for a higher tier. */
+    private int preemptions;
 
     /** The number of prompt tokens as the backend server counts them; -1 while unknown. */
     private int promptTokens = -1;
@@ -167,10 +167,10 @@
             reply.stream(Buffer.buffer("data: [DONE]\n\n"));
             reply.endStream();
         } else {
-            reply.answer(200, "application/json", whole.build(body.isChat(), promptTokens, delivered));
+            reply.answer(200, "application/json", whole.build(body.isChat(), promptTokens, meter.delivered()));
         }
         finish();
-        events.succeeded(delivered, tools.time().monotonicMillis() - arrivedAtMillis);
+        events.succeeded(meter.delivered(), tools.time().monotonicMillis() - arrivedAtMillis);
     }
 
     @Override
@@ -207,11 +207,13 @@
             refuse(quarantined.get());
             return;
         }
-        if (attempts >= ATTEMPTS || !(resumable || delivered == 0) || !retries().tryRetry()) {
+        if (attempts - preemptions >= ATTEMPTS
+                || !(resumable || meter.delivered() == 0)
+                || !retries().tryRetry()) {
             giveUp(failed, failure);
             return;
         }
-        events.attemptFailed(failed.attempt(), failed.server(), failure, delivered > 0 ? "resume" : "retry");
+        events.attemptFailed(failed.attempt(), failed.server(), failure, meter.delivered() > 0 ? "resume" : "retry");
         submit(queued.withDeadline(
                 tools.time().monotonicMillis() + caller.serviceClass().longestWaitMillis()));
     }
@@ -243,9 +245,10 @@
                 .submit(new PendingCall(
                         request,
                         body.routing(),
-                        server -> tools.guard().mayStart(fingerprint, body.model(), server),
+                        tools.guard().eligibility(fingerprint),
                         this::chosen,
-                        refusal -> reply.context().runOnContext(ignored -> refused(refusal))));
+                        refusal -> reply.context().runOnContext(ignored -> refused(refusal)),
+                        resumable ? () -> reply.context().runOnContext(ignored -> preempted()) : null));
     }
 
     /**
@@ -266,7 +269,8 @@
     private void start(BackendServer server) {
         if (ended) {
             tools.guard().ended(run(attempts + 1));
-            tools.scheduler().ended(server);
+            tools.scheduler().ended(number, server);
+            tools.scheduler().account(queued, 0);
             return;
         }
         attempts++;
@@ -276,6 +280,7 @@
             tools.metrics()
                     .queueWait(caller.customer().name(), caller.serviceClass().name(), waitedMillis);
         }
+        meter.beginAttempt();
         attempt = new ChatAttempt(reply.requestId() + "-" + attempts, server, this);
         events.started(attempt.attempt(), server, waitedMillis);
         UsageKey label = usageKey();
@@ -286,7 +291,7 @@
                 String.valueOf(caller.serviceClass().tier()),
                 BackendClient.USAGE_LABEL_HEADER,
                 label.toString());
-        attempt.start(tools.client(), body.path(), headers, body.forBackend(delivered));
+        attempt.start(tools.client(), body.path(), headers, body.forBackend(meter.delivered()));
     }
 
     /**
@@ -298,6 +303,21 @@
         refuse(new RequestFailure(refusal.code(), "no capacity for this class now", true, refusal.retryAfterMillis()));
     }
 
+    /** Stops the attempt for a request of a higher tier and submits the rest again. */
+    private void preempted() {
+        if (ended || attempt == null || !resumable) {
+            return;
+        }
+        ChatAttempt stopped = attempt;
+        stopped.cancel();
+        release();
+        tools.events()
+                .emit(new GatewayEvents.RequestPreempted(
+                        reply.requestId(), stopped.attempt(), stopped.server().name(), meter.delivered()));
+        preemptions++;
+        submit(queued);
+    }
+
     /**
      * Refuses the request.
      *
@@ -335,7 +355,8 @@
     /** Frees the slot of the attempt. */
     private void release() {
         tools.guard().ended(run(attempts));
-        tools.scheduler().ended(attempt.server());
+        meter.meanIntervalMillis().ifPresent(millis -> tools.board().measured(attempt.server(), millis));
+        tools.scheduler().ended(number, attempt.server());
         attempt = null;
     }
 
@@ -362,23 +383,20 @@
             return;
         }
         int prompt = promptTokens >= 0 ? promptTokens : body.promptTokens();
-        tools.usage().count(usageKey(), new UsageFigures(1, prompt, delivered));
-        tools.scheduler().account(queued, prompt + (long) delivered);
+        tools.usage().count(usageKey(), new UsageFigures(1, prompt, meter.delivered()));
+        tools.scheduler().account(queued, prompt + (long) meter.delivered());
     }
 
     /** Observes a token. */
     private void observeToken() {
-        long nowNanos = System.nanoTime();
         String customer = caller.customer().name();
         String className = caller.serviceClass().name();
-        if (delivered == 0) {
-            tools.metrics().firstToken(customer, className, tools.time().monotonicMillis() - arrivedAtMillis);
-        } else {
-            double micros = TimeUnit.NANOSECONDS.toMicros(nowNanos - lastTokenNanos);
-            tools.metrics().betweenTokens(customer, className, micros / TimeUnit.MILLISECONDS.toMicros(1));
+        OptionalDouble gapMillis = meter.count(System.nanoTime());
+        if (gapMillis.isPresent()) {
+            tools.metrics().betweenTokens(customer, className, gapMillis.getAsDouble());
+            return;
         }
-        lastTokenNanos = nowNanos;
-        delivered++;
+        tools.metrics().firstToken(customer, className, tools.time().monotonicMillis() - arrivedAtMillis);
     }
 
     /**
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CrashGuard.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CrashGuard.java
@@ -2,11 +2,11 @@
 
 import io.vertx.core.Future;
 import java.util.Optional;
+import org.cranberrygauge.decision.dispatch.Eligibility;
 import org.cranberrygauge.decision.quarantine.Quarantine;
 import org.cranberrygauge.decision.quarantine.RequestFingerprint;
 import org.cranberrygauge.decision.quarantine.RunId;
 import org.cranberrygauge.decision.quarantine.Standing;
-import org.cranberrygauge.gateway.schedule.BackendBoard;
 import org.cranberrygauge.model.backend.BackendServer;
 import org.cranberrygauge.model.error.ErrorCode;
 import org.cranberrygauge.runtime.time.TimeSource;
@@ -25,9 +25,6 @@
     /** Tells crashes from broken connections. */
     private final CrashDetector detector;
 
-    /** The backend servers. */
-    private final BackendBoard board;
-
     /** The sources of time. */
     private final TimeSource time;
 
@@ -39,15 +36,12 @@
      *
      * @param quarantine The quarantine.
      * @param detector Tells crashes from broken connections.
-     * @param board The backend servers.
      * @param time The sources of time.
      * @param tellPeers Tells the peers at once.
      */
-    public CrashGuard(
-            Quarantine quarantine, CrashDetector detector, BackendBoard board, TimeSource time, Runnable tellPeers) {
+    public CrashGuard(Quarantine quarantine, CrashDetector detector, TimeSource time, Runnable tellPeers) {
         this.quarantine = quarantine;
         this.detector = detector;
-        this.board = board;
         this.time = time;
         this.tellPeers = tellPeers;
     }
@@ -70,19 +64,24 @@
     }
 
     /**
-     * Tells whether a request may start on a backend server.
+     * Tells on which backend servers a request may start.
      *
      * @param fingerprint The request.
-     * @param target The model or service.
-     * @param server The backend server.
-     * @return Whether it may.
+     * @return The eligibility, which follows the standing of the request.
      */
-    boolean mayStart(RequestFingerprint fingerprint, String target, BackendServer server) {
-        long nowMillis = time.monotonicMillis();
-        if (quarantine.standing(nowMillis, fingerprint) == Standing.Clear.INSTANCE) {
-            return true;
-        }
-        return quarantine.mayStart(nowMillis, fingerprint, server.name(), board.healthy(nowMillis, target));
+    Eligibility eligibility(RequestFingerprint fingerprint) {
+        return new Eligibility() {
+
+            @Override
+            public boolean isRestricted() {
+                return quarantine.standing(time.monotonicMillis(), fingerprint) != Standing.Clear.INSTANCE;
+            }
+
+            @Override
+            public boolean allows(BackendServer server, int healthyServers) {
+                return quarantine.mayStart(time.monotonicMillis(), fingerprint, server.name(), healthyServers);
+            }
+        };
     }
 
     /**
