--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import java.util.List;
 import java.util.Random;
 import org.cranberrygauge.decision.configuration.ConfigurationMachine;
 import org.cranberrygauge.decision.dispatch.DispatchPolicy;
@@ -40,6 +41,7 @@
 import org.cranberrygauge.protocol.generated.GatewayReport;
 import org.cranberrygauge.runtime.blackboard.Blackboard;
 import org.cranberrygauge.runtime.event.EventLog;
+import org.cranberrygauge.runtime.event.EventRing;
 import org.cranberrygauge.runtime.lifecycle.Program;
 import org.cranberrygauge.runtime.log.LogAppender;
 import org.cranberrygauge.runtime.log.LogFollower;
@@ -68,12 +70,18 @@
     /** The number of retries that a customer can save in a class. */
     private static final int RETRY_BURST = 20;
 
+    /** The number of newest events that are kept for operators. */
+    private static final int KEPT_EVENTS = 4_096;
+
     /** The settings. */
     private final GatewaySettings settings;
 
     /** The event log. */
     private final EventLog events;
 
+    /** The newest events. */
+    private final EventRing ring;
+
     /** The sources of time. */
     private final TimeSource time = TimeSource.System.INSTANCE;
 
@@ -154,7 +162,8 @@
     public Gateway(GatewaySettings settings, EventLog events, Quarantine quarantine) {
         this.settings = settings;
         this.quarantine = quarantine;
-        this.events = events;
+        this.ring = new EventRing(KEPT_EVENTS, time::wallMillis);
+        this.events = new EventLog.Compound(List.of(events, ring));
         vertx = Vertx.vertx(new VertxOptions()
                 .setEventLoopPoolSize(settings.eventLoops() + 1)
                 .setWorkerPoolSize(1));
@@ -162,7 +171,7 @@
         incarnation = Program.incarnation(settings.hostName(), time.wallMillis());
         blackboard = new Blackboard(time.monotonicMillis());
         platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
-        follower = new LogFollower(vertx, platform, blackboard, time, events);
+        follower = new LogFollower(vertx, platform, blackboard, time, this.events);
         appender = new LogAppender(vertx, platform, incarnation);
         board = new BackendBoard(blackboard, settings.hostName());
         scheduler = new Scheduler(DispatchPolicy.standard(), board, time, new Random(), this::onEjection);
@@ -173,7 +182,7 @@
                 new UsageReplication.ToOnePeer(incarnation, usage, UsageCopyDesk.KEYS_PER_COPY),
                 appender,
                 time,
-                events);
+                this.events);
         gate = new AdmissionGate(
                 blackboard, AdmissionFreshness.Default.INSTANCE, time, settings.hostName(), incarnation);
     }
@@ -319,7 +328,7 @@
                 time,
                 incarnation);
         CallerHandler callers = new CallerHandler(vertx, settings, tools, blackboard, gate);
-        OperationsHandler operations = new OperationsHandler(registry, gate, blackboard, incarnation);
+        OperationsHandler operations = new OperationsHandler(registry, gate, blackboard, ring, incarnation);
         return servers.listen(callers, operations)
                 .onSuccess(done -> events.emit(new GatewayEvents.GatewayListening(
                         incarnation, callerPort(), operationsPort(), exchangeServer.port())));
