--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/AdmissionQueue.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/AdmissionQueue.java
@@ -78,6 +78,15 @@
      */
     int waiting(String className);
 
+    /**
+     * Returns the number of requests of a class that wait for a target.
+     *
+     * @param className The name of the class.
+     * @param target The model or service.
+     * @return The number.
+     */
+    int waiting(String className, String target);
+
     /**
      * Returns the work that waits for a target.
      *
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/CustomerLines.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/CustomerLines.java
@@ -69,6 +69,14 @@
      */
     long waitingTokens(String target);
 
+    /**
+     * Returns the number of requests that wait for a target.
+     *
+     * @param target The model or service.
+     * @return The number.
+     */
+    int waiting(String target);
+
     /**
      * Returns the number of waiting requests.
      *
@@ -117,6 +125,9 @@
         /** The waiting work by target in tokens. */
         private final Map<String, Long> waitingTokens = new HashMap<>();
 
+        /** The number of waiting requests by target. */
+        private final Map<String, Integer> waitingCounts = new HashMap<>();
+
         /** The virtual time of the last start. */
         private double virtualTime;
 
@@ -138,6 +149,7 @@
             line.tokens += cost(request);
             attach(line);
             size++;
+            waitingCounts.merge(request.target(), 1, Integer::sum);
             waitingTokens.merge(request.target(), cost(request), Long::sum);
         }
 
@@ -216,6 +228,11 @@
             return waitingTokens.getOrDefault(target, 0L);
         }
 
+        @Override
+        public int waiting(String target) {
+            return waitingCounts.getOrDefault(target, 0);
+        }
+
         @Override
         public int size() {
             return size;
@@ -256,6 +273,7 @@
             line.tokens -= cost(request);
             attach(line);
             size--;
+            waitingCounts.merge(request.target(), -1, Integer::sum);
             waitingTokens.merge(request.target(), -cost(request), Long::sum);
         }
 
@@ -414,6 +432,12 @@
             return waitingTokens.getOrDefault(target, 0L);
         }
 
+        @Override
+        public int waiting(String target) {
+            Deque<QueuedRequest> waiting = byTarget.get(target);
+            return waiting == null ? 0 : waiting.size();
+        }
+
         @Override
         public int size() {
             return size;
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/FirstInFirstOutQueue.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/FirstInFirstOutQueue.java
@@ -87,6 +87,14 @@
                 .count();
     }
 
+    @Override
+    public int waiting(String className, String target) {
+        return (int) waiting.values().stream()
+                .filter(request -> request.className().equals(className)
+                        && request.target().equals(target))
+                .count();
+    }
+
     @Override
     public long waitingTokens(String target) {
         return lines.waitingTokens(target);
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/TieredAdmissionQueue.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/TieredAdmissionQueue.java
@@ -158,6 +158,12 @@
         return queue == null ? 0 : queue.lines().size();
     }
 
+    @Override
+    public int waiting(String className, String target) {
+        ClassQueue queue = queues.get(className);
+        return queue == null ? 0 : queue.lines().waiting(target);
+    }
+
     @Override
     public long waitingTokens(String target) {
         long tokens = 0;
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/Dispatcher.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/Dispatcher.java
@@ -226,26 +226,25 @@
      */
     private void startReady(long nowMillis) {
         Set<String> full = new HashSet<>();
-        Optional<QueueStart> next = policy.queue().next(nowMillis, request -> canStart(nowMillis, request, full));
+        Optional<QueueStart> next = policy.queue().next(nowMillis, request -> canStart(request, full));
         while (next.isPresent()) {
             start(nowMillis, next.get());
-            next = policy.queue().next(nowMillis, request -> canStart(nowMillis, request, full));
+            next = policy.queue().next(nowMillis, request -> canStart(request, full));
         }
     }
 
     /**
      * Tells whether a request could start now.
      *
-     * @param nowMillis The present monotonic time in milliseconds.
      * @param request The request.
      * @param full Takes the targets without a free slot.
      * @return Whether a slot is free.
      */
-    private boolean canStart(long nowMillis, QueuedRequest request, Set<String> full) {
+    private boolean canStart(QueuedRequest request, Set<String> full) {
         if (full.contains(request.target())) {
             return false;
         }
-        if (policy.table().candidates(nowMillis, request.target()).size() == 0) {
+        if (policy.table().candidates(request.target()).size() == 0) {
             full.add(request.target());
             return false;
         }
@@ -261,7 +260,7 @@
     private void start(long nowMillis, QueueStart next) {
         QueuedRequest request = next.request();
         Submission submission = submissions.get(request.requestId());
-        Candidates candidates = policy.table().candidates(nowMillis, request.target());
+        Candidates candidates = policy.table().candidates(request.target());
         BackendView chosen = policy.routing()
                 .choose(nowMillis, submission.routing, candidates, random)
                 .orElseGet(() -> candidates.get(0));
@@ -291,7 +290,7 @@
             return;
         }
         Set<Long> stops = stopping.computeIfAbsent(target, name -> new HashSet<>());
-        int limit = Math.min(STOPPING_LIMIT, policy.queue().waiting(first.className()));
+        int limit = Math.min(STOPPING_LIMIT, policy.queue().waiting(first.className(), target));
         while (stops.size() < limit) {
             Optional<RunningRequest> victim = policy.preemption()
                     .victim(
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/routing/BackendEntry.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/routing/BackendEntry.java
@@ -9,9 +9,6 @@
  */
 final class BackendEntry {
 
-    /** The age at which a reported load counts for half in milliseconds. */
-    private static final double REPORT_HALF_LIFE_MILLIS = 500;
-
     /** The weight of the newest sample of the time between tokens. */
     private static final double SMOOTHING = 0.2;
 
@@ -45,12 +42,6 @@
     /** The requests that it may get because of its speed. */
     int speedLimit = Integer.MAX_VALUE;
 
-    /** The load that it last reported. */
-    int reported;
-
-    /** The monotonic time of that report in milliseconds. */
-    long reportedAtMillis;
-
     /** The smoothed time between tokens in milliseconds; 0 while unknown. */
     double intervalMillis;
 
@@ -105,15 +96,9 @@
     /**
      * Builds the view for routing.
      *
-     * @param nowMillis The present monotonic time in milliseconds.
      * @return The view.
      */
-    BackendView view(long nowMillis) {
-        double discounted = 0;
-        if (reported > 0) {
-            double halfLives = Math.max(0, nowMillis - reportedAtMillis) / REPORT_HALF_LIFE_MILLIS;
-            discounted = reported * Math.pow(2, -halfLives);
-        }
-        return new BackendView(server, own, others, ownLimit, discounted, slowness);
+    BackendView view() {
+        return new BackendView(server, own, others, ownLimit, slowness);
     }
 }
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/routing/BackendTable.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/routing/BackendTable.java
@@ -94,21 +94,6 @@
         }
     }
 
-    /**
-     * Takes in the load that a server reported.
-     *
-     * @param server The name of the server.
-     * @param inFlight The requests that it had in flight.
-     * @param takenAtMillis The monotonic time at which it counted them.
-     */
-    public void reported(String server, int inFlight, long takenAtMillis) {
-        BackendEntry entry = entries.get(server);
-        if (entry != null) {
-            entry.reported = inFlight;
-            entry.reportedAtMillis = takenAtMillis;
-        }
-    }
-
     /**
      * Takes in a measured time between tokens.
      *
@@ -220,13 +205,12 @@
     /**
      * Returns the servers that can take a request now.
      *
-     * @param nowMillis The present monotonic time in milliseconds.
      * @param target The model or service.
      * @return The candidates.
      */
-    public Candidates candidates(long nowMillis, String target) {
+    public Candidates candidates(String target) {
         TargetServers servers = byTarget.get(target);
-        return servers == null ? TargetServers.NONE : servers.at(nowMillis);
+        return servers == null ? TargetServers.NONE : servers;
     }
 
     /**
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/routing/PredictedFirstToken.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/routing/PredictedFirstToken.java
@@ -96,8 +96,8 @@
         int slots = view.server().slots();
         double uncached = request.promptTokens() * (1 - SHARED_PART * cacheTrust);
         double prefill = uncached * PREFILL_MILLIS_PER_TOKEN;
-        double interval = INTERVAL_MILLIS * (1 + Math.min(1, view.load() / slots));
-        double wait = Math.max(0, view.load() + 1 - slots) * WAIT_MILLIS_PER_EXCESS;
+        double interval = INTERVAL_MILLIS * (1 + Math.min(1, (double) view.inFlight() / slots));
+        double wait = Math.max(0, view.inFlight() + 1.0 - slots) * WAIT_MILLIS_PER_EXCESS;
         return (prefill + interval * FOLLOWING_TOKENS + wait) * Math.max(1, view.slowness());
     }
 }
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/routing/TargetServers.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/routing/TargetServers.java
@@ -28,9 +28,6 @@
     /** The number of free servers. */
     private int free;
 
-    /** The time of the present views. */
-    private long nowMillis;
-
     /**
      * Adds a server, which is full until it is placed.
      *
@@ -67,17 +64,6 @@
         }
     }
 
-    /**
-     * Sets the time of views.
-     *
-     * @param millis The present monotonic time in milliseconds.
-     * @return This object.
-     */
-    Candidates at(long millis) {
-        nowMillis = millis;
-        return this;
-    }
-
     @Override
     public int size() {
         return free;
@@ -85,7 +71,7 @@
 
     @Override
     public BackendView get(int index) {
-        return ordered.get(index).view(nowMillis);
+        return ordered.get(index).view();
     }
 
     @Override
@@ -100,7 +86,7 @@
             return null;
         }
         BackendEntry entry = all.get(Math.floorMod(digest.hashCode(), all.size()));
-        return entry.free ? entry.view(nowMillis) : null;
+        return entry.free ? entry.view() : null;
     }
 
     /**
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/policy/MemoryEngine.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/policy/MemoryEngine.java
@@ -130,24 +130,6 @@
         cache = new PrefixCache(CACHE_TOKENS);
     }
 
-    /**
-     * Tells whether it is there.
-     *
-     * @return Whether it is.
-     */
-    boolean isAlive() {
-        return alive;
-    }
-
-    /**
-     * Returns the requests that run or wait here.
-     *
-     * @return The number.
-     */
-    int load() {
-        return running.size() + waiting.size();
-    }
-
     /**
      * Returns the tokens generated.
      *
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/policy/PolicyBench.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/policy/PolicyBench.java
@@ -14,6 +14,7 @@
 import org.cranberrygauge.emulator.replay.TraceProfile;
 import org.cranberrygauge.model.configuration.Configuration;
 import org.cranberrygauge.model.error.CranberrygaugeException;
+import org.cranberrygauge.model.service.ServiceClass;
 
 /**
  * Replays each trace with our policy, each baseline and each ablation, and writes the page of measurements.
@@ -110,8 +111,9 @@
     private static PolicyRun run(
             Configuration configuration, ProfileGenerator generator, Trace trace, PolicyVariant variant) {
         ReplayResult result = new SteppedReplay(configuration, trace, variant).run();
-        String highTier = generator.chatClasses().get(0).name();
-        return new PolicyRun(configuration.deployment(), trace.profile(), variant, highTier, result);
+        List<String> chatClasses =
+                generator.chatClasses().stream().map(ServiceClass::name).toList();
+        return new PolicyRun(configuration.deployment(), trace.profile(), variant, chatClasses, result);
     }
 
     /**
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/policy/PolicyRun.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/policy/PolicyRun.java
@@ -10,11 +10,16 @@
  * @param deployment The deployment.
  * @param profile The profile of the trace.
  * @param variant The variant.
- * @param highTierClass The highest chat tier.
+ * @param chatClasses The chat classes, the highest tier first.
  * @param result The figures.
  */
 record PolicyRun(
-        String deployment, TraceProfile profile, PolicyVariant variant, String highTierClass, ReplayResult result) {
+        String deployment, TraceProfile profile, PolicyVariant variant, List<String> chatClasses, ReplayResult result) {
+
+    /** Copies the list. */
+    PolicyRun {
+        chatClasses = List.copyOf(chatClasses);
+    }
 
     /**
      * Returns the attainment of the highest chat tier.
@@ -22,7 +27,7 @@
      * @return The attainment.
      */
     double highTier() {
-        return result.attainment().getOrDefault(highTierClass, 0.0);
+        return result.attainment().getOrDefault(chatClasses.get(0), 0.0);
     }
 
     /**
@@ -40,7 +45,7 @@
      * @return What does not hold.
      */
     List<String> misses() {
-        return StatedOutcome.of(profile).misses(result, highTierClass);
+        return StatedOutcome.of(profile).misses(result, chatClasses.get(0));
     }
 
     /**
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/policy/PolicyVariant.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/policy/PolicyVariant.java
@@ -24,11 +24,9 @@
  * @param name The name.
  * @param kind Whether it is ours, a baseline or an ablation.
  * @param exchangeMillis The time between two exchanges of counts in milliseconds.
- * @param reportsLoad Whether the loads that engines report are used.
  * @param decisions Creates the decisions of one gateway.
  */
-record PolicyVariant(
-        String name, Kind kind, long exchangeMillis, boolean reportsLoad, Supplier<DispatchPolicy> decisions) {
+record PolicyVariant(String name, Kind kind, long exchangeMillis, Supplier<DispatchPolicy> decisions) {
 
     /** The time between two exchanges of gateways in milliseconds. */
     private static final long EXCHANGE_MILLIS = 250;
@@ -101,9 +99,7 @@
                 admission(
                         "shares-not-deferred",
                         Kind.ABLATION,
-                        AdmissionPolicy.standard().withShares(ShareRule.Strict.INSTANCE)),
-                new PolicyVariant(
-                        "with-reported-load", Kind.ABLATION, EXCHANGE_MILLIS, true, DispatchPolicy::standard));
+                        AdmissionPolicy.standard().withShares(ShareRule.Strict.INSTANCE)));
     }
 
     /**
@@ -115,7 +111,7 @@
      * @return The variant.
      */
     private static PolicyVariant of(String name, Kind kind, Supplier<DispatchPolicy> decisions) {
-        return new PolicyVariant(name, kind, EXCHANGE_MILLIS, false, decisions);
+        return new PolicyVariant(name, kind, EXCHANGE_MILLIS, decisions);
     }
 
     /**
@@ -155,7 +151,6 @@
                 name,
                 kind,
                 exchangeMillis,
-                false,
                 () -> DispatchPolicy.standard().withTable(new BackendTable(division, SpeedRule.PEERS)));
     }
 
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/policy/SteppedReplay.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/policy/SteppedReplay.java
@@ -31,9 +31,6 @@
     /** The time between two comparisons of speeds in milliseconds, as in the gateway. */
     private static final long COMPARE_MILLIS = 500;
 
-    /** The time between two reports of load in milliseconds. */
-    private static final long REPORT_MILLIS = 200;
-
     /** The time after which requests no longer count in milliseconds. */
     private static final long TAIL_MILLIS = 600_000;
 
@@ -144,9 +141,6 @@
             repeat(COMPARE_MILLIS, () -> gateway.table().compare(clock.nowMillis()));
             repeat(variant.exchangeMillis(), () -> exchange(gateway));
         }
-        if (variant.reportsLoad()) {
-            repeat(REPORT_MILLIS, this::reportLoads);
-        }
         clock.runUntil(trace.durationMillis() + TAIL_MILLIS);
         return ReplayResult.of(configuration, trace, requests, new ArrayList<>(engines.values()), gateways, check);
     }
@@ -319,18 +313,6 @@
         gateway.table().exchange(others, GatewayDemand.of(gateway.name(), demands));
     }
 
-    /** Lets engines report their load to all gateways. */
-    private void reportLoads() {
-        long takenAtMillis = clock.nowMillis();
-        for (MemoryEngine engine : engines.values()) {
-            int load = engine.load();
-            String name = engine.server().name();
-            clock.after(
-                    Math.max(lateMillis, REPORT_MILLIS),
-                    () -> gateways.forEach(gateway -> gateway.table().reported(name, load, takenAtMillis)));
-        }
-    }
-
     /**
      * Schedules a fault.
      *
