--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/WaitLimit.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/WaitLimit.java
@@ -34,7 +34,7 @@
         INSTANCE;
 
         /** The part of the target that may pass before the start, so that reading the prompt fits into the rest. */
-        private static final double USABLE_SHARE = 0.6;
+        private static final double USABLE_SHARE = 0.4;
 
         @Override
         public long limitMillis(ServiceClass serviceClass) {
