--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/AdmissionPolicy.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/AdmissionPolicy.java
@@ -14,8 +14,8 @@
 public record AdmissionPolicy(ShareRule shares, Supplier<CustomerLines> lines, WaitLimit waitLimit) {
 
     /** The rules that gateways use. */
-    private static final AdmissionPolicy STANDARD = new AdmissionPolicy(
-            ShareRule.Deferring.INSTANCE, CustomerLines.WeightedFair::new, WaitLimit.Target.INSTANCE);
+    private static final AdmissionPolicy STANDARD =
+            new AdmissionPolicy(ShareRule.Deferring.INSTANCE, WeightedFairLines::new, WaitLimit.Target.INSTANCE);
 
     /**
      * Returns the rules that gateways use.
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/QueuedRequest.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/QueuedRequest.java
@@ -42,6 +42,15 @@
                 nowMillis + longestWaitMillis);
     }
 
+    /**
+     * Returns the cost by which it is queued.
+     *
+     * @return The estimated cost in tokens, at least one.
+     */
+    public long cost() {
+        return Math.max(1, estimatedTokens);
+    }
+
     /**
      * Replaces the estimated cost.
      *
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/Dispatcher.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/Dispatcher.java
@@ -225,14 +225,34 @@
      * @param nowMillis The present monotonic time in milliseconds.
      */
     private void startReady(long nowMillis) {
+        if (!anyFree()) {
+            return;
+        }
         Set<String> full = new HashSet<>();
         Optional<QueueStart> next = policy.queue().next(nowMillis, request -> canStart(request, full));
         while (next.isPresent()) {
             start(nowMillis, next.get());
+            if (!anyFree()) {
+                return;
+            }
             next = policy.queue().next(nowMillis, request -> canStart(request, full));
         }
     }
 
+    /**
+     * Tells whether any target has a free slot, before the queue is searched.
+     *
+     * @return Whether one has.
+     */
+    private boolean anyFree() {
+        for (String target : targets) {
+            if (policy.table().candidates(target).size() > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Tells whether a request could start now.
      *
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/policy/MeasurementPage.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/policy/MeasurementPage.java
@@ -76,7 +76,8 @@
                 .append(
                         "attainment of\nthe worst-served customer; `share`: the least that a customer got of the lesser ")
                 .append("of its demand and fair\nshare, in tokens; `goodput`: tokens of answers in target a second; ")
-                .append("`wasted`: share of generated tokens in\nno whole answer; `cost`: of a thousand good answers; ")
+                .append(
+                        "`wasted`: share of generated tokens in\nno whole answer; `read`: share of prompt tokens\nthat engines had to read because they were not cached; `cost`: of a thousand good answers; ")
                 .append(
                         "`shed`: requests refused while a lower tier ran that\ncould have given way; `starved`: longest ")
                 .append("wait of a class without a start, over its bound.\n\n")
@@ -177,9 +178,10 @@
         for (TraceProfile profile : TraceProfile.values()) {
             text.append("\n### ")
                     .append(profile.text())
-                    .append("\n\n| policy | high tier | mid tier | low tier | worst | share | goodput | wasted | cost")
+                    .append(
+                            "\n\n| policy | high tier | mid tier | low tier | worst | share | goodput | wasted | read | cost")
                     .append(" | refused | failed | preempted | shed | starved |\n")
-                    .append("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n");
+                    .append("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n");
             select(deployment, run -> run.profile() == profile && wanted.test(run))
                     .forEach(this::figures);
         }
@@ -199,6 +201,7 @@
         cells.add(number(result.worstFairShare()));
         cells.add(String.format(Locale.ROOT, "%.0f", result.goodTokensPerSecond()));
         cells.add(number(result.wastedShare()));
+        cells.add(number(result.prefilledShare()));
         cells.add(number(result.costPerThousandGood()));
         cells.add(String.valueOf(result.refused()));
         cells.add(String.valueOf(result.failed()));
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/policy/ReplayResult.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/policy/ReplayResult.java
@@ -22,6 +22,7 @@
  *     share.
  * @param goodTokensPerSecond The output tokens of answers that met their targets, a second.
  * @param wastedShare The share of generated tokens that are in no whole answer.
+ * @param prefilledShare The share of the prompt tokens of all attempts that engines read because they were not cached.
  * @param costPerThousandGood The cost of engines for a thousand answers that met their targets.
  * @param refused The number of refused requests.
  * @param failed The number of failed requests.
@@ -41,6 +42,7 @@
         double worstFairShare,
         double goodTokensPerSecond,
         double wastedShare,
+        double prefilledShare,
         double costPerThousandGood,
         long refused,
         long failed,
@@ -109,6 +111,12 @@
                 .sum();
         long generated =
                 engines.stream().mapToLong(MemoryEngine::generatedTokens).sum();
+        long prefilled =
+                engines.stream().mapToLong(MemoryEngine::prefilledTokens).sum();
+        long prompts = requests.stream()
+                .filter(ReplayedRequest::isChat)
+                .mapToLong(request -> (long) request.attempts * request.trace.promptTokens())
+                .sum();
         long models = engines.stream()
                 .filter(engine -> engine.server().kind() == BackendKind.MODEL)
                 .count();
@@ -127,6 +135,7 @@
                 worstFairShare(configuration, requests),
                 goodTokens / (trace.durationMillis() / MILLIS_PER_SECOND),
                 generated == 0 ? 0 : Math.max(0, (double) (generated - answered) / generated),
+                (double) prefilled / Math.max(1, prompts),
                 cost
                         * MILLIS_PER_SECOND
                         / Math.max(
