--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/benchmark/DecisionCommand.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/benchmark/DecisionCommand.java
@@ -68,6 +68,7 @@
                     result.getPrimaryResult().getScoreError(),
                     bytes));
         }
+        text.append('\n').append(MachineLoad.describe()).append('\n');
         return text.toString();
     }
 }
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/benchmark/LoadCommand.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/benchmark/LoadCommand.java
@@ -170,6 +170,7 @@
                 heavy.answered() / cpu,
                 percentile(heavy.firstToken(), 50),
                 percentile(heavy.firstToken(), 99)));
+        text.append('\n').append(MachineLoad.describe()).append('\n');
         return text.toString();
     }
 
