--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/QueuedRequest.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/admission/QueuedRequest.java
@@ -22,6 +22,24 @@
         long arrivedAtMillis,
         long deadlineMillis) {
 
+    /**
+     * Replaces the deadline, for a request that waits again after its backend server failed.
+     *
+     * @param replacementMillis The monotonic time after which it is refused.
+     * @return The refined request.
+     */
+    public QueuedRequest withDeadline(long replacementMillis) {
+        return new QueuedRequest(
+                requestId,
+                customer,
+                customerWeight,
+                className,
+                target,
+                estimatedTokens,
+                arrivedAtMillis,
+                replacementMillis);
+    }
+
     /**
      * Refines the request for a further attempt, whose wait counts from now.
      *
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/Dispatcher.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/Dispatcher.java
@@ -1,5 +1,6 @@
 package org.cranberrygauge.decision.dispatch;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -9,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
 import org.cranberrygauge.decision.admission.AdmissionQueue.QueueStart;
 import org.cranberrygauge.decision.admission.QueuedRequest;
 import org.cranberrygauge.decision.admission.Refusal;
@@ -98,14 +100,16 @@
      * @param request The request; its cost is that of the prompt and the longest answer.
      * @param routing What routing needs to know.
      * @param resumable Whether it can be stopped and go on elsewhere.
+     * @param eligibility Tells on which backend servers it may start.
      */
-    public void submit(long nowMillis, QueuedRequest request, RoutingRequest routing, boolean resumable) {
+    public void submit(
+            long nowMillis, QueuedRequest request, RoutingRequest routing, boolean resumable, Eligibility eligibility) {
         Submission before = submissions.get(request.requestId());
         long cost = work(routing.promptTokens(), output(request, routing));
         QueuedRequest queued = before == null ? request.withEstimatedTokens(cost) : request.again(nowMillis, cost);
         int preemptions = before == null ? 0 : before.preemptions;
         boolean ran = before != null && before.ran;
-        submissions.put(request.requestId(), new Submission(queued, routing, resumable, preemptions, ran));
+        submissions.put(request.requestId(), new Submission(queued, routing, resumable, preemptions, ran, eligibility));
         targets.add(request.target());
         refuse(ran ? policy.queue().resume(nowMillis, queued) : policy.queue().offer(nowMillis, queued));
         startReady(nowMillis);
@@ -264,11 +268,14 @@
         if (full.contains(request.target())) {
             return false;
         }
-        if (policy.table().candidates(request.target()).size() == 0) {
+        Candidates candidates = policy.table().candidates(request.target());
+        if (candidates.size() == 0) {
             full.add(request.target());
             return false;
         }
-        return true;
+        Submission submission = submissions.get(request.requestId());
+        return !submission.eligibility.isRestricted()
+                || eligible(submission, candidates).isPresent();
     }
 
     /**
@@ -281,9 +288,12 @@
         QueuedRequest request = next.request();
         Submission submission = submissions.get(request.requestId());
         Candidates candidates = policy.table().candidates(request.target());
-        BackendView chosen = policy.routing()
-                .choose(nowMillis, submission.routing, candidates, random)
-                .orElseGet(() -> candidates.get(0));
+        Optional<BackendView> choice = choose(nowMillis, submission, candidates);
+        if (choice.isEmpty()) {
+            refuse(policy.queue().resume(nowMillis, request));
+            return;
+        }
+        BackendView chosen = choice.get();
         policy.table().started(chosen.server().name());
         submissions.put(request.requestId(), submission.started());
         ServiceClass serviceClass = classes.get(request.className());
@@ -297,7 +307,39 @@
     }
 
     /**
-     * Preempts lower-tier requests while a higher-tier one waits too long.
+     * Chooses the backend server of a request.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param submission The request.
+     * @param candidates The backend servers with a free slot.
+     * @return The choice, or nothing if a restriction changed since the request was taken from the queue.
+     */
+    private Optional<BackendView> choose(long nowMillis, Submission submission, Candidates candidates) {
+        if (submission.eligibility.isRestricted()) {
+            return eligible(submission, candidates);
+        }
+        return policy.routing()
+                .choose(nowMillis, submission.routing, candidates, random)
+                .or(() -> Optional.of(candidates.get(0)));
+    }
+
+    /**
+     * Finds the least loaded backend server that a restricted request may start on.
+     *
+     * @param submission The request.
+     * @param candidates The backend servers with a free slot.
+     * @return The backend server, or nothing.
+     */
+    private static Optional<BackendView> eligible(Submission submission, Candidates candidates) {
+        int healthy = candidates.healthy();
+        return IntStream.range(0, candidates.size())
+                .mapToObj(candidates::get)
+                .filter(view -> submission.eligibility.allows(view.server(), healthy))
+                .min(Comparator.comparingInt(BackendView::inFlight));
+    }
+
+    /**
+     * Preempts lower-tier requests while a higher-tier one waits too long, unless it waits for a restriction to end.
      *
      * @param nowMillis The present monotonic time in milliseconds.
      * @param target The model or service.
@@ -309,6 +351,9 @@
         if (waitingClass == null || requests.isEmpty()) {
             return;
         }
+        if (submissions.get(first.requestId()).eligibility.isRestricted()) {
+            return;
+        }
         Set<Long> stops = stopping.computeIfAbsent(target, name -> new HashSet<>());
         int limit = Math.min(STOPPING_LIMIT, policy.queue().waiting(first.className(), target));
         while (stops.size() < limit) {
@@ -363,9 +408,15 @@
      * @param resumable Whether it can be stopped and go on elsewhere.
      * @param preemptions The number of times that it was preempted.
      * @param ran Whether an attempt of it started.
+     * @param eligibility Tells on which backend servers it may start.
      */
     private record Submission(
-            QueuedRequest request, RoutingRequest routing, boolean resumable, int preemptions, boolean ran) {
+            QueuedRequest request,
+            RoutingRequest routing,
+            boolean resumable,
+            int preemptions,
+            boolean ran,
+            Eligibility eligibility) {
 
         /**
          * Notes a start.
@@ -373,7 +424,7 @@
          * @return The refined submission.
          */
         private Submission started() {
-            return new Submission(request, routing, resumable, preemptions, true);
+            return new Submission(request, routing, resumable, preemptions, true, eligibility);
         }
 
         /**
@@ -382,7 +433,7 @@
          * @return The refined submission.
          */
         private Submission preempted() {
-            return new Submission(request, routing, resumable, preemptions + 1, ran);
+            return new Submission(request, routing, resumable, preemptions + 1, ran, eligibility);
         }
     }
 }
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/routing/Candidates.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/routing/Candidates.java
@@ -14,6 +14,13 @@
      */
     int size();
 
+    /**
+     * Returns the number of backend servers of the target that may get work, free or not.
+     *
+     * @return The number.
+     */
+    int healthy();
+
     /**
      * Returns a candidate.
      *
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/routing/TargetServers.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/routing/TargetServers.java
@@ -69,6 +69,13 @@
         return free;
     }
 
+    @Override
+    public int healthy() {
+        return (int) all.stream()
+                .filter(entry -> entry.available && entry.coolingUntilMillis == 0)
+                .count();
+    }
+
     @Override
     public BackendView get(int index) {
         return ordered.get(index).view();
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/BackendBoard.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/BackendBoard.java
@@ -40,8 +40,8 @@
     /** The measurements that were not yet taken in. */
     private final Queue<Measurement> measurements = new ConcurrentLinkedQueue<>();
 
-    /** The servers of the table. */
-    private List<BackendServer> servers = List.of();
+    /** The servers of the table, replaced whole. */
+    private volatile List<BackendServer> servers = List.of();
 
     /**
      * Creates a board.
@@ -64,6 +64,16 @@
         failures.add(server.name());
     }
 
+    /**
+     * Tells whether a backend server is still among those that are configured or listed, from any thread.
+     *
+     * @param server The backend server.
+     * @return Whether it is.
+     */
+    public boolean isKnown(BackendServer server) {
+        return servers.contains(server);
+    }
+
     /**
      * Notes the speed of a backend server, from any thread.
      *
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/PendingCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/PendingCall.java
@@ -3,6 +3,7 @@
 import java.util.function.Consumer;
 import org.cranberrygauge.decision.admission.QueuedRequest;
 import org.cranberrygauge.decision.admission.Refusal;
+import org.cranberrygauge.decision.dispatch.Eligibility;
 import org.cranberrygauge.decision.routing.RoutingRequest;
 import org.cranberrygauge.model.backend.BackendServer;
 
@@ -11,6 +12,7 @@
  *
  * @param queued What admission needs to know.
  * @param routing What routing needs to know.
+ * @param eligibility Tells on which backend servers the request may start.
  * @param onStart Takes the backend server that it starts on.
  * @param onRefused Takes the refusal.
  * @param onPreempted Stops the attempt and submits the request again, or null if it can't go on elsewhere.
@@ -18,6 +20,7 @@
 public record PendingCall(
         QueuedRequest queued,
         RoutingRequest routing,
+        Eligibility eligibility,
         Consumer<BackendServer> onStart,
         Consumer<Refusal> onRefused,
         Runnable onPreempted) {
@@ -27,14 +30,16 @@
      *
      * @param queued What admission needs to know.
      * @param routing What routing needs to know.
+     * @param eligibility Tells on which backend servers the request may start.
      * @param onStart Takes the backend server that it starts on.
      * @param onRefused Takes the refusal.
      */
     public PendingCall(
             QueuedRequest queued,
             RoutingRequest routing,
+            Eligibility eligibility,
             Consumer<BackendServer> onStart,
             Consumer<Refusal> onRefused) {
-        this(queued, routing, onStart, onRefused, null);
+        this(queued, routing, eligibility, onStart, onRefused, null);
     }
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/Scheduler.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/Scheduler.java
@@ -104,7 +104,7 @@
             long nowMillis = time.monotonicMillis();
             board.applyNoted(nowMillis, dispatcher.table());
             calls.put(call.queued().requestId(), call);
-            dispatcher.submit(nowMillis, call.queued(), call.routing(), call.onPreempted() != null);
+            dispatcher.submit(nowMillis, call.queued(), call.routing(), call.onPreempted() != null, call.eligibility());
         });
     }
 
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/policy/ReplayGateway.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/policy/ReplayGateway.java
@@ -8,6 +8,7 @@
 import org.cranberrygauge.decision.admission.Refusal;
 import org.cranberrygauge.decision.dispatch.DispatchListener;
 import org.cranberrygauge.decision.dispatch.Dispatcher;
+import org.cranberrygauge.decision.dispatch.Eligibility;
 import org.cranberrygauge.decision.retry.RetryBudget;
 import org.cranberrygauge.decision.routing.BackendTable;
 import org.cranberrygauge.decision.routing.RoutingRequest;
@@ -369,7 +370,7 @@
                 nowMillis,
                 nowMillis + request.serviceClass.longestWaitMillis());
         RoutingRequest routing = new RoutingRequest(target, request.trace.prefixGroup(), prompt);
-        dispatcher.submit(nowMillis, queued, routing, request.isChat());
+        dispatcher.submit(nowMillis, queued, routing, request.isChat(), Eligibility.Any.INSTANCE);
     }
 
     /**
