--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/Dispatcher.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/Dispatcher.java
@@ -229,27 +229,46 @@
      * @param nowMillis The present monotonic time in milliseconds.
      */
     private void startReady(long nowMillis) {
+        if (!anyFree()) {
+            return;
+        }
         Set<String> full = new HashSet<>();
-        Optional<QueueStart> next = policy.queue().next(nowMillis, request -> canStart(nowMillis, request, full));
+        Optional<QueueStart> next = policy.queue().next(nowMillis, request -> canStart(request, full));
         while (next.isPresent()) {
             start(nowMillis, next.get());
-            next = policy.queue().next(nowMillis, request -> canStart(nowMillis, request, full));
+            if (!anyFree()) {
+                return;
+            }
+            next = policy.queue().next(nowMillis, request -> canStart(request, full));
         }
     }
 
+    /**
+     * Tells whether any target has a free slot, before the queue is searched.
+     *
+     * @return Whether one has.
+     */
+    private boolean anyFree() {
+        for (String target : targets) {
+            if (policy.table().candidates(target).size() > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Tells whether a request could start now.
      *
-     * @param nowMillis The present monotonic time in milliseconds.
      * @param request The request.
      * @param full Takes the targets without a free slot.
      * @return Whether a slot is free.
      */
-    private boolean canStart(long nowMillis, QueuedRequest request, Set<String> full) {
+    private boolean canStart(QueuedRequest request, Set<String> full) {
         if (full.contains(request.target())) {
             return false;
         }
-        Candidates candidates = policy.table().candidates(nowMillis, request.target());
+        Candidates candidates = policy.table().candidates(request.target());
         if (candidates.size() == 0) {
             full.add(request.target());
             return false;
@@ -268,7 +287,7 @@
     private void start(long nowMillis, QueueStart next) {
         QueuedRequest request = next.request();
         Submission submission = submissions.get(request.requestId());
-        Candidates candidates = policy.table().candidates(nowMillis, request.target());
+        Candidates candidates = policy.table().candidates(request.target());
         Optional<BackendView> choice = choose(nowMillis, submission, candidates);
         if (choice.isEmpty()) {
             refuse(policy.queue().resume(nowMillis, request));
@@ -320,7 +339,7 @@
     }
 
     /**
-     * Preempts lower-tier requests while a higher-tier one waits too long.
+     * Preempts lower-tier requests while a higher-tier one waits too long, unless it waits for a restriction to end.
      *
      * @param nowMillis The present monotonic time in milliseconds.
      * @param target The model or service.
@@ -332,8 +351,11 @@
         if (waitingClass == null || requests.isEmpty()) {
             return;
         }
+        if (submissions.get(first.requestId()).eligibility.isRestricted()) {
+            return;
+        }
         Set<Long> stops = stopping.computeIfAbsent(target, name -> new HashSet<>());
-        int limit = Math.min(STOPPING_LIMIT, policy.queue().waiting(first.className()));
+        int limit = Math.min(STOPPING_LIMIT, policy.queue().waiting(first.className(), target));
         while (stops.size() < limit) {
             Optional<RunningRequest> victim = policy.preemption()
                     .victim(
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/policy/PolicyBench.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/policy/PolicyBench.java
@@ -14,6 +14,7 @@
 import org.cranberrygauge.emulator.replay.TraceProfile;
 import org.cranberrygauge.model.configuration.Configuration;
 import org.cranberrygauge.model.error.CranberrygaugeException;
+import org.cranberrygauge.model.service.ServiceClass;
 
 /**
  * Replays each trace with our policy, each baseline and each ablation, and writes the page of measurements.
@@ -110,8 +111,9 @@
     private static PolicyRun run(
             Configuration configuration, ProfileGenerator generator, Trace trace, PolicyVariant variant) {
         ReplayResult result = new SteppedReplay(configuration, trace, variant).run();
-        String highTier = generator.chatClasses().get(0).name();
-        return new PolicyRun(configuration.deployment(), trace.profile(), variant, highTier, result);
+        List<String> chatClasses =
+                generator.chatClasses().stream().map(ServiceClass::name).toList();
+        return new PolicyRun(configuration.deployment(), trace.profile(), variant, chatClasses, result);
     }
 
     /**
@@ -123,7 +125,7 @@
         for (PolicyRun run : runs) {
             ReplayResult result = run.result();
             System.out.printf(
-                    "%-13s %-20s %-26s high=%.3f all=%s worst=%s:%.3f share=%.2f good=%.0f wasted=%.4f cost=%.3f"
+                    "%-13s %-20s %-26s high=%.3f all=%s worst=%s:%.3f share=%.2f good=%.0f wasted=%.4f read=%.3f cost=%.3f"
                             + " refused=%d failed=%d preempted=%d retried=%d shed=%d starve=%.2f%n",
                     run.deployment(),
                     run.profile().text(),
@@ -135,6 +137,7 @@
                     result.worstFairShare(),
                     result.goodTokensPerSecond(),
                     result.wastedShare(),
+                    result.prefilledShare(),
                     result.costPerThousandGood(),
                     result.refused(),
                     result.failed(),
