Test the request path over real sockets and mend what the tests found

Bench: gateways and stand-ins in one process, each on port 0 (verification, package path). Found and mended, each with its test: - a gateway on port 0 with two event loops did not start (each loop bound a port of its own); - the callers' server closed a connection after twice the backend timeout although its request still waited or ran, so a long wait in the queue ended without an answer; idle connections are now closed only when no request is open; - an engine that fell silent in mid-stream was never given up (the client's idle timeout ends with the first byte); - a header over the limit and what is no HTTP were answered without JSON and not_run; - two suspects of different gateways that met on a server were both quarantined, an innocent among them; one crash more is now needed where the blame is shared. Not a fault: an answer in_progress between the end of a call and the reading back of its outcome.

--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/quarantine/QuarantineState.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/quarantine/QuarantineState.java
@@ -13,7 +13,8 @@
  * What one gateway knows of requests that ran where a backend server crashed.
  *
  * <p>Invariants: a request is held in quarantine only after crashes of which each run started after the crash before it,
- * so that copies of a request that run side by side are blamed once; crashes of several backend servers together are
+ * so that copies of a request that run side by side are blamed once; where suspects of several gateways met on the server
+ * that crashed last, one crash more is needed, since only one of them is to blame; crashes of several backend servers together are
  * blamed on no request that ran on one of them only, since a request runs on one server at a time; a completed run clears
  * all crashes before it; what is not held is forgotten after the memory. Immutable and safe for use by several threads.
  */
@@ -228,18 +229,41 @@
             return Map.of();
         }
         List<CrashRecord> all = open.values().stream().flatMap(List::stream).toList();
-        Map<RequestFingerprint, Verdict> computed = new HashMap<>();
+        Map<RequestFingerprint, List<CrashRecord>> chains = new HashMap<>();
         open.forEach((fingerprint, records) -> {
             List<CrashRecord> blamed = records.stream()
                     .filter(record -> !hasCommonCause(record, records, all))
                     .toList();
             if (!blamed.isEmpty()) {
-                computed.put(fingerprint, new Verdict(chain(blamed), last(blamed)));
+                chains.put(fingerprint, chain(blamed));
             }
         });
+        Map<RequestFingerprint, Verdict> computed = new HashMap<>();
+        chains.forEach((fingerprint, chain) -> {
+            int crashes = sharesItsLastCrash(fingerprint, chains) ? chain.size() - 1 : chain.size();
+            computed.put(fingerprint, new Verdict(crashes, last(chain).crashedAtMillis()));
+        });
         return Map.copyOf(computed);
     }
 
+    /**
+     * Tells whether another request that was suspected before ran on the server that crashed last.
+     *
+     * @param fingerprint The request.
+     * @param chains The crashes by request, one after another.
+     * @return Whether the blame is shared.
+     */
+    private boolean sharesItsLastCrash(
+            RequestFingerprint fingerprint, Map<RequestFingerprint, List<CrashRecord>> chains) {
+        List<CrashRecord> chain = chains.get(fingerprint);
+        CrashRecord crash = last(chain);
+        return chain.size() > 1
+                && chains.entrySet().stream()
+                        .filter(other -> !other.getKey().equals(fingerprint))
+                        .flatMap(other -> other.getValue().stream().skip(1))
+                        .anyMatch(other -> other.server().equals(crash.server()) && isTogether(other, crash));
+    }
+
     /**
      * Collects the crashes of each request that no completed run cleared.
      *
@@ -281,7 +305,7 @@
         }
         List<CrashRecord> there =
                 ownRecords.stream().filter(other -> isTogether(record, other)).toList();
-        return chain(there) == 1;
+        return chain(there).size() == 1;
     }
 
     /**
@@ -296,33 +320,31 @@
     }
 
     /**
-     * Counts crashes of which each run started after the crash before it.
+     * Picks crashes of which each run started after the crash before it.
      *
      * @param records The crashes.
-     * @return The number.
+     * @return Those, oldest first.
      */
-    private static int chain(List<CrashRecord> records) {
+    private static List<CrashRecord> chain(List<CrashRecord> records) {
         List<CrashRecord> sorted = new ArrayList<>(records);
         sorted.sort(Comparator.comparingLong(CrashRecord::crashedAtMillis));
-        CrashRecord previous = sorted.get(0);
-        int length = 1;
-        for (CrashRecord record : sorted.subList(1, sorted.size())) {
-            if (record.follows(previous)) {
-                previous = record;
-                length++;
+        List<CrashRecord> chain = new ArrayList<>();
+        for (CrashRecord record : sorted) {
+            if (chain.isEmpty() || record.follows(last(chain))) {
+                chain.add(record);
             }
         }
-        return length;
+        return chain;
     }
 
     /**
-     * Returns the time of the last crash.
+     * Returns the last crash.
      *
-     * @param records The crashes.
-     * @return The time in milliseconds.
+     * @param chain The crashes, oldest first.
+     * @return The last one.
      */
-    private static long last(List<CrashRecord> records) {
-        return records.stream().mapToLong(CrashRecord::crashedAtMillis).max().orElseThrow();
+    private static CrashRecord last(List<CrashRecord> chain) {
+        return chain.get(chain.size() - 1);
     }
 
     /**
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/CallerVerticle.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/CallerVerticle.java
@@ -4,6 +4,7 @@
 import io.vertx.core.VerticleBase;
 import io.vertx.core.http.HttpServerOptions;
 import org.cranberrygauge.gateway.http.CallerHandler;
+import org.cranberrygauge.gateway.http.IdleConnections;
 
 /**
  * Lets one more event loop listen to callers.
@@ -18,13 +19,18 @@
     /** The handler. */
     private final CallerHandler handler;
 
+    /** The connections of callers. */
+    private final IdleConnections connections;
+
     /**
      * Creates a verticle.
      *
      * @param options The options of the server.
      * @param handler The handler.
+     * @param connections The connections of callers.
      */
-    CallerVerticle(HttpServerOptions options, CallerHandler handler) {
+    CallerVerticle(HttpServerOptions options, CallerHandler handler, IdleConnections connections) {
+        this.connections = connections;
         this.options = options;
         this.handler = handler;
     }
@@ -34,6 +40,7 @@
         return vertx.createHttpServer(options)
                 .requestHandler(handler)
                 .invalidRequestHandler(handler::handleInvalid)
+                .connectionHandler(connections::opened)
                 .listen();
     }
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -7,7 +7,6 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import java.util.Random;
-import java.util.concurrent.TimeUnit;
 import org.cranberrygauge.decision.admission.TieredAdmissionQueue;
 import org.cranberrygauge.decision.configuration.ConfigurationMachine;
 import org.cranberrygauge.decision.membership.AdmissionFreshness;
@@ -28,6 +27,7 @@
 import org.cranberrygauge.gateway.exchange.PeerExchange;
 import org.cranberrygauge.gateway.http.AdmissionGate;
 import org.cranberrygauge.gateway.http.CallerHandler;
+import org.cranberrygauge.gateway.http.IdleConnections;
 import org.cranberrygauge.gateway.http.OperationsHandler;
 import org.cranberrygauge.gateway.metrics.GatewayMetrics;
 import org.cranberrygauge.gateway.reservation.ReservationDesk;
@@ -56,7 +56,7 @@
     /** The time between two looks at queue and backend servers in milliseconds. */
     private static final long TICK_MILLIS = 20;
 
-    /** The time between two reads of the platform's list in milliseconds. */
+    /** The time between two reads of the platform's list, and two looks for idle connections, in milliseconds. */
     private static final long LIST_MILLIS = 500;
 
     /** The time between two looks at running requests during a planned stop in milliseconds. */
@@ -65,6 +65,9 @@
     /** The share of successes that a customer may retry in a class. */
     private static final double RETRY_SHARE = 0.1;
 
+    /** The port by which Vert.x lets several servers share any free one. */
+    private static final int ANY_SHARED_PORT = -1;
+
     /** The number of retries that a customer can save in a class. */
     private static final int RETRY_BURST = 20;
 
@@ -101,6 +104,9 @@
     /** The scheduler. */
     private final Scheduler scheduler;
 
+    /** The connections of callers. */
+    private final IdleConnections callerConnections;
+
     /** The requests that wait or run. */
     private final ActiveCalls active = new ActiveCalls();
 
@@ -168,6 +174,7 @@
                 new TieredAdmissionQueue(), RoutingPolicy.LeastInFlight.INSTANCE, board, time, new Random());
         usage = new UsageCounter(incarnation);
         shipper = new UsageShipper(usage, appender);
+        callerConnections = new IdleConnections(time, settings.callerIdleTimeoutMillis());
         gate = new AdmissionGate(blackboard, AdmissionFreshness.Default.INSTANCE, time, settings.hostName());
     }
 
@@ -271,6 +278,7 @@
             board.refresh(time.monotonicMillis());
             scheduler.tick();
         });
+        vertx.setPeriodic(LIST_MILLIS, timer -> callerConnections.closeIdle());
         vertx.setPeriodic(LIST_MILLIS, timer -> platform.backendServers().thenAccept(blackboard::publish));
         vertx.setPeriodic(settings.usageIntervalMillis(), timer -> shipper.ship());
     }
@@ -288,23 +296,24 @@
                 new BackendClient(vertx, settings.backendCredential(), settings.backendTimeoutMillis()),
                 desk,
                 new RetryBudgets.PerCustomer(() -> new RetryBudget.Share(RETRY_SHARE, RETRY_BURST)),
-                new CrashGuard(quarantine, new CrashDetector(vertx, board, time), board, time, this::tellPeers),
+                new CrashGuard(vertx, quarantine, new CrashDetector(vertx, board, time), board, time, this::tellPeers),
                 usage,
                 new GatewayMetrics(registry),
                 events,
                 active,
                 time,
                 incarnation);
-        CallerHandler callers = new CallerHandler(vertx, settings, tools, blackboard, gate);
+        CallerHandler callers = new CallerHandler(vertx, settings, tools, blackboard, gate, callerConnections);
         OperationsHandler operations = new OperationsHandler(registry, gate, blackboard, incarnation);
         return server(settings.operationsAddress())
                 .requestHandler(operations)
                 .listen()
                 .compose(listening -> {
                     operationsServer = listening;
-                    return server(settings.listenAddress())
+                    return vertx.createHttpServer(callerOptions())
                             .requestHandler(callers)
                             .invalidRequestHandler(callers::handleInvalid)
+                            .connectionHandler(callerConnections::opened)
                             .listen();
                 })
                 .compose(listening -> {
@@ -322,11 +331,11 @@
      * @return Completes when they listen.
      */
     private Future<Void> moreCallerServers(CallerHandler callers) {
-        NetworkAddress address = new NetworkAddress(settings.listenAddress().host(), callerPort());
         Future<Void> all = Future.succeededFuture();
         for (int loop = 1; loop < settings.eventLoops(); loop++) {
-            all = all.compose(done -> vertx.deployVerticle(new CallerVerticle(options(address), callers))
-                    .mapEmpty());
+            all = all.compose(
+                    done -> vertx.deployVerticle(new CallerVerticle(callerOptions(), callers, callerConnections))
+                            .mapEmpty());
         }
         return all;
     }
@@ -341,6 +350,16 @@
         return vertx.createHttpServer(options(address));
     }
 
+    /**
+     * Builds the options of the servers of callers, which share one port.
+     *
+     * @return The options.
+     */
+    private HttpServerOptions callerOptions() {
+        NetworkAddress address = settings.listenAddress();
+        return options(address).setPort(address.port() == 0 ? ANY_SHARED_PORT : address.port());
+    }
+
     /**
      * Builds the options of a server.
      *
@@ -351,8 +370,7 @@
         return new HttpServerOptions()
                 .setHost(address.host())
                 .setPort(address.port())
-                .setMaxHeaderSize(settings.headerLimitBytes())
-                .setIdleTimeout((int) TimeUnit.MILLISECONDS.toSeconds(settings.backendTimeoutMillis()) * 2);
+                .setMaxHeaderSize(settings.headerLimitBytes());
     }
 
     /**
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/GatewaySettings.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/GatewaySettings.java
@@ -80,6 +80,13 @@
             description = "Milliseconds in which the body of a request must arrive")
     private long bodyTimeoutMillis = 10_000;
 
+    /** The time without a request after which a caller's connection is closed. */
+    @Parameter(
+            names = "--caller-idle-timeout-millis",
+            validateWith = PositiveNumber.class,
+            description = "Milliseconds without a request after which a caller's connection is closed")
+    private long callerIdleTimeoutMillis = 60_000;
+
     /** The time without a byte after which a backend server is given up. */
     @Parameter(
             names = "--backend-timeout-millis",
@@ -196,6 +203,15 @@
         return bodyTimeoutMillis;
     }
 
+    /**
+     * Returns the time without a request after which a caller's connection is closed.
+     *
+     * @return The time in milliseconds.
+     */
+    public long callerIdleTimeoutMillis() {
+        return callerIdleTimeoutMillis;
+    }
+
     /**
      * Returns the time without a byte after which a backend server is given up.
      *
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/BackendClient.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/BackendClient.java
@@ -57,6 +57,15 @@
         this.idleTimeoutMillis = idleTimeoutMillis;
     }
 
+    /**
+     * Returns the time without a byte after which a backend server is given up.
+     *
+     * @return The time in milliseconds.
+     */
+    long idleTimeoutMillis() {
+        return idleTimeoutMillis;
+    }
+
     /**
      * Opens a request; nothing of it is sent until it is ended.
      *
@@ -78,6 +87,15 @@
                 .putHeader("Authorization", "Bearer " + credential)
                 .putHeader(ATTEMPT_HEADER, attempt);
         headers.forEach(options::putHeader);
-        return client.request(options);
+        return client.request(options).onSuccess(request -> request.exceptionHandler(BackendClient::dropped));
+    }
+
+    /**
+     * Takes the failure of an exchange, which is also reported by its response or by the lack of one.
+     *
+     * @param failure The failure.
+     */
+    private static void dropped(Throwable failure) {
+        // Whoever waits for the response is told there.
     }
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallerReply.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallerReply.java
@@ -22,6 +22,9 @@
     /** The time for which what a caller still sends is read and dropped, so that it gets its answer, in milliseconds. */
     private static final long LINGER_MILLIS = 1_000;
 
+    /** The time for which a caller may read nothing of a stream in milliseconds. */
+    private static final long STALL_MILLIS = 30_000;
+
     /** The connection. */
     private final HttpConnection connection;
 
@@ -37,6 +40,9 @@
     /** Whether the final answer was sent or the caller is gone. */
     private boolean closed;
 
+    /** Whether the caller reads more slowly than the stream comes. */
+    private boolean stalled;
+
     /** Whether the connection is closed after the answer. */
     private boolean closesConnection;
 
@@ -135,6 +141,14 @@
                     .putHeader("Cache-Control", "no-cache");
         }
         response.write(part);
+        if (response.writeQueueFull() && !stalled) {
+            stalled = true;
+            long timer = context.owner().setTimer(STALL_MILLIS, fired -> connection.close());
+            response.drainHandler(drained -> {
+                stalled = false;
+                context.owner().cancelTimer(timer);
+            });
+        }
     }
 
     /** Ends a stream. */
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatAttempt.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatAttempt.java
@@ -1,5 +1,6 @@
 package org.cranberrygauge.gateway.call;
 
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -43,6 +44,9 @@
     /** Takes what arrives. */
     private final Listener listener;
 
+    /** Ends the attempt when the backend server falls silent. */
+    private final SilenceTimer silence;
+
     /** The request, once it is open. */
     private HttpClientRequest request;
 
@@ -58,11 +62,18 @@
      * @param attempt The identifier of the attempt.
      * @param server The backend server.
      * @param listener Takes what arrives.
+     * @param tools What every request works with.
+     * @param vertx The Vert.x instance.
      */
-    ChatAttempt(String attempt, BackendServer server, Listener listener) {
+    ChatAttempt(String attempt, BackendServer server, Listener listener, CallTools tools, Vertx vertx) {
         this.attempt = attempt;
         this.server = server;
         this.listener = listener;
+        this.silence = new SilenceTimer(
+                vertx,
+                tools.time(),
+                tools.client().idleTimeoutMillis(),
+                () -> fail(new AttemptFailure(Kind.TIMEOUT, "no byte in time")));
     }
 
     /**
@@ -100,6 +111,7 @@
     /** Cancels the attempt, also at the backend server, by closing its connection. */
     void cancel() {
         closed = true;
+        silence.stop();
         if (request != null) {
             request.reset();
         }
@@ -117,6 +129,7 @@
             opened.reset();
             return;
         }
+        silence.start();
         opened.send(body)
                 .onSuccess(this::receive)
                 .onFailure(failure -> fail(AttemptFailure.broken(failure, "connection lost")));
@@ -128,6 +141,7 @@
      * @param response The response.
      */
     private void receive(HttpClientResponse response) {
+        response.exceptionHandler(failure -> fail(AttemptFailure.broken(failure, "stream broken")));
         String echoed = response.getHeader(BackendClient.ATTEMPT_HEADER);
         if (echoed != null && !echoed.equals(attempt)) {
             fail(new AttemptFailure(Kind.INVALID_ANSWER, "answer to another attempt"));
@@ -140,7 +154,6 @@
         RecordParser parser = RecordParser.newDelimited("\n\n", this::take);
         parser.maxRecordSize(EVENT_LIMIT_BYTES);
         parser.exceptionHandler(failure -> fail(new AttemptFailure(Kind.INVALID_ANSWER, "event too large")));
-        response.exceptionHandler(failure -> fail(AttemptFailure.broken(failure, "stream broken")));
         response.endHandler(end -> fail(new AttemptFailure(Kind.INVALID_ANSWER, "stream ended early")));
         response.handler(parser);
     }
@@ -165,12 +178,14 @@
         if (closed) {
             return;
         }
+        silence.heard();
         StreamEvent read = EventReader.read(event);
         if (read instanceof StreamEvent.Frame frame) {
             finished |= frame.finishReason() != null;
             listener.onFrame(frame);
         } else if (read == StreamEvent.Done.INSTANCE && finished) {
             closed = true;
+            silence.stop();
             listener.onDone();
         } else if (read != StreamEvent.Comment.INSTANCE) {
             fail(new AttemptFailure(Kind.INVALID_ANSWER, "garbage in the stream"));
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatCall.java
@@ -276,7 +276,12 @@
             tools.metrics()
                     .queueWait(caller.customer().name(), caller.serviceClass().name(), waitedMillis);
         }
-        attempt = new ChatAttempt(reply.requestId() + "-" + attempts, server, this);
+        attempt = new ChatAttempt(
+                reply.requestId() + "-" + attempts,
+                server,
+                this,
+                tools,
+                reply.context().owner());
         events.started(attempt.attempt(), server, waitedMillis);
         UsageKey label = usageKey();
         Map<String, String> headers = Map.of(
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CrashGuard.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CrashGuard.java
@@ -1,6 +1,8 @@
 package org.cranberrygauge.gateway.call;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
 import java.util.Optional;
 import org.cranberrygauge.decision.quarantine.Quarantine;
 import org.cranberrygauge.decision.quarantine.RequestFingerprint;
@@ -19,6 +21,12 @@
  */
 public final class CrashGuard {
 
+    /** The time in which peers tell of their requests on the same backend server in milliseconds. */
+    private static final long SETTLE_MILLIS = 200;
+
+    /** The Vert.x instance. */
+    private final Vertx vertx;
+
     /** The quarantine. */
     private final Quarantine quarantine;
 
@@ -37,6 +45,7 @@
     /**
      * Creates a guard.
      *
+     * @param vertx The Vert.x instance.
      * @param quarantine The quarantine.
      * @param detector Tells crashes from broken connections.
      * @param board The backend servers.
@@ -44,7 +53,13 @@
      * @param tellPeers Tells the peers at once.
      */
     public CrashGuard(
-            Quarantine quarantine, CrashDetector detector, BackendBoard board, TimeSource time, Runnable tellPeers) {
+            Vertx vertx,
+            Quarantine quarantine,
+            CrashDetector detector,
+            BackendBoard board,
+            TimeSource time,
+            Runnable tellPeers) {
+        this.vertx = vertx;
         this.quarantine = quarantine;
         this.detector = detector;
         this.board = board;
@@ -119,15 +134,28 @@
      * @param fingerprint The request.
      * @param server The backend server to which the connection was lost.
      * @param startedAtMillis The monotonic time at which the run started in milliseconds.
-     * @return Whether it crashed.
+     * @return Whether it crashed, once it is also known what peers had running there if the request is to be held.
      */
     Future<Boolean> lost(RequestFingerprint fingerprint, BackendServer server, long startedAtMillis) {
         long lostAtMillis = time.monotonicMillis();
-        return detector.judge(server).onSuccess(crashed -> {
-            if (crashed) {
-                quarantine.crashed(lostAtMillis, fingerprint, server.name(), startedAtMillis);
-                tellPeers.run();
+        return detector.judge(server).compose(crashed -> {
+            if (!crashed) {
+                return Future.succeededFuture(false);
             }
+            quarantine.crashed(lostAtMillis, fingerprint, server.name(), startedAtMillis);
+            tellPeers.run();
+            return refusal(fingerprint).isPresent() ? settled() : Future.succeededFuture(true);
         });
     }
+
+    /**
+     * Waits until peers had the time to tell.
+     *
+     * @return Completes then.
+     */
+    private Future<Boolean> settled() {
+        Promise<Boolean> promise = Promise.promise();
+        vertx.setTimer(SETTLE_MILLIS, timer -> promise.complete(true));
+        return promise.future();
+    }
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/CallerHandler.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/CallerHandler.java
@@ -82,6 +82,9 @@
     /** Finds out whose request it is. */
     private final Authenticator authenticator;
 
+    /** The connections of callers. */
+    private final IdleConnections connections;
+
     /** The number of requests taken. */
     private final AtomicLong numbers = new AtomicLong();
 
@@ -93,9 +96,16 @@
      * @param tools What every request works with.
      * @param blackboard The blackboard.
      * @param gate Tells whether the gateway admits.
+     * @param connections The connections of callers.
      */
     public CallerHandler(
-            Vertx vertx, GatewaySettings settings, CallTools tools, Blackboard blackboard, AdmissionGate gate) {
+            Vertx vertx,
+            GatewaySettings settings,
+            CallTools tools,
+            Blackboard blackboard,
+            AdmissionGate gate,
+            IdleConnections connections) {
+        this.connections = connections;
         this.vertx = vertx;
         this.settings = settings;
         this.tools = tools;
@@ -106,6 +116,7 @@
 
     @Override
     public void handle(HttpServerRequest request) {
+        connections.began(request);
         Context context = vertx.getOrCreateContext();
         long number = numbers.incrementAndGet();
         CallerReply reply = new CallerReply(request, context, tools.gateway() + "." + number);
--- /dev/null
+++ b/cranberrygauge-verification/src/test/java/org/cranberrygauge/verification/path/AtMostOnceTest.java
@@ -0,0 +1,115 @@
+package org.cranberrygauge.verification.path;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import java.util.HashMap;
+import java.util.Map;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+class AtMostOnceTest {
+
+    private static PathBench bench;
+
+    @BeforeAll
+    static void start() throws Exception {
+        bench = new PathBench(PathBench.Size.of(2, 1, 2));
+    }
+
+    @AfterAll
+    static void stop() throws Exception {
+        bench.close();
+    }
+
+    @Test
+    void repeatsTheRecordedAnswerThroughAnyGateway() throws Exception {
+        HttpResponse<String> first = book(0, "answered", "answered", "{}");
+
+        assertThat(first.statusCode()).isEqualTo(200);
+        Await.until(
+                "the other gateway knows the answer",
+                () -> book(1, "answered", "answered", "{}").statusCode() == 200);
+        assertThat(book(1, "answered", "answered", "{}").body()).isEqualTo(first.body());
+        assertThat(bench.executions("answered")).isEqualTo(1);
+    }
+
+    @Test
+    void refusesTheSameKeyWithAnotherBody() throws Exception {
+        book(0, "reused", "reused", "{}");
+
+        HttpResponse<String> other = book(0, "reused", "reused", "{\"other\":1}");
+
+        assertThat(other.statusCode()).isEqualTo(409);
+        assertThat(PathBench.errorOf(other).getString("code")).isEqualTo("key_reused");
+        assertThat(bench.executions("reused")).isEqualTo(1);
+    }
+
+    @Test
+    void neverRunsAgainWhatMayHaveRun() throws Exception {
+        for (int port : bench.ledgerPorts()) {
+            bench.fault(port, "DROP_AFTER_EFFECT", 1);
+        }
+
+        assertUnknown(book(0, "lost", "lost", "{}"));
+        Await.until("the outcome is recorded", () -> {
+            String code = PathBench.errorOf(book(1, "lost", "lost", "{}")).getString("code");
+            assertThat(code).isIn("in_progress", "outcome_unknown");
+            return code.equals("outcome_unknown");
+        });
+        assertUnknown(book(0, "lost", "lost", "{}"));
+        assertThat(bench.executions("lost")).isEqualTo(1);
+        for (int port : bench.ledgerPorts()) {
+            bench.fault(port, "DROP_AFTER_EFFECT", 0);
+        }
+    }
+
+    @Test
+    void sendsAnUnkeyedCallOnceAndSaysThatItsOutcomeIsUnknown() throws Exception {
+        for (int port : bench.ledgerPorts()) {
+            bench.fault(port, "DROP_AFTER_EFFECT", 1);
+        }
+
+        assertUnknown(book(0, null, "unkeyed", "{}"));
+
+        assertThat(bench.executions("unkeyed")).isEqualTo(1);
+        for (int port : bench.ledgerPorts()) {
+            bench.fault(port, "DROP_AFTER_EFFECT", 0);
+        }
+    }
+
+    @Test
+    void refusesAKeyedCallAsNotRunWhileTheLogIsDown() throws Exception {
+        bench.fault(bench.platformPort(), "LOG_OUTAGE", 1);
+
+        HttpResponse<String> refused = book(0, "outage", "outage", "{}");
+
+        assertThat(refused.statusCode()).isEqualTo(503);
+        assertThat(PathBench.errorOf(refused).getString("code")).isEqualTo("log_unavailable");
+        assertThat(PathBench.errorOf(refused).getBoolean("not_run")).isTrue();
+        assertThat(refused.headers().firstValue("Retry-After")).isPresent();
+        assertThat(bench.executions("outage")).isZero();
+        bench.fault(bench.platformPort(), "LOG_OUTAGE", 0);
+        Await.until(
+                "the key is free again", () -> book(0, "outage", "outage", "{}").statusCode() == 200);
+        assertThat(bench.executions("outage")).isEqualTo(1);
+    }
+
+    private static void assertUnknown(HttpResponse<String> answer) {
+        assertThat(answer.statusCode()).as(answer.body()).isEqualTo(409);
+        assertThat(PathBench.errorOf(answer).getString("code")).isEqualTo("outcome_unknown");
+        assertThat(PathBench.errorOf(answer).getBoolean("not_run")).isFalse();
+    }
+
+    private static HttpResponse<String> book(int gateway, String idempotencyKey, String call, String body)
+            throws Exception {
+        Map<String, String> headers = new HashMap<>();
+        headers.put("Authorization", "Bearer " + BenchConfiguration.KEY);
+        headers.put("X-Call-Id", call);
+        if (idempotencyKey != null) {
+            headers.put("Idempotency-Key", idempotencyKey);
+        }
+        return PathBench.request(bench.gatewayPort(gateway), "POST", "/services/ledger/bookings", headers, body);
+    }
+}
--- /dev/null
+++ b/cranberrygauge-verification/src/test/java/org/cranberrygauge/verification/path/BadInputTest.java
@@ -0,0 +1,283 @@
+package org.cranberrygauge.verification.path;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.cranberrygauge.emulator.engine.EngineCounts;
+import org.cranberrygauge.emulator.engine.TokenText;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class BadInputTest {
+
+    private static final String KEY = BenchConfiguration.KEY;
+
+    private static PathBench bench;
+
+    @BeforeAll
+    static void start() throws Exception {
+        bench = new PathBench(PathBench.Size.of(1, 1, 1)
+                .withSettings("--body-timeout-millis=200", "--body-limit-bytes=20000", "--header-limit-bytes=4096"));
+    }
+
+    @AfterAll
+    static void stop() throws Exception {
+        bench.close();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "{",
+                "[]",
+                "null",
+                "7",
+                "\"text\"",
+                "{\"model\":\"amber-large\"}",
+                "{\"model\":7,\"messages\":[{\"role\":\"user\",\"content\":\"a\"}]}",
+                "{\"model\":null,\"messages\":[{\"role\":\"user\",\"content\":\"a\"}]}",
+                "{\"model\":\"amber-large\",\"messages\":[]}",
+                "{\"model\":\"amber-large\",\"messages\":[null]}",
+                "{\"model\":\"amber-large\",\"messages\":[\"a\"]}",
+                "{\"model\":\"amber-large\",\"messages\":{\"role\":\"user\"}}",
+                "{\"model\":\"amber-large\",\"stream\":\"yes\",\"messages\":[{\"role\":\"user\",\"content\":\"a\"}]}",
+                "{\"model\":\"amber-large\",\"max_tokens\":\"a\",\"messages\":[{\"role\":\"user\",\"content\":\"a\"}]}",
+                "{\"model\":\"amber-large\",\"max_tokens\":-1,\"messages\":[{\"role\":\"user\",\"content\":\"a\"}]}",
+                "{\"model\":\"amber-large\",\"n\":2,\"messages\":[{\"role\":\"user\",\"content\":\"a\"}]}"
+            })
+    void refusesABodyThatIsNoCompletion(String body) throws Exception {
+        assertRefused(bench.chat(0, KEY, body), 400, "invalid_request");
+    }
+
+    @Test
+    void refusesAnUnknownModel() throws Exception {
+        String body = new ChatPrompt("a", 1).json().put("model", "no-such").encode();
+
+        assertRefused(bench.chat(0, KEY, body), 404, "not_found");
+    }
+
+    @Test
+    void refusesAnUnknownKeyAndAMissingOne() throws Exception {
+        String body = new ChatPrompt("a", 1).body(false);
+
+        assertRefused(bench.chat(0, "no-such-key", body), 401, "invalid_key");
+        assertRefused(
+                PathBench.request(bench.gatewayPort(0), "POST", "/v1/chat/completions", Map.of(), body),
+                401,
+                "invalid_key");
+    }
+
+    @Test
+    void refusesAClassThatTheCustomerMayNotUse() throws Exception {
+        HttpResponse<String> answer = PathBench.request(
+                bench.gatewayPort(0),
+                "POST",
+                "/v1/chat/completions",
+                Map.of("Authorization", "Bearer " + BenchConfiguration.OTHER_KEY, "X-Service-Class", "study"),
+                new ChatPrompt("a", 1).body(false));
+
+        assertRefused(answer, 403, "forbidden");
+    }
+
+    @Test
+    void refusesABodyOverTheLimit() throws Exception {
+        String body = new ChatPrompt("x".repeat(30_000), 1).body(false);
+
+        assertRefused(bench.chat(0, KEY, body), 413, "too_large");
+    }
+
+    @Test
+    void refusesABodyOverTheLimitWhoseLengthIsNotStated() throws Exception {
+        String head = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+        String chunk = "4000\r\n" + "x".repeat(0x4000) + "\r\n";
+
+        assertThat(raw(head + chunk + chunk)).startsWith("HTTP/1.1 413").contains("\"not_run\":true");
+    }
+
+    @Test
+    void refusesAHeaderOverTheLimit() throws Exception {
+        String head = "GET /v1/models HTTP/1.1\r\nHost: a\r\nX-Long: " + "x".repeat(5_000) + "\r\n\r\n";
+
+        assertThat(raw(head))
+                .startsWith("HTTP/1.1 413")
+                .contains("\"code\":\"too_large\"")
+                .contains("\"not_run\":true");
+    }
+
+    @Test
+    void refusesWhatIsNoValidRequest() throws Exception {
+        assertThat(raw("this is no request\r\n\r\n"))
+                .contains(" 400 Bad Request")
+                .contains("\"not_run\":true");
+    }
+
+    @Test
+    void refusesACallerThatSendsItsBodyTooSlowly() throws Exception {
+        String head = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n{";
+
+        assertThat(raw(head)).startsWith("HTTP/1.1 408").contains("\"not_run\":true");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"/v1/none", "/services/none", "/services", "/", "*"})
+    void refusesAnUnknownPath(String path) throws Exception {
+        assertThat(raw("GET " + path + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"))
+                .startsWith("HTTP/1.1 404")
+                .contains("\"not_run\":true");
+    }
+
+    @Test
+    void refusesAKeyInTheQueryOrTheBody() throws Exception {
+        Map<String, String> headers = Map.of("Authorization", "Bearer " + KEY);
+        String escaped = new ChatPrompt(KEY, 1).body(false).replace(KEY, "\\u006b" + KEY.substring(1));
+
+        assertRefused(bench.chat(0, KEY, new ChatPrompt(KEY, 1).body(false)), 400, "invalid_request");
+        assertRefused(bench.chat(0, KEY, escaped), 400, "invalid_request");
+        assertRefused(
+                PathBench.request(bench.gatewayPort(0), "GET", "/services/ledger/hauls?key=" + KEY, headers, ""),
+                400,
+                "invalid_request");
+        assertRefused(
+                PathBench.request(
+                        bench.gatewayPort(0), "GET", "/services/ledger/hauls?key=%6b" + KEY.substring(1), headers, ""),
+                400,
+                "invalid_request");
+    }
+
+    @Test
+    void passesNeitherKeysNorCookiesNorHopHeadersToBackendServers() throws Exception {
+        Map<String, String> headers = Map.of(
+                "Authorization", "Bearer " + KEY,
+                "Cookie", "session=" + KEY,
+                "X-Forwarded-For", "10.0.0.1",
+                "Proxy-Authorization", "Basic " + KEY,
+                "X-Api-Key", KEY);
+        int port = bench.gatewayPort(0);
+
+        assertThat(PathBench.request(port, "POST", "/v1/chat/completions", headers, new ChatPrompt("a", 1).body(false))
+                        .statusCode())
+                .isEqualTo(200);
+        assertThat(PathBench.request(port, "GET", "/services/ledger/hauls", headers, "")
+                        .statusCode())
+                .isEqualTo(200);
+
+        EngineCounts engine = bench.engineCounts(bench.enginePorts().get(0));
+        assertThat(engine.credentials()).containsExactly("Bearer cranberrygauge");
+        assertThat(engine.headers()).doesNotContain("cookie", "x-forwarded-for", "proxy-authorization", "x-api-key");
+        var ledger = bench.ledgerCounts(bench.ledgerPorts().get(0));
+        assertThat(ledger.credentials()).containsExactly("Bearer cranberrygauge");
+        assertThat(ledger.headers()).doesNotContain("cookie", "x-forwarded-for", "proxy-authorization", "x-api-key");
+    }
+
+    @Test
+    void cancelsTheWorkOfACallerThatVanished() throws Exception {
+        int engine = bench.enginePorts().get(0);
+        long before = bench.engineCounts(engine).cancelled();
+        String body = new ChatPrompt("vanishing", 100_000).body(true);
+        try (Socket socket = new Socket(PathBench.HOST, bench.gatewayPort(0))) {
+            String head = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + KEY
+                    + "\r\nContent-Length: " + body.length() + "\r\n\r\n";
+            socket.getOutputStream().write((head + body).getBytes(StandardCharsets.UTF_8));
+            readUntil(socket.getInputStream(), "data: ");
+        }
+
+        Await.until("the engine cancels", () -> bench.engineCounts(engine).cancelled() == before + 1);
+        assertThat(bench.engineCounts(engine).running()).isZero();
+    }
+
+    @Test
+    void servesTheUsualShapeOfAStreamingClient() throws Exception {
+        JsonArray parts = new JsonArray()
+                .add(new JsonObject().put("type", "text").put("text", "one "))
+                .add(new JsonObject().put("type", "text").put("text", "two"));
+        JsonObject body = new ChatPrompt("", 3)
+                .json()
+                .put("stream", true)
+                .put("stream_options", new JsonObject().put("include_usage", true))
+                .put("temperature", 0.7)
+                .putNull("max_tokens")
+                .putNull("stop")
+                .put("tools", new JsonArray().add(new JsonObject().put("type", "function")))
+                .put(
+                        "messages",
+                        new JsonArray().add(new JsonObject().put("role", "user").put("content", parts)));
+
+        HttpResponse<String> answer = bench.chat(0, KEY, body.encode());
+
+        assertThat(answer.statusCode()).isEqualTo(200);
+        assertThat(answer.headers().firstValue("Content-Type")).contains("text/event-stream");
+        assertThat(answer.body()).contains("\"completion_tokens\":3").endsWith("data: [DONE]\n\n");
+    }
+
+    @Test
+    void leavesOutTheUsageOfAStreamUnlessAsked() throws Exception {
+        assertThat(bench.chat(0, KEY, new ChatPrompt("a", 2).body(true)).body()).doesNotContain("\"usage\"");
+    }
+
+    @Test
+    void gathersToolCallsAndTheReasonOfTheEndForACallerWithoutAStream() throws Exception {
+        JsonObject calling = new ChatPrompt("a", 2).json();
+        calling.getJsonObject("metadata").put("tool_call", "look_up");
+        JsonObject cut = new ChatPrompt("a", 9).json().put("max_tokens", 2).putNull("stream");
+
+        String called = bench.chat(0, KEY, calling.encode()).body();
+        String cutOff = bench.chat(0, KEY, cut.encode()).body();
+
+        assertThat(called).contains("\"name\":\"look_up\"").contains("\"finish_reason\":\"tool_calls\"");
+        assertThat(cutOff).contains("\"finish_reason\":\"length\"").contains("\"completion_tokens\":2");
+    }
+
+    @Test
+    void servesAPlainCompletion() throws Exception {
+        String body = "{\"model\":\"amber-large\",\"prompt\":\"a b\",\"metadata\":{\"output_tokens\":\"2\"}}";
+
+        HttpResponse<String> answer = PathBench.request(
+                bench.gatewayPort(0), "POST", "/v1/completions", Map.of("Authorization", "Bearer " + KEY), body);
+
+        assertThat(new JsonObject(answer.body())
+                        .getJsonArray("choices")
+                        .getJsonObject(0)
+                        .getString("text"))
+                .isEqualTo(TokenText.answer(TokenText.digest("a b"), 2));
+    }
+
+    @Test
+    void keepsServingAnIdleConnectionAfterARefusal() throws Exception {
+        assertRefused(bench.chat(0, KEY, "{"), 400, "invalid_request");
+        assertThat(bench.chat(0, KEY, new ChatPrompt("a", 1).body(false)).statusCode())
+                .isEqualTo(200);
+    }
+
+    private static void assertRefused(HttpResponse<String> answer, int status, String code) {
+        assertThat(answer.statusCode()).as(answer.body()).isEqualTo(status);
+        assertThat(PathBench.errorOf(answer).getString("code")).isEqualTo(code);
+        assertThat(PathBench.errorOf(answer).getBoolean("not_run")).isTrue();
+        assertThat(answer.headers().firstValue("X-Request-Id")).isPresent();
+    }
+
+    /** Sends bytes and reads until the other end closes. */
+    private static String raw(String bytes) throws Exception {
+        try (Socket socket = new Socket(PathBench.HOST, bench.gatewayPort(0))) {
+            socket.setSoTimeout(20_000);
+            socket.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    private static void readUntil(InputStream input, String text) throws Exception {
+        StringBuilder read = new StringBuilder();
+        while (read.indexOf(text) < 0) {
+            read.append((char) input.read());
+        }
+    }
+}
--- /dev/null
+++ b/cranberrygauge-verification/src/test/java/org/cranberrygauge/verification/path/EngineFailureTest.java
@@ -0,0 +1,128 @@
+package org.cranberrygauge.verification.path;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import java.util.Map;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class EngineFailureTest {
+
+    private static final String KEY = BenchConfiguration.KEY;
+
+    private static final ChatPrompt PROMPT = new ChatPrompt("a whole answer", 10);
+
+    private static PathBench bench;
+
+    @BeforeAll
+    static void start() throws Exception {
+        bench = new PathBench(PathBench.Size.of(1, 2, 2));
+    }
+
+    @AfterAll
+    static void stop() throws Exception {
+        bench.close();
+    }
+
+    @AfterEach
+    void switchFaultsOff() throws Exception {
+        for (String fault : new String[] {
+            "GARBAGE",
+            "DROP",
+            "HANG",
+            "STATUS",
+            "CROSSED",
+            "BREAK_AFTER_TOKENS",
+            "HANG_AFTER_TOKENS",
+            "GARBAGE_AFTER_TOKENS"
+        }) {
+            bench.faultOnEngines(fault, 0);
+        }
+        bench.fault(bench.ledgerPorts().get(0), "CROSSED", 0);
+        bench.fault(bench.ledgerPorts().get(0), "LATE_MILLIS", 0);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "GARBAGE,1",
+        "DROP,1",
+        "HANG,1",
+        "STATUS,500",
+        "STATUS,404",
+        "CROSSED,1",
+        "BREAK_AFTER_TOKENS,3",
+        "HANG_AFTER_TOKENS,3",
+        "GARBAGE_AFTER_TOKENS,3"
+    })
+    void givesTheWholeAnswerWhenOneEngineFails(String fault, double amount) throws Exception {
+        int faulty = bench.enginePorts().get(0);
+        long before = bench.engineCounts(faulty).started();
+        bench.fault(faulty, fault, amount);
+
+        Await.until("the faulty engine gets requests", () -> {
+            HttpResponse<String> plain = bench.chat(0, KEY, PROMPT.body(false));
+            assertThat(plain.statusCode()).as(plain.body()).isEqualTo(200);
+            assertThat(ChatPrompt.contentOf(plain)).isEqualTo(PROMPT.wholeAnswer());
+            ChatPrompt.Transcript stream =
+                    ChatPrompt.read(bench.stream(0, KEY, PROMPT.body(true)).body());
+            assertThat(stream.text().toString()).isEqualTo(PROMPT.wholeAnswer());
+            assertThat(stream.end().toString()).isEqualTo("done");
+            return bench.engineCounts(faulty).started() >= before + 2;
+        });
+    }
+
+    @Test
+    void passesOnThatAnEngineFoundFaultWithTheRequestAndDoesNotRepeatIt() throws Exception {
+        long before = startedOnAll();
+        bench.faultOnEngines("STATUS", 400);
+
+        HttpResponse<String> answer = bench.chat(0, KEY, PROMPT.body(false));
+
+        assertThat(answer.statusCode()).isEqualTo(400);
+        assertThat(PathBench.errorOf(answer).getBoolean("not_run")).isFalse();
+        assertThat(startedOnAll()).isEqualTo(before + 1);
+        bench.faultOnEngines("STATUS", 0);
+        assertThat(bench.chat(0, KEY, PROMPT.body(false)).statusCode()).isEqualTo(200);
+    }
+
+    @Test
+    void endsAStreamWithAnErrorEventWhenNoEngineCanGoOn() throws Exception {
+        bench.faultOnEngines("BREAK_AFTER_TOKENS", 1);
+
+        ChatPrompt.Transcript stream = ChatPrompt.read(
+                bench.stream(0, KEY, new ChatPrompt("broken", 50).body(true)).body());
+
+        assertThat(stream.end().toString()).isEmpty();
+        assertThat(stream.error().toString())
+                .contains("\"code\":\"backend_failed\"")
+                .contains("\"not_run\":false");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"CROSSED,1", "LATE_MILLIS,1500"})
+    void dropsCrossedAndLateAnswersOfServices(String fault, double amount) throws Exception {
+        int faulty = bench.ledgerPorts().get(0);
+        bench.fault(faulty, fault, amount);
+        Map<String, String> headers = Map.of("Authorization", "Bearer " + KEY, "X-Call-Id", "own-call");
+
+        for (int call = 0; call < 4; call++) {
+            HttpResponse<String> answer =
+                    PathBench.request(bench.gatewayPort(0), "GET", "/services/ledger/hauls/" + call, headers, "");
+            assertThat(answer.statusCode()).as(answer.body()).isEqualTo(200);
+            assertThat(answer.body()).contains("/ledger/hauls/" + call).contains("own-call");
+        }
+    }
+
+    private static long startedOnAll() throws Exception {
+        long sum = 0;
+        for (int port : bench.enginePorts()) {
+            sum += bench.engineCounts(port).started();
+        }
+        return sum;
+    }
+}
