--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/CallerVerticle.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/CallerVerticle.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
 import io.vertx.core.http.HttpServerOptions;
+import java.util.function.IntConsumer;
 import org.cranberrygauge.gateway.http.CallerHandler;
 import org.cranberrygauge.gateway.http.IdleConnections;
 
@@ -22,14 +23,19 @@
     /** The connections of callers. */
     private final IdleConnections connections;
 
+    /** Takes the port. */
+    private final IntConsumer onPort;
+
     /**
      * Creates a verticle.
      *
      * @param options The options of the server.
      * @param handler The handler.
      * @param connections The connections of callers.
+     * @param onPort Takes the port.
      */
-    CallerVerticle(HttpServerOptions options, CallerHandler handler, IdleConnections connections) {
+    CallerVerticle(HttpServerOptions options, CallerHandler handler, IdleConnections connections, IntConsumer onPort) {
+        this.onPort = onPort;
         this.connections = connections;
         this.options = options;
         this.handler = handler;
@@ -41,6 +47,7 @@
                 .requestHandler(handler)
                 .invalidRequestHandler(handler::handleInvalid)
                 .connectionHandler(connections::opened)
-                .listen();
+                .listen()
+                .onSuccess(server -> onPort.accept(server.actualPort()));
     }
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -6,10 +6,13 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import java.util.List;
 import java.util.Random;
+import java.util.stream.Stream;
 import org.cranberrygauge.decision.admission.TieredAdmissionQueue;
 import org.cranberrygauge.decision.configuration.ConfigurationMachine;
 import org.cranberrygauge.decision.membership.AdmissionFreshness;
+import org.cranberrygauge.decision.membership.PeerReport;
 import org.cranberrygauge.decision.quarantine.Quarantine;
 import org.cranberrygauge.decision.quarantine.QuarantineLimits;
 import org.cranberrygauge.decision.retry.RetryBudget;
@@ -65,8 +68,8 @@
     /** The share of successes that a customer may retry in a class. */
     private static final double RETRY_SHARE = 0.1;
 
-    /** The port by which Vert.x lets several servers share any free one. */
-    private static final int ANY_SHARED_PORT = -1;
+    /** The age after which a peer is no longer in touch in milliseconds. */
+    private static final long PEER_EXPIRY_MILLIS = 2_000;
 
     /** The number of retries that a customer can save in a class. */
     private static final int RETRY_BURST = 20;
@@ -134,8 +137,8 @@
     /** The exchange with peers. */
     private PeerExchange peerExchange;
 
-    /** The server of callers. */
-    private HttpServer callerServer;
+    /** The servers of callers. */
+    private final CallerServers callerServers;
 
     /** The server of operations. */
     private HttpServer operationsServer;
@@ -175,6 +178,7 @@
         usage = new UsageCounter(incarnation);
         shipper = new UsageShipper(usage, appender);
         callerConnections = new IdleConnections(time, settings.callerIdleTimeoutMillis());
+        callerServers = new CallerServers(vertx, settings, callerConnections);
         gate = new AdmissionGate(blackboard, AdmissionFreshness.Default.INSTANCE, time, settings.hostName());
     }
 
@@ -242,7 +246,7 @@
      * @return The port.
      */
     public int callerPort() {
-        return callerServer.actualPort();
+        return callerServers.port();
     }
 
     /**
@@ -296,7 +300,15 @@
                 new BackendClient(vertx, settings.backendCredential(), settings.backendTimeoutMillis()),
                 desk,
                 new RetryBudgets.PerCustomer(() -> new RetryBudget.Share(RETRY_SHARE, RETRY_BURST)),
-                new CrashGuard(vertx, quarantine, new CrashDetector(vertx, board, time), board, time, this::tellPeers),
+                new CrashGuard(
+                        vertx,
+                        quarantine,
+                        new CrashDetector(vertx, board, time),
+                        board,
+                        time,
+                        this::tellPeers,
+                        incarnation,
+                        this::gatewaysInTouch),
                 usage,
                 new GatewayMetrics(registry),
                 events,
@@ -305,74 +317,19 @@
                 incarnation);
         CallerHandler callers = new CallerHandler(vertx, settings, tools, blackboard, gate, callerConnections);
         OperationsHandler operations = new OperationsHandler(registry, gate, blackboard, incarnation);
-        return server(settings.operationsAddress())
+        return vertx.createHttpServer(new HttpServerOptions()
+                        .setHost(settings.operationsAddress().host())
+                        .setPort(settings.operationsAddress().port()))
                 .requestHandler(operations)
                 .listen()
                 .compose(listening -> {
                     operationsServer = listening;
-                    return vertx.createHttpServer(callerOptions())
-                            .requestHandler(callers)
-                            .invalidRequestHandler(callers::handleInvalid)
-                            .connectionHandler(callerConnections::opened)
-                            .listen();
-                })
-                .compose(listening -> {
-                    callerServer = listening;
-                    return moreCallerServers(callers);
+                    return callerServers.listen(callers);
                 })
                 .onSuccess(done -> events.emit(new GatewayEvents.GatewayListening(
                         incarnation, callerPort(), operationsPort(), exchangeServer.port())));
     }
 
-    /**
-     * Lets the other event loops listen to callers too.
-     *
-     * @param callers The handler.
-     * @return Completes when they listen.
-     */
-    private Future<Void> moreCallerServers(CallerHandler callers) {
-        Future<Void> all = Future.succeededFuture();
-        for (int loop = 1; loop < settings.eventLoops(); loop++) {
-            all = all.compose(
-                    done -> vertx.deployVerticle(new CallerVerticle(callerOptions(), callers, callerConnections))
-                            .mapEmpty());
-        }
-        return all;
-    }
-
-    /**
-     * Creates a server.
-     *
-     * @param address The address.
-     * @return The server.
-     */
-    private HttpServer server(NetworkAddress address) {
-        return vertx.createHttpServer(options(address));
-    }
-
-    /**
-     * Builds the options of the servers of callers, which share one port.
-     *
-     * @return The options.
-     */
-    private HttpServerOptions callerOptions() {
-        NetworkAddress address = settings.listenAddress();
-        return options(address).setPort(address.port() == 0 ? ANY_SHARED_PORT : address.port());
-    }
-
-    /**
-     * Builds the options of a server.
-     *
-     * @param address The address.
-     * @return The options.
-     */
-    private HttpServerOptions options(NetworkAddress address) {
-        return new HttpServerOptions()
-                .setHost(address.host())
-                .setPort(address.port())
-                .setMaxHeaderSize(settings.headerLimitBytes());
-    }
-
     /**
      * Acts on what became of a record.
      *
@@ -404,6 +361,21 @@
         return report.setQuarantined(service.suspects());
     }
 
+    /**
+     * Lists the gateways that are in touch.
+     *
+     * @return The incarnations, this one included.
+     */
+    private List<String> gatewaysInTouch() {
+        long fromMillis = time.monotonicMillis() - PEER_EXPIRY_MILLIS;
+        return Stream.concat(
+                        Stream.of(incarnation),
+                        blackboard.peers().values().stream()
+                                .filter(peer -> peer.heardAtMillis() >= fromMillis)
+                                .map(PeerReport::gateway))
+                .toList();
+    }
+
     /** Tells the peers at once what this gateway knows of suspected requests. */
     private void tellPeers() {
         peerExchange.exchangeNow();
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/GatewayEvents.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/GatewayEvents.java
@@ -92,6 +92,17 @@
     public record AttemptFailed(String requestId, String attempt, String backendServer, String reason, String next)
             implements Event {}
 
+    /**
+     * The connection to a backend server was lost during an attempt.
+     *
+     * @param requestId The identifier of the request.
+     * @param attempt The identifier of the attempt.
+     * @param backendServer The backend server.
+     * @param crashed Whether the backend server crashed, which makes the request a suspect.
+     */
+    public record BackendServerLost(String requestId, String attempt, String backendServer, boolean crashed)
+            implements Event {}
+
     /**
      * A request was cancelled.
      *
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallEvents.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallEvents.java
@@ -38,6 +38,17 @@
         tools.events().emit(new GatewayEvents.AttemptFailed(requestId, attempt, server.name(), failure.reason(), next));
     }
 
+    /**
+     * Notes that the connection to a backend server was lost during an attempt.
+     *
+     * @param attempt The identifier of the attempt.
+     * @param server The backend server.
+     * @param crashed Whether the backend server crashed, which makes the request a suspect.
+     */
+    void lost(String attempt, BackendServer server, boolean crashed) {
+        tools.events().emit(new GatewayEvents.BackendServerLost(requestId, attempt, server.name(), crashed));
+    }
+
     /**
      * Notes a whole answer.
      *
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatCall.java
@@ -188,6 +188,7 @@
         }
         tools.guard()
                 .lost(fingerprint, failed.server(), attemptAtMillis)
+                .onSuccess(crashed -> events.lost(failed.attempt(), failed.server(), crashed))
                 .onComplete(judged -> reply.context().runOnContext(ignored -> goOn(failed, failure)));
     }
 
@@ -239,11 +240,12 @@
             refuse(quarantined.get());
             return;
         }
+        long submittedAtMillis = tools.time().monotonicMillis();
         tools.scheduler()
                 .submit(new PendingCall(
                         request,
                         body.routing(),
-                        server -> tools.guard().mayStart(fingerprint, body.model(), server),
+                        server -> tools.guard().mayStart(fingerprint, body.model(), server, submittedAtMillis),
                         this::chosen,
                         refusal -> reply.context().runOnContext(ignored -> refused(refusal))));
     }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CrashGuard.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CrashGuard.java
@@ -3,11 +3,14 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import java.util.Collection;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.cranberrygauge.decision.quarantine.Quarantine;
 import org.cranberrygauge.decision.quarantine.RequestFingerprint;
 import org.cranberrygauge.decision.quarantine.RunId;
 import org.cranberrygauge.decision.quarantine.Standing;
+import org.cranberrygauge.decision.quarantine.SuspectPlacement;
 import org.cranberrygauge.gateway.schedule.BackendBoard;
 import org.cranberrygauge.model.backend.BackendServer;
 import org.cranberrygauge.model.error.ErrorCode;
@@ -42,6 +45,12 @@
     /** Tells the peers at once. */
     private final Runnable tellPeers;
 
+    /** The incarnation of this gateway. */
+    private final String gateway;
+
+    /** Gives the incarnations of the gateways that are in touch. */
+    private final Supplier<Collection<String>> gateways;
+
     /**
      * Creates a guard.
      *
@@ -51,6 +60,8 @@
      * @param board The backend servers.
      * @param time The sources of time.
      * @param tellPeers Tells the peers at once.
+     * @param gateway The incarnation of this gateway.
+     * @param gateways Gives the incarnations of the gateways that are in touch, this one included.
      */
     public CrashGuard(
             Vertx vertx,
@@ -58,7 +69,11 @@
             CrashDetector detector,
             BackendBoard board,
             TimeSource time,
-            Runnable tellPeers) {
+            Runnable tellPeers,
+            String gateway,
+            Supplier<Collection<String>> gateways) {
+        this.gateway = gateway;
+        this.gateways = gateways;
         this.vertx = vertx;
         this.quarantine = quarantine;
         this.detector = detector;
@@ -90,24 +105,30 @@
      * @param fingerprint The request.
      * @param target The model or service.
      * @param server The backend server.
+     * @param submittedAtMillis The monotonic time since which the request has waited in milliseconds.
      * @return Whether it may.
      */
-    boolean mayStart(RequestFingerprint fingerprint, String target, BackendServer server) {
+    boolean mayStart(RequestFingerprint fingerprint, String target, BackendServer server, long submittedAtMillis) {
         long nowMillis = time.monotonicMillis();
         if (quarantine.standing(nowMillis, fingerprint) == Standing.Clear.INSTANCE) {
             return true;
         }
-        return quarantine.mayStart(nowMillis, fingerprint, server.name(), board.healthy(nowMillis, target));
+        return SuspectPlacement.mayStart(nowMillis - submittedAtMillis, gateway, gateways.get(), server.name())
+                && quarantine.mayStart(nowMillis, fingerprint, server.name(), board.healthy(nowMillis, target));
     }
 
     /**
-     * Notes that a run started.
+     * Notes that a run started, and tells the peers at once if it is that of a suspect.
      *
      * @param run The run.
      * @param server The backend server.
      */
     void started(RunId run, BackendServer server) {
-        quarantine.started(time.monotonicMillis(), run, server.name());
+        long nowMillis = time.monotonicMillis();
+        if (quarantine.standing(nowMillis, run.fingerprint()) != Standing.Clear.INSTANCE) {
+            quarantine.started(nowMillis, run, server.name());
+            tellPeers.run();
+        }
     }
 
     /**
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
@@ -219,7 +219,7 @@
                         queued,
                         new RoutingRequest(request.route().service(), "", 0),
                         candidate -> tools.guard()
-                                .mayStart(fingerprint, request.route().service(), candidate),
+                                .mayStart(fingerprint, request.route().service(), candidate, nowMillis),
                         this::chosen,
                         refusal -> reply.context().runOnContext(ignored -> refused(refusal))));
     }
@@ -322,6 +322,7 @@
         }
         tools.guard()
                 .lost(fingerprint, failedServer, attemptAtMillis)
+                .onSuccess(crashed -> events.lost(reply.requestId() + "-" + attempts, failedServer, crashed))
                 .onComplete(judged -> reply.context().runOnContext(ignored -> goOn(failedServer, failure)));
     }
 
--- /dev/null
+++ b/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/ActiveCallsTest.java
@@ -0,0 +1,68 @@
+package org.cranberrygauge.gateway.call;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.cranberrygauge.decision.configuration.KeyRing;
+import org.cranberrygauge.model.customer.KeyDigest;
+import org.cranberrygauge.model.error.ErrorCode;
+import org.junit.jupiter.api.Test;
+
+class ActiveCallsTest {
+
+    private final ActiveCalls calls = new ActiveCalls();
+
+    private final List<ErrorCode> aborted = new ArrayList<>();
+
+    @Test
+    void endsACallWhoseKeyIsWithdrawn() {
+        calls.add(new RecordingCall(KeyDigest.of("key")));
+
+        calls.endWithdrawn(KeyRing.empty());
+
+        assertThat(aborted).containsExactly(ErrorCode.KEY_WITHDRAWN);
+    }
+
+    @Test
+    void endsACallThatIsAddedAfterItsKeyWasWithdrawn() {
+        calls.endWithdrawn(KeyRing.empty());
+
+        calls.add(new RecordingCall(KeyDigest.of("key")));
+
+        assertThat(aborted).containsExactly(ErrorCode.KEY_WITHDRAWN);
+    }
+
+    @Test
+    void leavesCallsOnRoutesOpenToAll() {
+        calls.add(new RecordingCall(null));
+
+        calls.endWithdrawn(KeyRing.empty());
+
+        assertThat(aborted).isEmpty();
+    }
+
+    private final class RecordingCall implements ActiveCall {
+
+        private final KeyDigest key;
+
+        private RecordingCall(KeyDigest key) {
+            this.key = key;
+        }
+
+        @Override
+        public KeyDigest key() {
+            return key;
+        }
+
+        @Override
+        public void abort(RequestFailure failure) {
+            aborted.add(failure.code());
+        }
+
+        @Override
+        public void reconsider() {
+            throw new AssertionError("not expected");
+        }
+    }
+}
--- /dev/null
+++ b/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/exchange/ObservationCodecTest.java
@@ -0,0 +1,30 @@
+package org.cranberrygauge.gateway.exchange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.cranberrygauge.decision.quarantine.Observation;
+import org.cranberrygauge.decision.quarantine.RequestFingerprint;
+import org.junit.jupiter.api.Test;
+
+class ObservationCodecTest {
+
+    private static final RequestFingerprint FINGERPRINT = RequestFingerprint.of("alpha", "/chat", "body");
+
+    @Test
+    void readsBackWhatItWrote() {
+        List<Observation> observations = List.of(
+                new Observation.Crashed(FINGERPRINT, "engine-1", 20, 300),
+                new Observation.Cleared(FINGERPRINT, 40),
+                new Observation.Running(FINGERPRINT, "engine-2"));
+
+        assertThat(ObservationCodec.read(ObservationCodec.write(observations))).isEqualTo(observations);
+    }
+
+    @Test
+    void leavesOutWhatItCannotRead() {
+        assertThat(ObservationCodec.read(null)).isEmpty();
+        assertThat(ObservationCodec.read(List.of("", "crashed a b c d", "mystery a", "cleared a x")))
+                .isEmpty();
+    }
+}
