Make the platform's calls on one context, so that none stays open for ever

Found by a failed run of KeyWithdrawalTest: an append from the test's thread never ended, in spite of its timeout. Cause: a call from a thread that is no event loop may attach to the response after its end has passed; the timeout ends with the head of the response. Operators' commands make their calls from such a thread. The test makes 8,000 calls and so sees the old fault in part of its runs only.

--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/platform/HttpPlatform.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/platform/HttpPlatform.java
@@ -1,6 +1,8 @@
 package org.cranberrygauge.runtime.platform;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -37,6 +39,9 @@
     /** The HTTP client. */
     private final HttpClient client;
 
+    /** The context of all calls: a response that is read from another thread may lose its end. */
+    private final Context context;
+
     /** The address of the platform. */
     private final NetworkAddress address;
 
@@ -51,6 +56,7 @@
      * @param timeoutMillis The time after which a call is given up in milliseconds.
      */
     public HttpPlatform(Vertx vertx, NetworkAddress address, long timeoutMillis) {
+        this.context = vertx.getOrCreateContext();
         this.client = vertx.createHttpClient(
                 new HttpClientOptions().setConnectTimeout((int) timeoutMillis),
                 new PoolOptions().setHttp1MaxSize(CONNECTIONS));
@@ -123,10 +129,14 @@
                 .setURI(path)
                 .setTimeout(callTimeoutMillis)
                 .setIdleTimeout(callTimeoutMillis);
-        return client.request(options)
+        Promise<String> promise = Promise.promise();
+        context.runOnContext(ignored -> Future.succeededFuture()
+                .compose(started -> client.request(options))
                 .compose(request -> send(request, body))
                 .compose(HttpPlatform::body)
-                .recover(failure -> Future.failedFuture(unavailable(path, failure)));
+                .recover(failure -> Future.failedFuture(unavailable(path, failure)))
+                .onComplete(promise));
+        return promise.future();
     }
 
     /**
--- /dev/null
+++ b/cranberrygauge-verification/src/test/java/org/cranberrygauge/verification/path/PlatformClientTest.java
@@ -0,0 +1,39 @@
+package org.cranberrygauge.verification.path;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class PlatformClientTest {
+
+    private static final int THREADS = 8;
+
+    private static final int CALLS = 1_000;
+
+    @Test
+    void completesEachCallThatIsMadeFromAnotherThread() throws Exception {
+        ExecutorService threads = Executors.newFixedThreadPool(THREADS);
+        try (PathBench bench = new PathBench(PathBench.Size.of(1, 1, 0))) {
+            List<Future<Integer>> made = new ArrayList<>();
+            for (int thread = 0; thread < THREADS; thread++) {
+                made.add(threads.submit(() -> {
+                    for (int call = 0; call < CALLS; call++) {
+                        bench.appendRaw("no entry");
+                    }
+                    return CALLS;
+                }));
+            }
+            for (Future<Integer> calls : made) {
+                assertThat(calls.get(60, TimeUnit.SECONDS)).isEqualTo(CALLS);
+            }
+        } finally {
+            threads.shutdownNow();
+        }
+    }
+}
