--- a/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/dispatch/DispatcherTest.java
+++ b/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/dispatch/DispatcherTest.java
@@ -122,6 +122,6 @@
     private static void submit(Dispatcher dispatcher, long now, long number, String className) {
         long wait = className.equals("high") ? 5_000 : 600_000;
         QueuedRequest request = new QueuedRequest(number, "customer", 1, className, "model", 200, now, now + wait);
-        dispatcher.submit(now, request, new RoutingRequest("model", "prefix", 100), true);
+        dispatcher.submit(now, request, new RoutingRequest("model", "prefix", 100), true, Eligibility.Any.INSTANCE);
     }
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -6,9 +6,11 @@
 import io.vertx.core.VertxOptions;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.Stream;
 import org.cranberrygauge.decision.configuration.ConfigurationMachine;
 import org.cranberrygauge.decision.dispatch.DispatchPolicy;
 import org.cranberrygauge.decision.membership.AdmissionFreshness;
+import org.cranberrygauge.decision.membership.PeerReport;
 import org.cranberrygauge.decision.quarantine.Quarantine;
 import org.cranberrygauge.decision.quarantine.QuarantineLimits;
 import org.cranberrygauge.decision.retry.RetryBudget;
@@ -28,6 +30,7 @@
 import org.cranberrygauge.gateway.http.AdmissionGate;
 import org.cranberrygauge.gateway.http.CallerHandler;
 import org.cranberrygauge.gateway.http.GatewayServers;
+import org.cranberrygauge.gateway.http.IdleConnections;
 import org.cranberrygauge.gateway.http.OperationsHandler;
 import org.cranberrygauge.gateway.metrics.GatewayMetrics;
 import org.cranberrygauge.gateway.reservation.ReservationDesk;
@@ -58,7 +61,7 @@
     /** The time between two looks at queue and backend servers in milliseconds. */
     private static final long TICK_MILLIS = 20;
 
-    /** The time between two reads of the platform's list in milliseconds. */
+    /** The time between two reads of the platform's list, and two looks for idle connections, in milliseconds. */
     private static final long LIST_MILLIS = 500;
 
     /** The time between two looks at running requests during a planned stop in milliseconds. */
@@ -67,6 +70,9 @@
     /** The share of successes that a customer may retry in a class. */
     private static final double RETRY_SHARE = 0.1;
 
+    /** The age after which a peer is no longer in touch in milliseconds. */
+    private static final long PEER_EXPIRY_MILLIS = 2_000;
+
     /** The number of retries that a customer can save in a class. */
     private static final int RETRY_BURST = 20;
 
@@ -109,6 +115,9 @@
     /** The scheduler. */
     private final Scheduler scheduler;
 
+    /** The connections of callers. */
+    private final IdleConnections callerConnections;
+
     /** The requests that wait or run. */
     private final ActiveCalls active = new ActiveCalls();
 
@@ -167,7 +176,8 @@
         vertx = Vertx.vertx(new VertxOptions()
                 .setEventLoopPoolSize(settings.eventLoops() + 1)
                 .setWorkerPoolSize(1));
-        servers = new GatewayServers(vertx, settings);
+        callerConnections = new IdleConnections(time, settings.callerIdleTimeoutMillis());
+        servers = new GatewayServers(vertx, settings, callerConnections);
         incarnation = Program.incarnation(settings.hostName(), time.wallMillis());
         blackboard = new Blackboard(time.monotonicMillis());
         platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
@@ -300,6 +310,7 @@
     private void startTimers() {
         vertx.setPeriodic(LIST_MILLIS, timer -> joinIfMissing());
         vertx.setPeriodic(TICK_MILLIS, timer -> scheduler.tick());
+        vertx.setPeriodic(LIST_MILLIS, timer -> callerConnections.closeIdle());
         vertx.setPeriodic(LIST_MILLIS, timer -> platform.backendServers().thenAccept(blackboard::publish));
         vertx.setPeriodic(settings.usageIntervalMillis(), timer -> {
             shipper.ship();
@@ -320,14 +331,21 @@
                 new BackendClient(vertx, settings.backendCredential(), settings.backendTimeoutMillis()),
                 desk,
                 new RetryBudgets.PerCustomer(() -> new RetryBudget.Share(RETRY_SHARE, RETRY_BURST)),
-                new CrashGuard(quarantine, new CrashDetector(vertx, board, time), time, this::tellPeers),
+                new CrashGuard(
+                        vertx,
+                        quarantine,
+                        new CrashDetector(vertx, board, time),
+                        time,
+                        this::tellPeers,
+                        incarnation,
+                        this::gatewaysInTouch),
                 usage,
                 new GatewayMetrics(registry),
                 events,
                 active,
                 time,
                 incarnation);
-        CallerHandler callers = new CallerHandler(vertx, settings, tools, blackboard, gate);
+        CallerHandler callers = new CallerHandler(vertx, settings, tools, blackboard, gate, callerConnections);
         OperationsHandler operations = new OperationsHandler(registry, gate, blackboard, ring, incarnation);
         return servers.listen(callers, operations)
                 .onSuccess(done -> events.emit(new GatewayEvents.GatewayListening(
@@ -374,6 +392,21 @@
         return report.setQuarantined(service.suspects());
     }
 
+    /**
+     * Lists the gateways that are in touch.
+     *
+     * @return The incarnations, this one included.
+     */
+    private List<String> gatewaysInTouch() {
+        long fromMillis = time.monotonicMillis() - PEER_EXPIRY_MILLIS;
+        return Stream.concat(
+                        Stream.of(incarnation),
+                        blackboard.peers().values().stream()
+                                .filter(peer -> peer.heardAtMillis() >= fromMillis)
+                                .map(PeerReport::gateway))
+                .toList();
+    }
+
     /** Tells the peers at once what this gateway knows of suspected requests. */
     private void tellPeers() {
         peerExchange.exchangeNow();
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/ExchangeMeasures.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/ExchangeMeasures.java
@@ -271,7 +271,7 @@
      */
     private Object decided(DispatchPolicy policy) {
         RoutingRequest request = new RoutingRequest("model-0", "prefix", 100);
-        return policy.routing().choose(1, request, policy.table().candidates(1, "model-0"), random);
+        return policy.routing().choose(1, request, policy.table().candidates("model-0"), random);
     }
 
     /**
--- /dev/null
+++ b/cranberrygauge-verification/src/test/java/org/cranberrygauge/verification/path/PoisonRequestTest.java
@@ -0,0 +1,107 @@
+package org.cranberrygauge.verification.path;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.junit.jupiter.api.Test;
+
+/** A request that crashes each engine that runs it, sent again by its caller through one gateway after another. */
+class PoisonRequestTest {
+
+    private static final ChatPrompt POISON = new ChatPrompt("CRASH-THE-ENGINE", 5);
+
+    private static final int SENDS = 8;
+
+    @Test
+    void losesAtMostThreeEnginesToOnePoisonRequestAndRefusesNoOther() throws Exception {
+        Losses losses = measure(PathBench.Size.of(4, 6, 0), 12, SENDS);
+
+        System.out.println("poison request, six engines, with quarantine: " + losses);
+        assertThat(losses.enginesLost()).isBetween(2, 3);
+        assertThat(losses.refusedOthers()).isEmpty();
+        assertThat(losses.quarantined()).isEqualTo(SENDS);
+    }
+
+    @Test
+    void losesEveryEngineWithoutQuarantine() throws Exception {
+        Losses losses =
+                measure(PathBench.Size.of(4, 6, 0).withLongestWait(2_000).withoutQuarantine(), 12, SENDS);
+
+        System.out.println("poison request, six engines, without quarantine: " + losses);
+        assertThat(losses.enginesLost()).isEqualTo(6);
+        assertThat(losses.refusedOthers()).isNotEmpty();
+    }
+
+    @Test
+    void neverLosesTheLastEngine() throws Exception {
+        Losses losses = measure(PathBench.Size.of(2, 2, 0).withLongestWait(1_000), 6, 4);
+
+        System.out.println("poison request, two engines, with quarantine: " + losses);
+        assertThat(losses.enginesLost()).isEqualTo(1);
+        assertThat(losses.refusedOthers()).hasSizeLessThan(6);
+    }
+
+    @Test
+    void losesTheLastEngineWithoutQuarantine() throws Exception {
+        Losses losses =
+                measure(PathBench.Size.of(2, 2, 0).withLongestWait(1_000).withoutQuarantine(), 6, 4);
+
+        System.out.println("poison request, two engines, without quarantine: " + losses);
+        assertThat(losses.enginesLost()).isEqualTo(2);
+        assertThat(losses.refusedOthers()).hasSize(6);
+    }
+
+    private static Losses measure(PathBench.Size size, int others, int sends) throws Exception {
+        ExecutorService threads = Executors.newFixedThreadPool(others);
+        try (PathBench bench = new PathBench(size)) {
+            List<CompletableFuture<String>> running = new ArrayList<>();
+            for (int number = 0; number < others; number++) {
+                ChatPrompt prompt = new ChatPrompt("other " + number, 600);
+                int gateway = number % size.gateways();
+                running.add(CompletableFuture.supplyAsync(() -> outcome(bench, gateway, prompt), threads));
+            }
+            Await.until("the others run", () -> running(bench) == others);
+            int quarantined = 0;
+            for (int send = 0; send < sends; send++) {
+                HttpResponse<String> answer =
+                        bench.chat(send % size.gateways(), BenchConfiguration.OTHER_KEY, POISON.body(false));
+                quarantined += answer.statusCode() == 422 ? 1 : 0;
+            }
+            List<String> refused = new ArrayList<>();
+            for (CompletableFuture<String> other : running) {
+                refused.add(other.get());
+            }
+            refused.removeIf("whole"::equals);
+            return new Losses((int) (size.engines() - bench.enginesUp()), refused, quarantined);
+        } finally {
+            threads.shutdownNow();
+        }
+    }
+
+    private static int running(PathBench bench) throws Exception {
+        int sum = 0;
+        for (int port : bench.enginePorts()) {
+            sum += bench.engineCounts(port).running();
+        }
+        return sum;
+    }
+
+    private static String outcome(PathBench bench, int gateway, ChatPrompt prompt) {
+        try {
+            HttpResponse<String> answer = bench.chat(gateway, BenchConfiguration.KEY, prompt.body(false));
+            if (answer.statusCode() != 200) {
+                return PathBench.errorOf(answer).getString("code");
+            }
+            return ChatPrompt.contentOf(answer).equals(prompt.wholeAnswer()) ? "whole" : "cut";
+        } catch (Exception exception) {
+            return exception.toString();
+        }
+    }
+
+    private record Losses(int enginesLost, List<String> refusedOthers, int quarantined) {}
+}
