Never refuse by forecast while a lower tier runs that can give way

Ruled out: the full-queue path, which wasn't hit. Change: such a request is queued, and the preemption it causes serves it.

--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/Dispatcher.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/Dispatcher.java
@@ -24,8 +24,8 @@
 /**
  * Starts, refuses and preempts the requests of one gateway.
  *
- * <p>Invariants: a request is started or refused exactly once for each time it is submitted, unless it is cancelled; a
- * request that started because its class was owed a start is never preempted; no more requests are preempted for a target
+ * <p>Invariants: a request is started or refused exactly once for each time it is submitted, unless it is cancelled; none
+ * is refused by a forecast while a lower tier runs that can give way; a request that started because its class was owed a start is never preempted; no more requests are preempted for a target
  * than higher-tier requests wait for it. Used by one thread at a time.
  */
 public final class Dispatcher {
@@ -107,11 +107,17 @@
         Submission before = submissions.get(request.requestId());
         long cost = work(routing.promptTokens(), output(request, routing));
         QueuedRequest queued = before == null ? request.withEstimatedTokens(cost) : request.again(nowMillis, cost);
-        int preemptions = before == null ? 0 : before.preemptions;
-        boolean ran = before != null && before.ran;
+        int preemptions = before == null ? 0 : before.preemptions();
+        boolean ran = before != null && before.ran();
         submissions.put(request.requestId(), new Submission(queued, routing, resumable, preemptions, ran, eligibility));
         targets.add(request.target());
-        refuse(ran ? policy.queue().resume(nowMillis, queued) : policy.queue().offer(nowMillis, queued));
+        List<Refusal> refusals =
+                ran ? policy.queue().resume(nowMillis, queued) : policy.queue().offer(nowMillis, queued);
+        boolean refused = refusals.stream().anyMatch(refusal -> refusal.requestId() == request.requestId());
+        if (refused && !ran && lowerTierRuns(queued)) {
+            refusals = policy.queue().resume(nowMillis, queued);
+        }
+        refuse(refusals);
         startReady(nowMillis);
     }
 
@@ -136,7 +142,7 @@
         running.values().forEach(requests -> requests.remove(requestId));
         stopping.values().forEach(requests -> requests.remove(requestId));
         Submission submission = submissions.get(requestId);
-        if (submission != null && !submission.resumable) {
+        if (submission != null && !submission.resumable()) {
             submissions.remove(requestId);
         }
         policy.table().ended(server);
@@ -154,8 +160,8 @@
         if (submission == null) {
             return;
         }
-        QueuedRequest request = submission.request;
-        int promptTokens = submission.routing.promptTokens();
+        QueuedRequest request = submission.request();
+        int promptTokens = submission.routing().promptTokens();
         policy.queue().finished(request, work(promptTokens, Math.max(0, actualTokens - promptTokens)));
         if (promptTokens > 0 && actualTokens > promptTokens) {
             policy.estimate().observe(request.customer(), request.className(), (int) (actualTokens - promptTokens));
@@ -208,6 +214,21 @@
         return outputTokens + promptTokens / PROMPT_TOKENS_PER_OUTPUT_TOKEN;
     }
 
+    /**
+     * Tells whether a request of a lower tier runs that can still give way to a request.
+     *
+     * @param request The request.
+     * @return Whether one does.
+     */
+    private boolean lowerTierRuns(QueuedRequest request) {
+        ServiceClass serviceClass = classes.get(request.className());
+        if (serviceClass == null) {
+            return false;
+        }
+        return running.getOrDefault(request.target(), Map.of()).values().stream()
+                .anyMatch(other -> policy.preemption().mayGiveWay(serviceClass.tier(), other));
+    }
+
     /**
      * Estimates the output of a request.
      *
@@ -274,7 +295,7 @@
             return false;
         }
         Submission submission = submissions.get(request.requestId());
-        return !submission.eligibility.isRestricted()
+        return !submission.eligibility().isRestricted()
                 || eligible(submission, candidates).isPresent();
     }
 
@@ -297,9 +318,9 @@
         policy.table().started(chosen.server().name());
         submissions.put(request.requestId(), submission.started());
         ServiceClass serviceClass = classes.get(request.className());
-        if (submission.resumable && !next.owed() && serviceClass != null) {
+        if (submission.resumable() && !next.owed() && serviceClass != null) {
             RunningRequest runs =
-                    new RunningRequest(request.requestId(), serviceClass.tier(), nowMillis, submission.preemptions);
+                    new RunningRequest(request.requestId(), serviceClass.tier(), nowMillis, submission.preemptions());
             running.computeIfAbsent(request.target(), name -> new LinkedHashMap<>())
                     .put(request.requestId(), runs);
         }
@@ -315,11 +336,11 @@
      * @return The choice, or nothing if a restriction changed since the request was taken from the queue.
      */
     private Optional<BackendView> choose(long nowMillis, Submission submission, Candidates candidates) {
-        if (submission.eligibility.isRestricted()) {
+        if (submission.eligibility().isRestricted()) {
             return eligible(submission, candidates);
         }
         return policy.routing()
-                .choose(nowMillis, submission.routing, candidates, random)
+                .choose(nowMillis, submission.routing(), candidates, random)
                 .or(() -> Optional.of(candidates.get(0)));
     }
 
@@ -334,7 +355,7 @@
         int healthy = candidates.healthy();
         return IntStream.range(0, candidates.size())
                 .mapToObj(candidates::get)
-                .filter(view -> submission.eligibility.allows(view.server(), healthy))
+                .filter(view -> submission.eligibility().allows(view.server(), healthy))
                 .min(Comparator.comparingInt(BackendView::inFlight));
     }
 
@@ -351,7 +372,7 @@
         if (waitingClass == null || requests.isEmpty()) {
             return;
         }
-        if (submissions.get(first.requestId()).eligibility.isRestricted()) {
+        if (submissions.get(first.requestId()).eligibility().isRestricted()) {
             return;
         }
         Set<Long> stops = stopping.computeIfAbsent(target, name -> new HashSet<>());
@@ -395,45 +416,8 @@
      */
     private void forgetUnlessRan(long requestId) {
         Submission submission = submissions.get(requestId);
-        if (submission != null && !submission.ran) {
+        if (submission != null && !submission.ran()) {
             submissions.remove(requestId);
         }
     }
-
-    /**
-     * A request that was submitted and has not ended for good.
-     *
-     * @param request The request as it was queued last.
-     * @param routing What routing knows of it.
-     * @param resumable Whether it can be stopped and go on elsewhere.
-     * @param preemptions The number of times that it was preempted.
-     * @param ran Whether an attempt of it started.
-     * @param eligibility Tells on which backend servers it may start.
-     */
-    private record Submission(
-            QueuedRequest request,
-            RoutingRequest routing,
-            boolean resumable,
-            int preemptions,
-            boolean ran,
-            Eligibility eligibility) {
-
-        /**
-         * Notes a start.
-         *
-         * @return The refined submission.
-         */
-        private Submission started() {
-            return new Submission(request, routing, resumable, preemptions, true, eligibility);
-        }
-
-        /**
-         * Counts a preemption.
-         *
-         * @return The refined submission.
-         */
-        private Submission preempted() {
-            return new Submission(request, routing, resumable, preemptions + 1, ran, eligibility);
-        }
-    }
 }
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/preemption/PreemptionPolicy.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/preemption/PreemptionPolicy.java
@@ -22,6 +22,15 @@
     Optional<RunningRequest> victim(
             long nowMillis, int waitingTier, long waitedMillis, long targetMillis, Iterable<RunningRequest> running);
 
+    /**
+     * Tells whether a running request can still be stopped, now or after some progress.
+     *
+     * @param waitingTier The tier of the waiting request; 0 is the highest.
+     * @param running The running request.
+     * @return Whether it can.
+     */
+    boolean mayGiveWay(int waitingTier, RunningRequest running);
+
     /**
      * Stops a request of the lowest tier that can go on elsewhere and that has made progress since it last started.
      */
@@ -50,8 +59,7 @@
             }
             RunningRequest best = null;
             for (RunningRequest request : running) {
-                boolean eligible = request.tier() > waitingTier
-                        && request.preemptions() < PREEMPTION_LIMIT
+                boolean eligible = mayGiveWay(waitingTier, request)
                         && nowMillis - request.startedAtMillis() >= MINIMUM_PROGRESS_MILLIS;
                 if (eligible && (best == null || givesWayBefore(request, best))) {
                     best = request;
@@ -60,6 +68,11 @@
             return Optional.ofNullable(best);
         }
 
+        @Override
+        public boolean mayGiveWay(int waitingTier, RunningRequest running) {
+            return running.tier() > waitingTier && running.preemptions() < PREEMPTION_LIMIT;
+        }
+
         /**
          * Tells whether a request gives way before another.
          *
@@ -89,6 +102,11 @@
                 Iterable<RunningRequest> running) {
             return Optional.empty();
         }
+
+        @Override
+        public boolean mayGiveWay(int waitingTier, RunningRequest running) {
+            return false;
+        }
     }
 
     /**
--- a/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/dispatch/DispatcherTest.java
+++ b/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/dispatch/DispatcherTest.java
@@ -53,6 +53,37 @@
         assertThat(preempted).isEmpty();
     }
 
+    @Test
+    void no_forecast_refuses_a_higher_tier_while_a_lower_one_runs_that_can_give_way() {
+        assertThat(refusedUnderBacklog(DispatchPolicy.standard())).isEmpty();
+    }
+
+    @Test
+    void without_preemption_the_forecast_refuses_what_cannot_start_in_time() {
+        assertThat(refusedUnderBacklog(DispatchPolicy.standard().withPreemption(PreemptionPolicy.Disabled.INSTANCE)))
+                .isNotEmpty();
+    }
+
+    private List<Long> refusedUnderBacklog(DispatchPolicy policy) {
+        Dispatcher dispatcher = dispatcher(policy);
+        submit(dispatcher, 0, 1, "high");
+        for (long number = 2; number <= 8; number++) {
+            submit(dispatcher, 0, number, "high");
+        }
+        for (long number = 1; number <= 4; number++) {
+            dispatcher.ended(number * 900, number, "engine");
+        }
+        dispatcher.cancel(6);
+        dispatcher.cancel(7);
+        dispatcher.cancel(8);
+        dispatcher.ended(3_700, 5, "engine");
+        submit(dispatcher, 3_700, 20, "low");
+        for (long number = 30; number <= 40; number++) {
+            submit(dispatcher, 3_710, number, "high");
+        }
+        return refused;
+    }
+
     @Test
     void a_higher_tier_never_gives_way_to_a_lower_one() {
         Dispatcher dispatcher = dispatcher(DispatchPolicy.standard());
@@ -122,6 +153,6 @@
     private static void submit(Dispatcher dispatcher, long now, long number, String className) {
         long wait = className.equals("high") ? 5_000 : 600_000;
         QueuedRequest request = new QueuedRequest(number, "customer", 1, className, "model", 200, now, now + wait);
-        dispatcher.submit(now, request, new RoutingRequest("model", "prefix", 100), true);
+        dispatcher.submit(now, request, new RoutingRequest("model", "prefix", 100), true, Eligibility.Any.INSTANCE);
     }
 }
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/benchmark/DecisionBenchmark.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/benchmark/DecisionBenchmark.java
@@ -12,6 +12,7 @@
 import org.cranberrygauge.decision.dispatch.DispatchListener;
 import org.cranberrygauge.decision.dispatch.DispatchPolicy;
 import org.cranberrygauge.decision.dispatch.Dispatcher;
+import org.cranberrygauge.decision.dispatch.Eligibility;
 import org.cranberrygauge.decision.routing.RoutingPolicy;
 import org.cranberrygauge.decision.routing.RoutingRequest;
 import org.cranberrygauge.model.backend.BackendKind;
@@ -168,7 +169,7 @@
                 nowMillis,
                 nowMillis + TimeUnit.HOURS.toMillis(1));
         RoutingRequest prompt = new RoutingRequest(model, prefixes[random.nextInt(PREFIXES)], PROMPT_TOKENS);
-        dispatcher.submit(nowMillis, request, prompt, true);
+        dispatcher.submit(nowMillis, request, prompt, true, Eligibility.Any.INSTANCE);
     }
 
     /**
