Add the stream of a chat and the usage copy at a peer to the fault matrix

Loss of usage with a gateway is bounded by one interval of copies and checked; without copies KILL before DELTA breaks the bound.

--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/FaultMatrixPage.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/FaultMatrixPage.java
@@ -18,12 +18,14 @@
             EnumSet.of(Mechanism.RESERVATION),
             EnumSet.of(Mechanism.RESERVATION, Mechanism.GATEWAY_MEMORY),
             EnumSet.of(Mechanism.ATTEMPT_CHECK),
+            EnumSet.of(Mechanism.RESUME),
             EnumSet.of(Mechanism.FENCING),
             EnumSet.of(Mechanism.LEASE_WAIT),
             EnumSet.of(Mechanism.FRESHNESS),
             EnumSet.of(Mechanism.ACCEPTANCE),
             EnumSet.of(Mechanism.OPTIMISTIC_VERSION),
             EnumSet.of(Mechanism.CUMULATIVE_USAGE),
+            EnumSet.of(Mechanism.USAGE_COPY),
             EnumSet.of(Mechanism.PREFIX_WINDOW),
             EnumSet.of(Mechanism.DRAIN));
 
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/Invariant.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/Invariant.java
@@ -8,6 +8,8 @@
     NOT_RUN_IS_TRUE("A refusal saying \"not run\" is true"),
     /** Each caller gets the whole answer to its own request. */
     OWN_ANSWER("Each caller gets the answer to its own request, also when answers are late or crossed"),
+    /** Each caller gets its whole stream. */
+    WHOLE_STREAM("Each caller gets its whole stream, or is told that it broke where its own gateway is lost"),
     /** The platform gets no order of a process that is no longer in charge. */
     ONE_IN_CHARGE("The platform carries out no order of a former holder after one of its successor"),
     /** The pool ends as the present holder wants it. */
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/Mechanism.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/Mechanism.java
@@ -8,6 +8,8 @@
     GATEWAY_MEMORY,
     /** An answer is taken only for the attempt that it names. */
     ATTEMPT_CHECK,
+    /** A broken stream goes on at another engine from the tokens already delivered. */
+    RESUME,
     /** Intents and orders are checked against the fencing number and the lease before they are sent. */
     FENCING,
     /** A claimant waits the full lease of the last claim. */
@@ -20,6 +22,8 @@
     OPTIMISTIC_VERSION,
     /** Usage is written as totals since the start. */
     CUMULATIVE_USAGE,
+    /** A peer holds a copy of the usage that is not in the log yet, and writes it for a gateway that is silent. */
+    USAGE_COPY,
     /** The figures of a window are those of the log before its close. */
     PREFIX_WINDOW,
     /** A backend server is handed back only after gateways and requests were awaited. */
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/Protocol.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/Protocol.java
@@ -6,6 +6,8 @@
 enum Protocol {
     /** A keyed call on an at-most-once route. */
     AT_MOST_ONCE("keyed call at most once", AtMostOnceScenario::new),
+    /** A stream of a chat. */
+    STREAM("stream of a chat", StreamScenario::new),
     /** Lease and orders where the platform checks the fencing number. */
     LEASE_FENCING(
             "lease and orders, platform checks fencing numbers",
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/Step.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/Step.java
@@ -8,6 +8,8 @@
     DISPATCH,
     /** The backend server has the call. */
     FIRST_BYTE,
+    /** Half of the answer is there. */
+    MID_STREAM,
     /** The whole answer is there. */
     LAST_BYTE,
     /** The outcome is written to the log. */
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/UsageScenario.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/UsageScenario.java
@@ -4,9 +4,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import org.cranberrygauge.decision.usage.UsageCopies;
 import org.cranberrygauge.decision.usage.UsageCounter;
 import org.cranberrygauge.decision.usage.UsageLedger;
+import org.cranberrygauge.model.record.LogRecord.GatewayJoined;
 import org.cranberrygauge.model.record.LogRecord.UsageDelta;
 import org.cranberrygauge.model.record.LogRecord.WindowClose;
 import org.cranberrygauge.model.record.LogRecord.WindowReported;
@@ -38,6 +41,18 @@
     /** The time after which a report is given up in milliseconds. */
     private static final long REPORT_MILLIS = 1_000;
 
+    /** The time between two copies to the peer in milliseconds. */
+    private static final long COPY_MILLIS = 200;
+
+    /** The time without a copy after which the peer writes what it holds in milliseconds. */
+    private static final long SILENT_MILLIS = 2_000;
+
+    /** The highest number of calls that may be lost with a gateway: those of one copy's interval and its travel. */
+    private static final long LOST_CALLS = (COPY_MILLIS + CALL_MILLIS) / CALL_MILLIS + 1;
+
+    /** The highest number of keys that the peer holds. */
+    private static final int HELD_KEYS = 100;
+
     /** What the calls are counted by. */
     private static final UsageKey KEY = new UsageKey("customer", "class");
 
@@ -77,6 +92,10 @@
         gatewayLog = new LogClient(world, gateway, effect -> {});
         gateway.every(CALL_MILLIS, this::call);
         gateway.every(DELTA_MILLIS, this::ship);
+        gatewayLog.append(new GatewayJoined("gateway", "host", "data-centre", "address"));
+        if (world.on(Mechanism.USAGE_COPY)) {
+            holdCopies();
+        }
         reporters.add(new Reporter("a"));
         reporters.add(new Reporter("b"));
         world.onFaults(
@@ -90,16 +109,35 @@
         boolean nobody = reporters.stream()
                 .allMatch(reporter -> reporter.holder.process().isDead());
         boolean lossAllowed = gateway.isDead() || nobody;
-        boolean wrong = reported > engineCalls || reported < engineCalls && !lossAllowed;
+        long lost = engineCalls - reported;
+        boolean tooMuchLost = gateway.isDead() && !nobody && lost > LOST_CALLS;
+        boolean wrong = lost < 0 || lost > 0 && !lossAllowed || tooMuchLost;
         String counted = "engine " + engineCalls + " calls, reported " + reported + ", reports " + reports;
         return List.of(
                 Finding.of(Invariant.ONE_REPORT, differ, nobody, counted),
                 Finding.of(Invariant.EXACT_USAGE, wrong, reported < engineCalls, counted));
     }
 
-    /** Runs a call. */
+    /** Lets a peer hold copies and write those of a gateway that is silent. */
+    private void holdCopies() {
+        SimulatedProcess peer = world.process("peer");
+        LogClient peerLog = new LogClient(world, peer, effect -> {});
+        UsageCopies copies = new UsageCopies(HELD_KEYS, SILENT_MILLIS);
+        gateway.every(COPY_MILLIS, () -> {
+            UsageDelta copy = new UsageDelta("gateway", 0, counter.totals());
+            world.call(gateway, () -> copies.hold(world.now(), copy), held -> {}, () -> {}, COPY_MILLIS);
+        });
+        peer.every(DELTA_MILLIS, () -> {
+            Set<String> members = peerLog.state().members().contains("gateway") ? Set.of("gateway") : Set.of();
+            if (peerLog.isIdle()) {
+                copies.due(world.now(), peerLog.state().usage(), members).forEach(peerLog::append);
+            }
+        });
+    }
+
+    /** Runs a call; a gateway that is cut off reaches no engine either. */
     private void call() {
-        if (world.now() <= LAST_CALL_MILLIS) {
+        if (world.now() <= LAST_CALL_MILLIS && !gateway.isCut()) {
             engineCalls++;
             counter.count(KEY, new UsageFigures(1, 0, 0));
         }
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/World.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/faults/World.java
@@ -45,6 +45,9 @@
     /** The source of message times. */
     private final Random random;
 
+    /** Whether a process was cut off. */
+    private boolean cut;
+
     /** What an eviction does. */
     private Runnable eviction = () -> {};
 
@@ -113,6 +116,15 @@
         return injections.size();
     }
 
+    /**
+     * Tells whether a process was cut off.
+     *
+     * @return Whether one was.
+     */
+    boolean wasCut() {
+        return cut;
+    }
+
     /**
      * Sets what an eviction, a second operator and a crossed answer do.
      *
@@ -217,6 +229,7 @@
             }
             case SLOW -> process.run(SLOW_MILLIS, action);
             case CUT -> {
+                cut = true;
                 process.cut(OUTAGE_MILLIS);
                 action.run();
             }
