--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
@@ -8,17 +8,28 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonObject;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.cranberrygauge.controller.cleaning.CleaningDesk;
+import org.cranberrygauge.controller.gateway.GatewayPoll;
 import org.cranberrygauge.controller.order.OrderDesk;
 import org.cranberrygauge.controller.usage.UsageReporter;
-import org.cranberrygauge.decision.fleet.FleetPlanner;
+import org.cranberrygauge.decision.cleaning.CleaningPlanner;
+import org.cranberrygauge.decision.fleet.DemandMeter;
+import org.cranberrygauge.decision.fleet.DemandMeter.GatewayLoad;
+import org.cranberrygauge.decision.fleet.FleetView.ModelDemand;
+import org.cranberrygauge.decision.fleet.ForecastFleetPlanner;
 import org.cranberrygauge.decision.lease.LeaseKeeper;
 import org.cranberrygauge.decision.snapshot.SnapshotSchedule;
-import org.cranberrygauge.decision.state.Effect;
 import org.cranberrygauge.decision.state.LogState;
+import org.cranberrygauge.model.backend.BackendServer;
+import org.cranberrygauge.model.backend.HostState;
+import org.cranberrygauge.model.backend.ListedBackendServer;
+import org.cranberrygauge.model.configuration.Configuration;
 import org.cranberrygauge.runtime.blackboard.Blackboard;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.lifecycle.Program;
@@ -39,7 +50,13 @@
     private static final long TICK_MILLIS = 100;
 
     /** The time between two plans of the fleet in ticks. */
-    private static final int TICKS_PER_PLAN = 5;
+    private static final int TICKS_PER_PLAN = 10;
+
+    /** The time between two questions to a gateway in ticks. */
+    private static final int TICKS_PER_POLL = 10;
+
+    /** The age after which the load of a gateway counts for nothing in milliseconds. */
+    private static final long LOAD_AGE_MILLIS = 3_000;
 
     /** The longest time a planned stop waits for the log in milliseconds. */
     private static final long STOP_MILLIS = 1_000;
@@ -74,8 +91,8 @@
     /** Appends the records of control. */
     private final ControlAppender controlAppender;
 
-    /** The client of the platform. */
-    private final HttpPlatform platform;
+    /** Asks gateways for their load. */
+    private final GatewayPoll poll;
 
     /** Decides whether this controller holds the lease. */
     private final LeaseKeeper lease;
@@ -86,6 +103,12 @@
     /** Reports usage. */
     private final UsageReporter usage;
 
+    /** Carries out the cleaning. */
+    private final CleaningDesk cleaning;
+
+    /** Works out the demand. */
+    private final DemandMeter meter = new DemandMeter();
+
     /** Writes snapshots. */
     private final SnapshotWriter snapshots;
 
@@ -110,14 +133,15 @@
         vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
         incarnation = Program.incarnation(settings.hostName(), time.wallMillis());
         blackboard = new Blackboard(time.monotonicMillis());
-        platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
+        HttpPlatform platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
         follower = new LogFollower(vertx, platform, blackboard, time, events);
         appender = new LogAppender(vertx, platform, incarnation);
         controlAppender = new ControlAppender(appender, blackboard);
+        poll = new GatewayPoll(time);
         lease = new LeaseKeeper(incarnation, settings.hostName(), time.monotonicMillis());
         orders = new OrderDesk(
                 incarnation,
-                FleetPlanner.Minimum.INSTANCE,
+                new ForecastFleetPlanner(settings.fleetParameters()),
                 lease,
                 blackboard,
                 follower,
@@ -126,6 +150,7 @@
                 time,
                 events);
         usage = new UsageReporter(incarnation, lease, follower, controlAppender, platform, time, events);
+        cleaning = new CleaningDesk(new CleaningPlanner(settings.cleaningMillis()), lease, controlAppender, events);
         snapshots = new SnapshotWriter(
                 incarnation,
                 new SnapshotSchedule.Periodic(settings.snapshotIntervalMillis()),
@@ -139,7 +164,7 @@
      * @return Completes when it listens.
      */
     public Future<HttpServer> start() {
-        follower.addListener(this::accept);
+        follower.addListener(orders::accept);
         follower.start();
         vertx.setPeriodic(TICK_MILLIS, timer -> follower.onContext(this::tick));
         return vertx.createHttpServer(new HttpServerOptions()
@@ -154,7 +179,6 @@
     /** Stops the controller: sends no order any more, gives the lease back and ends. */
     public void stop() {
         stopping = true;
-        orders.stop();
         Promise<Void> resigned = Promise.promise();
         follower.onContext(state -> lease.resign(time.monotonicMillis())
                 .map(appender::append)
@@ -162,6 +186,7 @@
                 .<Void>mapEmpty()
                 .onComplete(resigned));
         await(resigned.future());
+        poll.stop();
         follower.stop();
         vertx.close();
     }
@@ -181,15 +206,6 @@
         }
     }
 
-    /**
-     * Acts on what became of a record.
-     *
-     * @param effect The effect.
-     */
-    private void accept(Effect effect) {
-        orders.accept(effect);
-    }
-
     /**
      * Decides and acts once.
      *
@@ -222,11 +238,33 @@
         }
         usage.tick(state);
         snapshots.tick(state);
+        if (ticks % TICKS_PER_POLL == 0) {
+            poll.ask(state.members().all());
+        }
         if (ticks++ % TICKS_PER_PLAN == 0) {
-            orders.tick(state, Map.of(), Map.of());
+            plan(nowMillis, state);
         }
     }
 
+    /**
+     * Plans the cleaning and the fleet.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param state The state machines.
+     */
+    private void plan(long nowMillis, LogState state) {
+        Configuration configuration = state.configuration().current().configuration();
+        List<BackendServer> servers = new ArrayList<>(configuration.backendServers());
+        blackboard.listed().stream()
+                .filter(listed -> listed.state() == HostState.LIVE)
+                .map(ListedBackendServer::server)
+                .forEach(servers::add);
+        Map<String, GatewayLoad> loads = poll.loads(nowMillis, LOAD_AGE_MILLIS);
+        Map<String, Integer> reserve = cleaning.tick(time.wallMillis(), state, servers, loads);
+        Map<String, ModelDemand> demand = meter.observe(configuration, servers, loads.values());
+        orders.tick(state, demand, reserve);
+    }
+
     /**
      * Answers a request of operations.
      *
@@ -237,6 +275,7 @@
                 .put("controller", incarnation)
                 .put("holds_lease", lease.holds(time.monotonicMillis()))
                 .put("fencing_number", blackboard.log().lease().fencingNumber())
+                .put("appends_waiting", appender.backlog())
                 .put("log_offset", blackboard.position().offset());
         request.response().putHeader("Content-Type", "application/json").end(body.toBuffer());
     }
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/state/LogState.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/state/LogState.java
@@ -113,8 +113,7 @@
                 configuration,
                 lease,
                 List.copyOf(members.all()),
-                List.copyOf(drains.drains().values()),
-                drains.ended(),
+                drains,
                 reservations.export(),
                 usage.export(),
                 List.copyOf(writers.values()),
@@ -137,7 +136,7 @@
         configuration = from.configuration();
         lease = from.lease();
         members = Members.of(from.members());
-        drains = DrainRegister.of(from.drains(), from.endedDrains());
+        drains = from.drains();
         reservations.restore(from.reservations());
         usage.restore(from.usage());
         writers.clear();
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CrashDetector.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CrashDetector.java
@@ -82,7 +82,7 @@
 
     /** Probes the crashed backend servers, and forgets those that are no longer known. */
     private void probeCrashed() {
-        crashed.values().removeIf(server -> server.serves().stream().noneMatch(board::isServed));
+        crashed.values().removeIf(server -> !board.isKnown(server));
         crashed.values().forEach(this::judge);
     }
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/ExchangeService.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/ExchangeService.java
@@ -84,7 +84,7 @@
 
     @Override
     public GatewayReport status() {
-        return ownReport.get();
+        return usageCopies.withSignals(ownReport.get());
     }
 
     @Override
@@ -118,7 +118,8 @@
                                 report.getLogOffset(),
                                 report.getLogAgeMillis(),
                                 report.getInFlight(),
-                                report.isDraining()));
+                                report.isDraining(),
+                                report.getWaiting()));
     }
 
     /**
