Serve callers by TLS, with replaced certificates taken up without a cut

Cause: callers' keys crossed the network in the clear. Ruled out: watching directories (misses renames on some file systems), a restart (cuts streams). Checked: CertificateReloaderTest over real sockets: an open stream ends whole after the swap; new connections see the new one only.

--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -167,7 +167,7 @@
         vertx = Vertx.vertx(new VertxOptions()
                 .setEventLoopPoolSize(settings.eventLoops() + 1)
                 .setWorkerPoolSize(1));
-        servers = new GatewayServers(vertx, settings);
+        servers = new GatewayServers(vertx, settings, this.events);
         incarnation = Program.incarnation(settings.hostName(), time.wallMillis());
         blackboard = new Blackboard(time.monotonicMillis());
         platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/GatewaySettings.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/GatewaySettings.java
@@ -1,12 +1,14 @@
 package org.cranberrygauge.gateway;
 
 import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParametersDelegate;
 import java.util.ArrayList;
 import java.util.List;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.runtime.setting.AddressConverter;
 import org.cranberrygauge.runtime.setting.PositiveNumber;
 import org.cranberrygauge.runtime.setting.ProcessSettings;
+import org.cranberrygauge.runtime.tls.TlsSettings;
 
 /**
  * The settings of a gateway.
@@ -53,6 +55,10 @@
             description = "Number of event loops that serve callers")
     private int eventLoops = 2;
 
+    /** TLS towards callers. */
+    @ParametersDelegate
+    private final TlsSettings tls = new TlsSettings();
+
     /** The credential for backend servers. */
     @Parameter(
             names = "--backend-credential",
@@ -115,6 +121,15 @@
             description = "Milliseconds after which a call is refused whose reservation is not in the log")
     private long reservationTimeoutMillis = 2_000;
 
+    /**
+     * Returns the settings of TLS towards callers.
+     *
+     * @return The settings.
+     */
+    public TlsSettings tls() {
+        return tls;
+    }
+
     /**
      * Returns the address for callers.
      *
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/GatewayServers.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/GatewayServers.java
@@ -4,9 +4,14 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.cranberrygauge.gateway.GatewaySettings;
 import org.cranberrygauge.model.backend.NetworkAddress;
+import org.cranberrygauge.runtime.event.EventLog;
+import org.cranberrygauge.runtime.setting.SettingException;
+import org.cranberrygauge.runtime.tls.CertificateFiles;
+import org.cranberrygauge.runtime.tls.CertificateReloader;
 
 /**
  * The HTTP servers of a gateway: one for operations, and for callers one on each event loop.
@@ -24,6 +29,12 @@
     /** The settings. */
     private final GatewaySettings settings;
 
+    /** The event log. */
+    private final EventLog events;
+
+    /** What the files of TLS held at the start; null without TLS. */
+    private CertificateFiles.Content certificate;
+
     /** The server of callers. */
     private HttpServer callerServer;
 
@@ -35,10 +46,12 @@
      *
      * @param vertx The Vert.x instance.
      * @param settings The settings.
+     * @param events The event log.
      */
-    public GatewayServers(Vertx vertx, GatewaySettings settings) {
+    public GatewayServers(Vertx vertx, GatewaySettings settings, EventLog events) {
         this.vertx = vertx;
         this.settings = settings;
+        this.events = events;
     }
 
     /**
@@ -49,15 +62,23 @@
      * @return Completes when all servers listen.
      */
     public Future<Void> listen(CallerHandler callers, OperationsHandler operations) {
+        Optional<CertificateFiles> files;
+        try {
+            files = settings.tls().files();
+            certificate = files.isPresent() ? files.get().read() : null;
+        } catch (SettingException exception) {
+            return Future.failedFuture(exception);
+        }
         return vertx.createHttpServer(options(settings.operationsAddress()))
                 .requestHandler(operations)
                 .listen()
                 .compose(listening -> {
                     operationsServer = listening;
-                    return callerServer(options(settings.listenAddress()), callers);
+                    return callerServer(callerOptions(settings.listenAddress()), callers);
                 })
                 .compose(listening -> {
                     callerServer = listening;
+                    files.ifPresent(this::reload);
                     return moreCallerServers(callers);
                 });
     }
@@ -90,7 +111,7 @@
         NetworkAddress address = new NetworkAddress(settings.listenAddress().host(), callerPort());
         Future<Void> all = Future.succeededFuture();
         for (int loop = 1; loop < settings.eventLoops(); loop++) {
-            all = all.compose(done -> vertx.deployVerticle(new CallerVerticle(options(address), callers))
+            all = all.compose(done -> vertx.deployVerticle(new CallerVerticle(callerOptions(address), callers))
                     .mapEmpty());
         }
         return all;
@@ -110,6 +131,27 @@
                 .listen();
     }
 
+    /**
+     * Starts to look for replaced certificates.
+     *
+     * @param files The files.
+     */
+    private void reload(CertificateFiles files) {
+        new CertificateReloader(vertx, files, certificate, callerServer, events)
+                .start(settings.tls().reloadMillis());
+    }
+
+    /**
+     * Builds the options of a server of callers.
+     *
+     * @param address The address.
+     * @return The options.
+     */
+    private HttpServerOptions callerOptions(NetworkAddress address) {
+        HttpServerOptions options = options(address);
+        return certificate == null ? options : options.setSsl(true).setKeyCertOptions(certificate.options());
+    }
+
     /**
      * Builds the options of a server.
      *
