--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/GatewaySettings.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/GatewaySettings.java
@@ -4,10 +4,13 @@
 import com.beust.jcommander.ParametersDelegate;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.runtime.setting.AddressConverter;
 import org.cranberrygauge.runtime.setting.PositiveNumber;
 import org.cranberrygauge.runtime.setting.ProcessSettings;
+import org.cranberrygauge.runtime.setting.SettingException;
+import org.cranberrygauge.runtime.tls.CertificateFiles;
 import org.cranberrygauge.runtime.tls.TlsSettings;
 
 /**
@@ -121,6 +124,14 @@
             description = "Milliseconds after which a call is refused whose reservation is not in the log")
     private long reservationTimeoutMillis = 2_000;
 
+    @Override
+    public void check() throws SettingException {
+        Optional<CertificateFiles> files = tls.files();
+        if (files.isPresent()) {
+            files.get().read();
+        }
+    }
+
     /**
      * Returns the settings of TLS towards callers.
      *
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/lifecycle/Program.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/lifecycle/Program.java
@@ -39,9 +39,11 @@
                 System.out.println(name + " " + version());
                 return Optional.of(0);
             }
+            settings.check();
             return Optional.empty();
         } catch (SettingException exception) {
-            System.err.println(exception.getMessage());
+            String message = exception.getMessage();
+            System.err.println(message.startsWith(name + ":") ? message : name + ": " + message);
             return Optional.of(SettingsParser.EXIT_STATUS);
         }
     }
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/setting/ProcessSettings.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/setting/ProcessSettings.java
@@ -41,6 +41,15 @@
             description = "Milliseconds after which a call to the platform is given up")
     private long platformTimeoutMillis = 1_000;
 
+    /**
+     * Checks settings that depend on each other.
+     *
+     * @throws SettingException If they do not fit together.
+     */
+    public void check() throws SettingException {
+        // Each of these settings stands for itself.
+    }
+
     /**
      * Tells whether to print the usage.
      *
