--- a/cranberrygauge-controller/src/test/java/org/cranberrygauge/controller/ControlAppenderTest.java
+++ b/cranberrygauge-controller/src/test/java/org/cranberrygauge/controller/ControlAppenderTest.java
@@ -24,6 +24,7 @@
 class ControlAppenderTest {
 
     private static final long HOUR_MILLIS = 3_600_000;
+    private static final long LEASE_MILLIS = 6_000;
     private static final String CLAIM = "lease-claim";
 
     private final Vertx vertx = Vertx.vertx();
@@ -42,17 +43,17 @@
         LeaseKeeper lease = new LeaseKeeper("host-1/1", "host-1", 0);
         for (long nowMillis = 0; nowMillis < HOUR_MILLIS; nowMillis += 100) {
             if (controlAppender.isFree(CLAIM)) {
-                lease.decide(nowMillis, 6_000).ifPresent(claim -> controlAppender.append(CLAIM, claim));
+                lease.decide(nowMillis, LEASE_MILLIS).ifPresent(claim -> controlAppender.append(CLAIM, claim));
             }
         }
         assertThat(appender.backlog()).isEqualTo(1);
     }
 
     @Test
-    void without_the_bound_an_hour_without_the_log_queues_a_claim_for_each_length_of_the_lease() {
+    void without_the_bound_an_hour_without_the_log_queues_a_claim_for_each_renewal() {
         LeaseKeeper lease = new LeaseKeeper("host-1/1", "host-1", 0);
         for (long nowMillis = 0; nowMillis < HOUR_MILLIS; nowMillis += 100) {
-            lease.decide(nowMillis, 6_000).ifPresent(appender::append);
+            lease.decide(nowMillis, LEASE_MILLIS).ifPresent(appender::append);
         }
         assertThat(appender.backlog()).isEqualTo(600);
     }
@@ -63,7 +64,7 @@
         List<LeaseClaim> claims = new ArrayList<>();
         for (long nowMillis = 0; nowMillis < HOUR_MILLIS; nowMillis += 100) {
             if (controlAppender.isFree(CLAIM)) {
-                lease.decide(nowMillis, 6_000).ifPresent(claim -> {
+                lease.decide(nowMillis, LEASE_MILLIS).ifPresent(claim -> {
                     claims.add(claim);
                     controlAppender.append(CLAIM, claim);
                 });
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/drain/DrainRegister.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/drain/DrainRegister.java
@@ -1,7 +1,6 @@
 package org.cranberrygauge.decision.drain;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -40,19 +39,6 @@
         return new DrainRegister(Map.of(), List.of());
     }
 
-    /**
-     * Builds the state from lists.
-     *
-     * @param started The drains.
-     * @param ended The identifiers of the drains that ended lately, the newest last.
-     * @return The state.
-     */
-    public static DrainRegister of(Collection<DrainStarted> started, List<String> ended) {
-        Map<String, DrainStarted> drains = new HashMap<>();
-        started.forEach(drain -> drains.put(drain.drainId(), drain));
-        return new DrainRegister(drains, ended);
-    }
-
     /**
      * Applies a start that was read from the log.
      *
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/snapshot/Snapshot.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/snapshot/Snapshot.java
@@ -2,11 +2,11 @@
 
 import java.util.List;
 import org.cranberrygauge.decision.configuration.ConfigurationMachine;
+import org.cranberrygauge.decision.drain.DrainRegister;
 import org.cranberrygauge.decision.lease.LeaseState;
 import org.cranberrygauge.decision.membership.GatewayMember;
 import org.cranberrygauge.decision.reservation.ReservationState;
 import org.cranberrygauge.decision.usage.UsageLedger;
-import org.cranberrygauge.model.record.LogRecord.DrainStarted;
 import org.cranberrygauge.model.record.LogRecord.OrderIntent;
 
 /**
@@ -22,7 +22,6 @@
  * @param lease The lease.
  * @param members The gateways.
  * @param drains The drains.
- * @param endedDrains The identifiers of the drains that ended lately, the newest last.
  * @param reservations The remembered reservations in the order in which they were reserved.
  * @param usage The usage.
  * @param writers How far the entries of each writer were applied, the one that was idle longest first.
@@ -35,8 +34,7 @@
         ConfigurationMachine configuration,
         LeaseState lease,
         List<GatewayMember> members,
-        List<DrainStarted> drains,
-        List<String> endedDrains,
+        DrainRegister drains,
         List<ReservationState> reservations,
         UsageLedger.Totals usage,
         List<WriterPosition> writers,
@@ -46,8 +44,6 @@
     /** Copies the lists. */
     public Snapshot {
         members = List.copyOf(members);
-        drains = List.copyOf(drains);
-        endedDrains = List.copyOf(endedDrains);
         reservations = List.copyOf(reservations);
         writers = List.copyOf(writers);
         openOrders = List.copyOf(openOrders);
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/state/LogState.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/state/LogState.java
@@ -113,8 +113,7 @@
                 configuration,
                 lease,
                 List.copyOf(members.all()),
-                List.copyOf(drains.drains().values()),
-                drains.ended(),
+                drains,
                 reservations.export(),
                 usage.export(),
                 List.copyOf(writers.values()),
@@ -137,7 +136,7 @@
         configuration = from.configuration();
         lease = from.lease();
         members = Members.of(from.members());
-        drains = DrainRegister.of(from.drains(), from.endedDrains());
+        drains = from.drains();
         reservations.restore(from.reservations());
         usage.restore(from.usage());
         writers.clear();
@@ -180,7 +179,8 @@
         } else if (record instanceof LogRecord.ReservationOutcome outcome) {
             reservations.record(outcome);
         } else if (record instanceof LogRecord.ReservationRelease release) {
-            reservations.release(release.reservationId());
+            boolean freed = reservations.release(logTimeMillis, release.reservationId());
+            effects.add(new Effect.ReleaseJudged(release.reservationId(), release.operator(), freed));
         } else if (record instanceof LogRecord.OrderIntent intent) {
             boolean valid = intent.fencingNumber() == lease.fencingNumber() && !lease.released();
             if (valid) {
