--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -177,7 +177,7 @@
                 .setEventLoopPoolSize(settings.eventLoops() + 1)
                 .setWorkerPoolSize(1));
         callerConnections = new IdleConnections(time, settings.callerIdleTimeoutMillis());
-        servers = new GatewayServers(vertx, settings, callerConnections);
+        servers = new GatewayServers(vertx, settings, callerConnections, this.events);
         incarnation = Program.incarnation(settings.hostName(), time.wallMillis());
         blackboard = new Blackboard(time.monotonicMillis());
         platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/CallerVerticle.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/CallerVerticle.java
@@ -2,10 +2,12 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
+import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import java.util.function.Consumer;
 
 /**
- * Lets one more event loop listen to callers.
+ * Lets one event loop listen to callers.
  *
  * <p>Used on its event loop.
  */
@@ -20,14 +22,23 @@
     /** The connections of callers. */
     private final IdleConnections connections;
 
+    /** Takes the server once it listens. */
+    private final Consumer<HttpServer> onListening;
+
     /**
      * Creates a verticle.
      *
      * @param options The options of the server.
      * @param handler The handler.
      * @param connections The connections of callers.
+     * @param onListening Takes the server once it listens.
      */
-    CallerVerticle(HttpServerOptions options, CallerHandler handler, IdleConnections connections) {
+    CallerVerticle(
+            HttpServerOptions options,
+            CallerHandler handler,
+            IdleConnections connections,
+            Consumer<HttpServer> onListening) {
+        this.onListening = onListening;
         this.connections = connections;
         this.options = options;
         this.handler = handler;
@@ -39,6 +50,7 @@
                 .requestHandler(handler)
                 .invalidRequestHandler(handler::handleInvalid)
                 .connectionHandler(connections::opened)
-                .listen();
+                .listen()
+                .onSuccess(onListening::accept);
     }
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/GatewayServers.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/GatewayServers.java
@@ -4,8 +4,13 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import java.util.Optional;
 import org.cranberrygauge.gateway.GatewaySettings;
 import org.cranberrygauge.model.backend.NetworkAddress;
+import org.cranberrygauge.runtime.event.EventLog;
+import org.cranberrygauge.runtime.setting.SettingException;
+import org.cranberrygauge.runtime.tls.CertificateFiles;
+import org.cranberrygauge.runtime.tls.CertificateReloader;
 
 /**
  * The HTTP servers of a gateway: one for operations, and for callers one on each event loop.
@@ -14,6 +19,9 @@
  */
 public final class GatewayServers {
 
+    /** The port by which Vert.x lets several servers share any free one. */
+    private static final int ANY_SHARED_PORT = -1;
+
     /** The Vert.x instance. */
     private final Vertx vertx;
 
@@ -23,8 +31,14 @@
     /** The connections of callers. */
     private final IdleConnections connections;
 
-    /** The server of callers. */
-    private HttpServer callerServer;
+    /** The event log. */
+    private final EventLog events;
+
+    /** What the files of TLS held at the start; null without TLS. */
+    private CertificateFiles.Content certificate;
+
+    /** One of the servers of callers, which share the port and the certificates. */
+    private volatile HttpServer callerServer;
 
     /** The server of operations. */
     private HttpServer operationsServer;
@@ -35,11 +49,13 @@
      * @param vertx The Vert.x instance.
      * @param settings The settings.
      * @param connections The connections of callers.
+     * @param events The event log.
      */
-    public GatewayServers(Vertx vertx, GatewaySettings settings, IdleConnections connections) {
+    public GatewayServers(Vertx vertx, GatewaySettings settings, IdleConnections connections, EventLog events) {
         this.connections = connections;
         this.vertx = vertx;
         this.settings = settings;
+        this.events = events;
     }
 
     /**
@@ -50,17 +66,21 @@
      * @return Completes when all servers listen.
      */
     public Future<Void> listen(CallerHandler callers, OperationsHandler operations) {
+        Optional<CertificateFiles> files;
+        try {
+            files = settings.tls().files();
+            certificate = files.isPresent() ? files.get().read() : null;
+        } catch (SettingException exception) {
+            return Future.failedFuture(exception);
+        }
         return vertx.createHttpServer(options(settings.operationsAddress()))
                 .requestHandler(operations)
                 .listen()
                 .compose(listening -> {
                     operationsServer = listening;
-                    return callerServer(callerOptions(settings.listenAddress()), callers);
+                    return listenToCallers(callers);
                 })
-                .compose(listening -> {
-                    callerServer = listening;
-                    return moreCallerServers(callers);
-                });
+                .onSuccess(listening -> files.ifPresent(this::reload));
     }
 
     /**
@@ -82,45 +102,43 @@
     }
 
     /**
-     * Lets the other event loops listen to callers too.
+     * Lets each event loop listen to callers.
      *
      * @param callers The handler.
      * @return Completes when they listen.
      */
-    private Future<Void> moreCallerServers(CallerHandler callers) {
-        NetworkAddress address = new NetworkAddress(settings.listenAddress().host(), callerPort());
+    private Future<Void> listenToCallers(CallerHandler callers) {
         Future<Void> all = Future.succeededFuture();
-        for (int loop = 1; loop < settings.eventLoops(); loop++) {
-            all = all.compose(
-                    done -> vertx.deployVerticle(new CallerVerticle(callerOptions(address), callers, connections))
-                            .mapEmpty());
+        for (int loop = 0; loop < settings.eventLoops(); loop++) {
+            all = all.compose(done -> vertx.deployVerticle(new CallerVerticle(
+                            callerOptions(), callers, connections, listening -> callerServer = listening))
+                    .mapEmpty());
         }
         return all;
     }
 
     /**
-     * Starts a server of callers on the present event loop.
+     * Starts to look for replaced certificates.
      *
-     * @param options The options.
-     * @param callers The handler.
-     * @return The server.
+     * @param files The files.
      */
-    private Future<HttpServer> callerServer(HttpServerOptions options, CallerHandler callers) {
-        return vertx.createHttpServer(options)
-                .requestHandler(callers)
-                .invalidRequestHandler(callers::handleInvalid)
-                .connectionHandler(connections::opened)
-                .listen();
+    private void reload(CertificateFiles files) {
+        new CertificateReloader(vertx, files, certificate, callerServer, events)
+                .start(settings.tls().reloadMillis());
     }
 
     /**
      * Builds the options of a server of callers.
      *
-     * @param address The address.
      * @return The options.
      */
-    private HttpServerOptions callerOptions(NetworkAddress address) {
-        return options(address).setHttp2ClearTextEnabled(false).setMaxHeaderSize(settings.headerLimitBytes());
+    private HttpServerOptions callerOptions() {
+        NetworkAddress address = settings.listenAddress();
+        HttpServerOptions options = options(address)
+                .setPort(address.port() == 0 ? ANY_SHARED_PORT : address.port())
+                .setHttp2ClearTextEnabled(false)
+                .setMaxHeaderSize(settings.headerLimitBytes());
+        return certificate == null ? options : options.setSsl(true).setKeyCertOptions(certificate.options());
     }
 
     /**
