--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -4,10 +4,13 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import java.util.List;
 import java.util.Random;
+import java.util.stream.Stream;
 import org.cranberrygauge.decision.configuration.ConfigurationMachine;
 import org.cranberrygauge.decision.dispatch.DispatchPolicy;
 import org.cranberrygauge.decision.membership.AdmissionFreshness;
+import org.cranberrygauge.decision.membership.PeerReport;
 import org.cranberrygauge.decision.quarantine.Quarantine;
 import org.cranberrygauge.decision.quarantine.QuarantineLimits;
 import org.cranberrygauge.decision.retry.RetryBudget;
@@ -27,6 +30,7 @@
 import org.cranberrygauge.gateway.http.AdmissionGate;
 import org.cranberrygauge.gateway.http.CallerHandler;
 import org.cranberrygauge.gateway.http.GatewayServers;
+import org.cranberrygauge.gateway.http.IdleConnections;
 import org.cranberrygauge.gateway.http.OperationsHandler;
 import org.cranberrygauge.gateway.metrics.GatewayMetrics;
 import org.cranberrygauge.gateway.reservation.ReservationDesk;
@@ -40,6 +44,7 @@
 import org.cranberrygauge.protocol.generated.GatewayReport;
 import org.cranberrygauge.runtime.blackboard.Blackboard;
 import org.cranberrygauge.runtime.event.EventLog;
+import org.cranberrygauge.runtime.event.EventRing;
 import org.cranberrygauge.runtime.lifecycle.Program;
 import org.cranberrygauge.runtime.log.LogAppender;
 import org.cranberrygauge.runtime.log.LogFollower;
@@ -56,7 +61,7 @@
     /** The time between two looks at queue and backend servers in milliseconds. */
     private static final long TICK_MILLIS = 20;
 
-    /** The time between two reads of the platform's list in milliseconds. */
+    /** The time between two reads of the platform's list, and two looks for idle connections, in milliseconds. */
     private static final long LIST_MILLIS = 500;
 
     /** The time between two looks at running requests during a planned stop in milliseconds. */
@@ -65,15 +70,24 @@
     /** The share of successes that a customer may retry in a class. */
     private static final double RETRY_SHARE = 0.1;
 
+    /** The age after which a peer is no longer in touch in milliseconds. */
+    private static final long PEER_EXPIRY_MILLIS = 2_000;
+
     /** The number of retries that a customer can save in a class. */
     private static final int RETRY_BURST = 20;
 
+    /** The number of newest events that are kept for operators. */
+    private static final int KEPT_EVENTS = 4_096;
+
     /** The settings. */
     private final GatewaySettings settings;
 
     /** The event log. */
     private final EventLog events;
 
+    /** The newest events. */
+    private final EventRing ring;
+
     /** The sources of time. */
     private final TimeSource time = TimeSource.System.INSTANCE;
 
@@ -101,6 +115,9 @@
     /** The scheduler. */
     private final Scheduler scheduler;
 
+    /** The connections of callers. */
+    private final IdleConnections callerConnections;
+
     /** The requests that wait or run. */
     private final ActiveCalls active = new ActiveCalls();
 
@@ -154,15 +171,17 @@
     public Gateway(GatewaySettings settings, EventLog events, Quarantine quarantine) {
         this.settings = settings;
         this.quarantine = quarantine;
-        this.events = events;
+        this.ring = new EventRing(KEPT_EVENTS, time::wallMillis);
+        this.events = new EventLog.Compound(List.of(events, ring));
         vertx = Vertx.vertx(new VertxOptions()
                 .setEventLoopPoolSize(settings.eventLoops() + 1)
                 .setWorkerPoolSize(1));
-        servers = new GatewayServers(vertx, settings);
+        callerConnections = new IdleConnections(time, settings.callerIdleTimeoutMillis());
+        servers = new GatewayServers(vertx, settings, callerConnections);
         incarnation = Program.incarnation(settings.hostName(), time.wallMillis());
         blackboard = new Blackboard(time.monotonicMillis());
         platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
-        follower = new LogFollower(vertx, platform, blackboard, time, events);
+        follower = new LogFollower(vertx, platform, blackboard, time, this.events);
         appender = new LogAppender(vertx, platform, incarnation);
         board = new BackendBoard(blackboard, settings.hostName());
         scheduler = new Scheduler(DispatchPolicy.standard(), board, time, new Random(), this::onEjection);
@@ -173,7 +192,7 @@
                 new UsageReplication.ToOnePeer(incarnation, usage, UsageCopyDesk.KEYS_PER_COPY),
                 appender,
                 time,
-                events);
+                this.events);
         gate = new AdmissionGate(
                 blackboard, AdmissionFreshness.Default.INSTANCE, time, settings.hostName(), incarnation);
     }
@@ -291,6 +310,7 @@
     private void startTimers() {
         vertx.setPeriodic(LIST_MILLIS, timer -> joinIfMissing());
         vertx.setPeriodic(TICK_MILLIS, timer -> scheduler.tick());
+        vertx.setPeriodic(LIST_MILLIS, timer -> callerConnections.closeIdle());
         vertx.setPeriodic(LIST_MILLIS, timer -> platform.backendServers().thenAccept(blackboard::publish));
         vertx.setPeriodic(settings.usageIntervalMillis(), timer -> {
             shipper.ship();
@@ -311,15 +331,22 @@
                 new BackendClient(vertx, settings.backendCredential(), settings.backendTimeoutMillis()),
                 desk,
                 new RetryBudgets.PerCustomer(() -> new RetryBudget.Share(RETRY_SHARE, RETRY_BURST)),
-                new CrashGuard(quarantine, new CrashDetector(vertx, board, time), time, this::tellPeers),
+                new CrashGuard(
+                        vertx,
+                        quarantine,
+                        new CrashDetector(vertx, board, time),
+                        time,
+                        this::tellPeers,
+                        incarnation,
+                        this::gatewaysInTouch),
                 usage,
                 new GatewayMetrics(registry),
                 events,
                 active,
                 time,
                 incarnation);
-        CallerHandler callers = new CallerHandler(vertx, settings, tools, blackboard, gate);
-        OperationsHandler operations = new OperationsHandler(registry, gate, blackboard, incarnation);
+        CallerHandler callers = new CallerHandler(vertx, settings, tools, blackboard, gate, callerConnections);
+        OperationsHandler operations = new OperationsHandler(registry, gate, blackboard, ring, incarnation);
         return servers.listen(callers, operations)
                 .onSuccess(done -> events.emit(new GatewayEvents.GatewayListening(
                         incarnation, callerPort(), operationsPort(), exchangeServer.port())));
@@ -365,6 +392,21 @@
         return report.setQuarantined(service.suspects());
     }
 
+    /**
+     * Lists the gateways that are in touch.
+     *
+     * @return The incarnations, this one included.
+     */
+    private List<String> gatewaysInTouch() {
+        long fromMillis = time.monotonicMillis() - PEER_EXPIRY_MILLIS;
+        return Stream.concat(
+                        Stream.of(incarnation),
+                        blackboard.peers().values().stream()
+                                .filter(peer -> peer.heardAtMillis() >= fromMillis)
+                                .map(PeerReport::gateway))
+                .toList();
+    }
+
     /** Tells the peers at once what this gateway knows of suspected requests. */
     private void tellPeers() {
         peerExchange.exchangeNow();
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatCall.java
@@ -188,6 +188,7 @@
         }
         tools.guard()
                 .lost(fingerprint, failed.server(), attemptAtMillis)
+                .onSuccess(crashed -> events.lost(failed.attempt(), failed.server(), crashed))
                 .onComplete(judged -> reply.context().runOnContext(ignored -> goOn(failed, failure)));
     }
 
@@ -241,11 +242,12 @@
             refuse(quarantined.get());
             return;
         }
+        long submittedAtMillis = tools.time().monotonicMillis();
         tools.scheduler()
                 .submit(new PendingCall(
                         request,
                         body.routing(),
-                        tools.guard().eligibility(fingerprint),
+                        tools.guard().eligibility(fingerprint, submittedAtMillis),
                         this::chosen,
                         refusal -> reply.context().runOnContext(ignored -> refused(refusal)),
                         resumable ? () -> reply.context().runOnContext(ignored -> preempted()) : null));
@@ -281,7 +283,12 @@
                     .queueWait(caller.customer().name(), caller.serviceClass().name(), waitedMillis);
         }
         meter.beginAttempt();
-        attempt = new ChatAttempt(reply.requestId() + "-" + attempts, server, this);
+        attempt = new ChatAttempt(
+                reply.requestId() + "-" + attempts,
+                server,
+                this,
+                tools,
+                reply.context().owner());
         events.started(attempt.attempt(), server, waitedMillis);
         UsageKey label = usageKey();
         Map<String, String> headers = Map.of(
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
@@ -218,7 +218,7 @@
                 .submit(new PendingCall(
                         queued,
                         new RoutingRequest(request.route().service(), "", 0),
-                        tools.guard().eligibility(fingerprint),
+                        tools.guard().eligibility(fingerprint, nowMillis),
                         this::chosen,
                         refusal -> reply.context().runOnContext(ignored -> refused(refusal))));
     }
@@ -321,6 +321,7 @@
         }
         tools.guard()
                 .lost(fingerprint, failedServer, attemptAtMillis)
+                .onSuccess(crashed -> events.lost(reply.requestId() + "-" + attempts, failedServer, crashed))
                 .onComplete(judged -> reply.context().runOnContext(ignored -> goOn(failedServer, failure)));
     }
 
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/CallerVerticle.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/CallerVerticle.java
@@ -17,13 +17,18 @@
     /** The handler. */
     private final CallerHandler handler;
 
+    /** The connections of callers. */
+    private final IdleConnections connections;
+
     /**
      * Creates a verticle.
      *
      * @param options The options of the server.
      * @param handler The handler.
+     * @param connections The connections of callers.
      */
-    CallerVerticle(HttpServerOptions options, CallerHandler handler) {
+    CallerVerticle(HttpServerOptions options, CallerHandler handler, IdleConnections connections) {
+        this.connections = connections;
         this.options = options;
         this.handler = handler;
     }
@@ -33,6 +38,7 @@
         return vertx.createHttpServer(options)
                 .requestHandler(handler)
                 .invalidRequestHandler(handler::handleInvalid)
+                .connectionHandler(connections::opened)
                 .listen();
     }
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/GatewayServers.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/GatewayServers.java
@@ -4,7 +4,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
-import java.util.concurrent.TimeUnit;
 import org.cranberrygauge.gateway.GatewaySettings;
 import org.cranberrygauge.model.backend.NetworkAddress;
 
@@ -15,15 +14,15 @@
  */
 public final class GatewayServers {
 
-    /** The factor by which connections of callers may be idle longer than those of backend servers. */
-    private static final int IDLE_FACTOR = 2;
-
     /** The Vert.x instance. */
     private final Vertx vertx;
 
     /** The settings. */
     private final GatewaySettings settings;
 
+    /** The connections of callers. */
+    private final IdleConnections connections;
+
     /** The server of callers. */
     private HttpServer callerServer;
 
@@ -35,8 +34,10 @@
      *
      * @param vertx The Vert.x instance.
      * @param settings The settings.
+     * @param connections The connections of callers.
      */
-    public GatewayServers(Vertx vertx, GatewaySettings settings) {
+    public GatewayServers(Vertx vertx, GatewaySettings settings, IdleConnections connections) {
+        this.connections = connections;
         this.vertx = vertx;
         this.settings = settings;
     }
@@ -54,7 +55,7 @@
                 .listen()
                 .compose(listening -> {
                     operationsServer = listening;
-                    return callerServer(options(settings.listenAddress()), callers);
+                    return callerServer(callerOptions(settings.listenAddress()), callers);
                 })
                 .compose(listening -> {
                     callerServer = listening;
@@ -90,8 +91,9 @@
         NetworkAddress address = new NetworkAddress(settings.listenAddress().host(), callerPort());
         Future<Void> all = Future.succeededFuture();
         for (int loop = 1; loop < settings.eventLoops(); loop++) {
-            all = all.compose(done -> vertx.deployVerticle(new CallerVerticle(options(address), callers))
-                    .mapEmpty());
+            all = all.compose(
+                    done -> vertx.deployVerticle(new CallerVerticle(callerOptions(address), callers, connections))
+                            .mapEmpty());
         }
         return all;
     }
@@ -107,20 +109,27 @@
         return vertx.createHttpServer(options)
                 .requestHandler(callers)
                 .invalidRequestHandler(callers::handleInvalid)
+                .connectionHandler(connections::opened)
                 .listen();
     }
 
+    /**
+     * Builds the options of a server of callers.
+     *
+     * @param address The address.
+     * @return The options.
+     */
+    private HttpServerOptions callerOptions(NetworkAddress address) {
+        return options(address).setHttp2ClearTextEnabled(false).setMaxHeaderSize(settings.headerLimitBytes());
+    }
+
     /**
      * Builds the options of a server.
      *
      * @param address The address.
      * @return The options.
      */
-    private HttpServerOptions options(NetworkAddress address) {
-        return new HttpServerOptions()
-                .setHost(address.host())
-                .setPort(address.port())
-                .setMaxHeaderSize(settings.headerLimitBytes())
-                .setIdleTimeout((int) TimeUnit.MILLISECONDS.toSeconds(settings.backendTimeoutMillis()) * IDLE_FACTOR);
+    private static HttpServerOptions options(NetworkAddress address) {
+        return new HttpServerOptions().setHost(address.host()).setPort(address.port());
     }
 }
