--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
@@ -1,24 +1,41 @@
 package org.cranberrygauge.controller;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonObject;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.cranberrygauge.controller.cleaning.CleaningDesk;
+import org.cranberrygauge.controller.gateway.GatewayPoll;
 import org.cranberrygauge.controller.order.OrderDesk;
 import org.cranberrygauge.controller.usage.UsageReporter;
-import org.cranberrygauge.decision.fleet.FleetPlanner;
+import org.cranberrygauge.decision.cleaning.CleaningPlanner;
+import org.cranberrygauge.decision.fleet.DemandMeter;
+import org.cranberrygauge.decision.fleet.DemandMeter.GatewayLoad;
+import org.cranberrygauge.decision.fleet.FleetView.ModelDemand;
+import org.cranberrygauge.decision.fleet.ForecastFleetPlanner;
 import org.cranberrygauge.decision.lease.LeaseKeeper;
+import org.cranberrygauge.decision.snapshot.SnapshotSchedule;
 import org.cranberrygauge.decision.state.LogState;
-import org.cranberrygauge.model.configuration.ControlTimes;
-import org.cranberrygauge.model.record.LogRecord;
+import org.cranberrygauge.model.backend.BackendServer;
+import org.cranberrygauge.model.backend.HostState;
+import org.cranberrygauge.model.backend.ListedBackendServer;
+import org.cranberrygauge.model.configuration.Configuration;
 import org.cranberrygauge.runtime.blackboard.Blackboard;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.lifecycle.Program;
 import org.cranberrygauge.runtime.log.LogAppender;
 import org.cranberrygauge.runtime.log.LogFollower;
+import org.cranberrygauge.runtime.log.SnapshotWriter;
 import org.cranberrygauge.runtime.platform.HttpPlatform;
 import org.cranberrygauge.runtime.time.TimeSource;
 
@@ -33,11 +50,20 @@
     private static final long TICK_MILLIS = 100;
 
     /** The time between two plans of the fleet in ticks. */
-    private static final int TICKS_PER_PLAN = 5;
+    private static final int TICKS_PER_PLAN = 10;
+
+    /** The time between two questions to a gateway in ticks. */
+    private static final int TICKS_PER_POLL = 10;
+
+    /** The age after which the load of a gateway counts for nothing in milliseconds. */
+    private static final long LOAD_AGE_MILLIS = 3_000;
 
     /** The longest time a planned stop waits for the log in milliseconds. */
     private static final long STOP_MILLIS = 1_000;
 
+    /** The purpose of a claim of the lease. */
+    private static final String CLAIM = "lease-claim";
+
     /** The settings. */
     private final ControllerSettings settings;
 
@@ -62,6 +88,12 @@
     /** The appender to the log. */
     private final LogAppender appender;
 
+    /** Appends the records of control. */
+    private final ControlAppender controlAppender;
+
+    /** Asks gateways for their load. */
+    private final GatewayPoll poll;
+
     /** Decides whether this controller holds the lease. */
     private final LeaseKeeper lease;
 
@@ -71,6 +103,15 @@
     /** Reports usage. */
     private final UsageReporter usage;
 
+    /** Carries out the cleaning. */
+    private final CleaningDesk cleaning;
+
+    /** Works out the demand. */
+    private final DemandMeter meter = new DemandMeter();
+
+    /** Writes snapshots. */
+    private final SnapshotWriter snapshots;
+
     /** Whether the lease was held at the last tick. */
     private boolean held;
 
@@ -95,19 +136,26 @@
         HttpPlatform platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
         follower = new LogFollower(vertx, platform, blackboard, time, events);
         appender = new LogAppender(vertx, platform, incarnation);
-        lease = new LeaseKeeper(
-                incarnation, settings.hostName(), ControlTimes.standard().leaseMillis(), time.monotonicMillis());
+        controlAppender = new ControlAppender(appender, blackboard);
+        poll = new GatewayPoll(time);
+        lease = new LeaseKeeper(incarnation, settings.hostName(), time.monotonicMillis());
         orders = new OrderDesk(
                 incarnation,
-                FleetPlanner.Minimum.INSTANCE,
+                new ForecastFleetPlanner(settings.fleetParameters()),
                 lease,
                 blackboard,
                 follower,
-                appender,
+                controlAppender,
                 platform,
                 time,
                 events);
-        usage = new UsageReporter(incarnation, lease, follower, appender, platform, time, events);
+        usage = new UsageReporter(incarnation, lease, follower, controlAppender, platform, time, events);
+        cleaning = new CleaningDesk(new CleaningPlanner(settings.cleaningMillis()), lease, controlAppender, events);
+        snapshots = new SnapshotWriter(
+                incarnation,
+                new SnapshotSchedule.Periodic(settings.snapshotIntervalMillis()),
+                appender::append,
+                events);
     }
 
     /**
@@ -128,21 +176,36 @@
                         events.emit(new ControllerEvents.ControllerListening(incarnation, server.actualPort())));
     }
 
-    /** Stops the controller and gives the lease back. */
+    /** Stops the controller: sends no order any more, gives the lease back and ends. */
     public void stop() {
         stopping = true;
-        long nowMillis = time.monotonicMillis();
-        if (lease.holds(nowMillis)) {
-            Future<Long> released = appender.append(
-                    new LogRecord.LeaseRelease(incarnation, lease.state().lastClaimOffset()));
-            while (!released.isComplete() && time.monotonicMillis() < nowMillis + STOP_MILLIS) {
-                Thread.onSpinWait();
-            }
-        }
+        Promise<Void> resigned = Promise.promise();
+        follower.onContext(state -> lease.resign(time.monotonicMillis())
+                .map(appender::append)
+                .orElse(Future.succeededFuture())
+                .<Void>mapEmpty()
+                .onComplete(resigned));
+        await(resigned.future());
+        poll.stop();
         follower.stop();
         vertx.close();
     }
 
+    /**
+     * Waits for a future for a limited time.
+     *
+     * @param future The future.
+     */
+    private void await(Future<?> future) {
+        try {
+            future.toCompletionStage().toCompletableFuture().get(STOP_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException exception) {
+            events.emit(new ControllerEvents.StopIncomplete(incarnation, String.valueOf(exception.getMessage())));
+        }
+    }
+
     /**
      * Decides and acts once.
      *
@@ -154,7 +217,16 @@
         }
         long nowMillis = time.monotonicMillis();
         lease.observe(nowMillis, state.lease());
-        lease.decide(nowMillis).ifPresent(appender::append);
+        if (controlAppender.isFree(CLAIM)) {
+            lease.decide(
+                            nowMillis,
+                            state.configuration()
+                                    .current()
+                                    .configuration()
+                                    .times()
+                                    .leaseMillis())
+                    .ifPresent(claim -> controlAppender.append(CLAIM, claim));
+        }
         boolean holds = lease.holds(nowMillis);
         if (holds != held) {
             held = holds;
@@ -165,11 +237,34 @@
             return;
         }
         usage.tick(state);
+        snapshots.tick(state);
+        if (ticks % TICKS_PER_POLL == 0) {
+            poll.ask(state.members().all());
+        }
         if (ticks++ % TICKS_PER_PLAN == 0) {
-            orders.tick(state);
+            plan(nowMillis, state);
         }
     }
 
+    /**
+     * Plans the cleaning and the fleet.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param state The state machines.
+     */
+    private void plan(long nowMillis, LogState state) {
+        Configuration configuration = state.configuration().current().configuration();
+        List<BackendServer> servers = new ArrayList<>(configuration.backendServers());
+        blackboard.listed().stream()
+                .filter(listed -> listed.state() == HostState.LIVE)
+                .map(ListedBackendServer::server)
+                .forEach(servers::add);
+        Map<String, GatewayLoad> loads = poll.loads(nowMillis, LOAD_AGE_MILLIS);
+        Map<String, Integer> reserve = cleaning.tick(time.wallMillis(), state, servers, loads);
+        Map<String, ModelDemand> demand = meter.observe(configuration, servers, loads.values());
+        orders.tick(state, demand, reserve);
+    }
+
     /**
      * Answers a request of operations.
      *
@@ -180,6 +275,7 @@
                 .put("controller", incarnation)
                 .put("holds_lease", lease.holds(time.monotonicMillis()))
                 .put("fencing_number", blackboard.log().lease().fencingNumber())
+                .put("appends_waiting", appender.backlog())
                 .put("log_offset", blackboard.position().offset());
         request.response().putHeader("Content-Type", "application/json").end(body.toBuffer());
     }
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/routing/BackendView.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/routing/BackendView.java
@@ -8,9 +8,10 @@
  * @param server The backend server.
  * @param ownInFlight The requests in flight from this gateway.
  * @param othersInFlight The requests in flight from its peers, as they last said.
- * @param available Whether it may get new work.
+ * @param ownLimit The requests that this gateway may have in flight.
+ * @param slowness The time between tokens relative to that of its peers; 1 while unknown.
  */
-public record BackendView(BackendServer server, int ownInFlight, int othersInFlight, boolean available) {
+public record BackendView(BackendServer server, int ownInFlight, int othersInFlight, int ownLimit, double slowness) {
 
     /**
      * Returns the requests in flight from all gateways.
@@ -20,13 +21,4 @@
     public int inFlight() {
         return ownInFlight + othersInFlight;
     }
-
-    /**
-     * Tells whether a slot is free.
-     *
-     * @return Whether new work may start here.
-     */
-    public boolean hasFreeSlot() {
-        return available && inFlight() < server.slots();
-    }
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -4,22 +4,21 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
-import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import java.util.List;
 import java.util.Random;
 import java.util.stream.Stream;
-import org.cranberrygauge.decision.admission.TieredAdmissionQueue;
 import org.cranberrygauge.decision.configuration.ConfigurationMachine;
+import org.cranberrygauge.decision.dispatch.DispatchPolicy;
 import org.cranberrygauge.decision.membership.AdmissionFreshness;
 import org.cranberrygauge.decision.membership.PeerReport;
 import org.cranberrygauge.decision.quarantine.Quarantine;
 import org.cranberrygauge.decision.quarantine.QuarantineLimits;
 import org.cranberrygauge.decision.retry.RetryBudget;
 import org.cranberrygauge.decision.retry.RetryBudgets;
-import org.cranberrygauge.decision.routing.RoutingPolicy;
+import org.cranberrygauge.decision.routing.BackendTable.Ejection;
 import org.cranberrygauge.decision.state.Effect;
 import org.cranberrygauge.decision.usage.UsageCounter;
+import org.cranberrygauge.decision.usage.UsageReplication;
 import org.cranberrygauge.gateway.call.ActiveCalls;
 import org.cranberrygauge.gateway.call.BackendClient;
 import org.cranberrygauge.gateway.call.CallTools;
@@ -30,12 +29,13 @@
 import org.cranberrygauge.gateway.exchange.PeerExchange;
 import org.cranberrygauge.gateway.http.AdmissionGate;
 import org.cranberrygauge.gateway.http.CallerHandler;
-import org.cranberrygauge.gateway.http.IdleConnections;
+import org.cranberrygauge.gateway.http.GatewayServers;
 import org.cranberrygauge.gateway.http.OperationsHandler;
 import org.cranberrygauge.gateway.metrics.GatewayMetrics;
 import org.cranberrygauge.gateway.reservation.ReservationDesk;
 import org.cranberrygauge.gateway.schedule.BackendBoard;
 import org.cranberrygauge.gateway.schedule.Scheduler;
+import org.cranberrygauge.gateway.usage.UsageCopyDesk;
 import org.cranberrygauge.gateway.usage.UsageShipper;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.model.error.CranberrygaugeException;
@@ -43,6 +43,7 @@
 import org.cranberrygauge.protocol.generated.GatewayReport;
 import org.cranberrygauge.runtime.blackboard.Blackboard;
 import org.cranberrygauge.runtime.event.EventLog;
+import org.cranberrygauge.runtime.event.EventRing;
 import org.cranberrygauge.runtime.lifecycle.Program;
 import org.cranberrygauge.runtime.log.LogAppender;
 import org.cranberrygauge.runtime.log.LogFollower;
@@ -59,7 +60,7 @@
     /** The time between two looks at queue and backend servers in milliseconds. */
     private static final long TICK_MILLIS = 20;
 
-    /** The time between two reads of the platform's list, and two looks for idle connections, in milliseconds. */
+    /** The time between two reads of the platform's list in milliseconds. */
     private static final long LIST_MILLIS = 500;
 
     /** The time between two looks at running requests during a planned stop in milliseconds. */
@@ -68,11 +69,14 @@
     /** The share of successes that a customer may retry in a class. */
     private static final double RETRY_SHARE = 0.1;
 
+    /** The number of retries that a customer can save in a class. */
+    private static final int RETRY_BURST = 20;
+
     /** The age after which a peer is no longer in touch in milliseconds. */
     private static final long PEER_EXPIRY_MILLIS = 2_000;
 
-    /** The number of retries that a customer can save in a class. */
-    private static final int RETRY_BURST = 20;
+    /** The number of newest events that are kept for operators. */
+    private static final int KEPT_EVENTS = 4_096;
 
     /** The settings. */
     private final GatewaySettings settings;
@@ -80,6 +84,9 @@
     /** The event log. */
     private final EventLog events;
 
+    /** The newest events. */
+    private final EventRing ring;
+
     /** The sources of time. */
     private final TimeSource time = TimeSource.System.INSTANCE;
 
@@ -107,9 +114,6 @@
     /** The scheduler. */
     private final Scheduler scheduler;
 
-    /** The connections of callers. */
-    private final IdleConnections callerConnections;
-
     /** The requests that wait or run. */
     private final ActiveCalls active = new ActiveCalls();
 
@@ -119,6 +123,9 @@
     /** Sends usage to the log. */
     private final UsageShipper shipper;
 
+    /** Gives copies of usage to a peer and holds those of peers. */
+    private final UsageCopyDesk usageCopies;
+
     /** Tells whether the gateway admits. */
     private final AdmissionGate gate;
 
@@ -137,11 +144,8 @@
     /** The exchange with peers. */
     private PeerExchange peerExchange;
 
-    /** The servers of callers. */
-    private final CallerServers callerServers;
-
-    /** The server of operations. */
-    private HttpServer operationsServer;
+    /** The HTTP servers. */
+    private final GatewayServers servers;
 
     /**
      * Creates a gateway.
@@ -163,23 +167,29 @@
     public Gateway(GatewaySettings settings, EventLog events, Quarantine quarantine) {
         this.settings = settings;
         this.quarantine = quarantine;
-        this.events = events;
+        this.ring = new EventRing(KEPT_EVENTS, time::wallMillis);
+        this.events = new EventLog.Compound(List.of(events, ring));
         vertx = Vertx.vertx(new VertxOptions()
                 .setEventLoopPoolSize(settings.eventLoops() + 1)
                 .setWorkerPoolSize(1));
+        servers = new GatewayServers(vertx, settings, time);
         incarnation = Program.incarnation(settings.hostName(), time.wallMillis());
         blackboard = new Blackboard(time.monotonicMillis());
         platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
-        follower = new LogFollower(vertx, platform, blackboard, time, events);
+        follower = new LogFollower(vertx, platform, blackboard, time, this.events);
         appender = new LogAppender(vertx, platform, incarnation);
-        board = new BackendBoard(blackboard);
-        scheduler = new Scheduler(
-                new TieredAdmissionQueue(), RoutingPolicy.LeastInFlight.INSTANCE, board, time, new Random());
+        board = new BackendBoard(blackboard, settings.hostName());
+        scheduler = new Scheduler(DispatchPolicy.standard(), board, time, new Random(), this::onEjection);
         usage = new UsageCounter(incarnation);
-        shipper = new UsageShipper(usage, appender);
-        callerConnections = new IdleConnections(time, settings.callerIdleTimeoutMillis());
-        callerServers = new CallerServers(vertx, settings, callerConnections);
-        gate = new AdmissionGate(blackboard, AdmissionFreshness.Default.INSTANCE, time, settings.hostName());
+        shipper = new UsageShipper(vertx, usage, appender);
+        usageCopies = new UsageCopyDesk(
+                usage,
+                new UsageReplication.ToOnePeer(incarnation, usage, UsageCopyDesk.KEYS_PER_COPY),
+                appender,
+                time,
+                this.events);
+        gate = new AdmissionGate(
+                blackboard, AdmissionFreshness.Default.INSTANCE, time, settings.hostName(), incarnation);
     }
 
     /**
@@ -192,7 +202,8 @@
                 vertx, appender, follower.state().reservations(), settings.reservationTimeoutMillis());
         follower.addListener(desk::accept);
         follower.addListener(this::onEffect);
-        service = new ExchangeService(blackboard, follower, this::ownReport, time, quarantine, active::reconsider);
+        service = new ExchangeService(
+                blackboard, follower, this::ownReport, usageCopies, time, quarantine, active::reconsider);
         try {
             exchangeServer = new ExchangeServer(settings.exchangeAddress(), service);
         } catch (CranberrygaugeException exception) {
@@ -203,15 +214,12 @@
                 settings.exchangeIntervalMillis(),
                 service,
                 this::ownReport,
+                usageCopies,
                 blackboard,
                 follower,
                 time);
         follower.start();
-        appender.append(new LogRecord.GatewayJoined(
-                incarnation,
-                settings.hostName(),
-                settings.dataCentre(),
-                settings.exchangeAddress().host() + ":" + exchangeServer.port()));
+        join();
         startTimers();
         return listen(desk);
     }
@@ -230,7 +238,7 @@
             interrupted = !pause(DRAIN_POLL_MILLIS);
         }
         int cut = active.size();
-        await(shipper.ship());
+        await(shipper.flush());
         await(appender.append(new LogRecord.GatewayLeft(incarnation, "planned_stop")));
         follower.stop();
         peerExchange.stop();
@@ -246,7 +254,7 @@
      * @return The port.
      */
     public int callerPort() {
-        return callerServers.port();
+        return servers.callerPort();
     }
 
     /**
@@ -255,7 +263,24 @@
      * @return The port.
      */
     public int operationsPort() {
-        return operationsServer.actualPort();
+        return servers.operationsPort();
+    }
+
+    /** Joins, also again after this gateway was declared gone or replaced; a second join has no effect. */
+    private void join() {
+        appender.append(new LogRecord.GatewayJoined(
+                incarnation,
+                settings.hostName(),
+                settings.dataCentre(),
+                settings.exchangeAddress().host() + ":" + exchangeServer.port()));
+    }
+
+    /** Joins again if this gateway is no member and nothing that it wrote is under way. */
+    private void joinIfMissing() {
+        boolean missing = !blackboard.log().members().contains(incarnation);
+        if (missing && appender.backlog() == 0 && !gate.isDraining()) {
+            join();
+        }
     }
 
     /**
@@ -278,13 +303,14 @@
 
     /** Starts what is done again and again. */
     private void startTimers() {
-        vertx.setPeriodic(TICK_MILLIS, timer -> {
-            board.refresh(time.monotonicMillis());
-            scheduler.tick();
-        });
-        vertx.setPeriodic(LIST_MILLIS, timer -> callerConnections.closeIdle());
+        vertx.setPeriodic(LIST_MILLIS, timer -> joinIfMissing());
+        vertx.setPeriodic(TICK_MILLIS, timer -> scheduler.tick());
+        vertx.setPeriodic(LIST_MILLIS, timer -> servers.connections().closeIdle());
         vertx.setPeriodic(LIST_MILLIS, timer -> platform.backendServers().thenAccept(blackboard::publish));
-        vertx.setPeriodic(settings.usageIntervalMillis(), timer -> shipper.ship());
+        vertx.setPeriodic(settings.usageIntervalMillis(), timer -> {
+            shipper.ship();
+            follower.onContext(usageCopies::appendDue);
+        });
     }
 
     /**
@@ -304,7 +330,6 @@
                         vertx,
                         quarantine,
                         new CrashDetector(vertx, board, time),
-                        board,
                         time,
                         this::tellPeers,
                         incarnation,
@@ -315,17 +340,9 @@
                 active,
                 time,
                 incarnation);
-        CallerHandler callers = new CallerHandler(vertx, settings, tools, blackboard, gate, callerConnections);
-        OperationsHandler operations = new OperationsHandler(registry, gate, blackboard, incarnation);
-        return vertx.createHttpServer(new HttpServerOptions()
-                        .setHost(settings.operationsAddress().host())
-                        .setPort(settings.operationsAddress().port()))
-                .requestHandler(operations)
-                .listen()
-                .compose(listening -> {
-                    operationsServer = listening;
-                    return callerServers.listen(callers);
-                })
+        CallerHandler callers = new CallerHandler(vertx, settings, tools, blackboard, gate, servers.connections());
+        OperationsHandler operations = new OperationsHandler(registry, gate, blackboard, ring, incarnation);
+        return servers.listen(callers, operations)
                 .onSuccess(done -> events.emit(new GatewayEvents.GatewayListening(
                         incarnation, callerPort(), operationsPort(), exchangeServer.port())));
     }
@@ -338,11 +355,20 @@
     private void onEffect(Effect effect) {
         if (effect instanceof Effect.ChangeJudged judged && judged.verdict() == ConfigurationMachine.Verdict.ACCEPTED) {
             scheduler.configure(blackboard.configuration().classes());
-            board.refresh(time.monotonicMillis());
             active.endWithdrawn(blackboard.log().keys());
         }
     }
 
+    /**
+     * Records that a backend server was ejected or readmitted.
+     *
+     * @param ejection The change.
+     */
+    private void onEjection(Ejection ejection) {
+        events.emit(new GatewayEvents.BackendSpeedJudged(
+                ejection.server(), ejection.ejected() ? "ejected" : "readmitted", ejection.slowness()));
+    }
+
     /**
      * Builds the report for peers.
      *
@@ -355,8 +381,8 @@
                 blackboard.log().configuration().current().version(),
                 blackboard.position().offset(),
                 time.monotonicMillis() - blackboard.position().endReadAtMillis(),
-                board.inFlight(),
-                scheduler.waiting(blackboard.configuration().classes()),
+                scheduler.inFlight(),
+                scheduler.waiting(),
                 gate.isDraining());
         return report.setQuarantined(service.suspects());
     }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CrashGuard.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CrashGuard.java
@@ -6,12 +6,12 @@
 import java.util.Collection;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.cranberrygauge.decision.dispatch.Eligibility;
 import org.cranberrygauge.decision.quarantine.Quarantine;
 import org.cranberrygauge.decision.quarantine.RequestFingerprint;
 import org.cranberrygauge.decision.quarantine.RunId;
 import org.cranberrygauge.decision.quarantine.Standing;
 import org.cranberrygauge.decision.quarantine.SuspectPlacement;
-import org.cranberrygauge.gateway.schedule.BackendBoard;
 import org.cranberrygauge.model.backend.BackendServer;
 import org.cranberrygauge.model.error.ErrorCode;
 import org.cranberrygauge.runtime.time.TimeSource;
@@ -36,9 +36,6 @@
     /** Tells crashes from broken connections. */
     private final CrashDetector detector;
 
-    /** The backend servers. */
-    private final BackendBoard board;
-
     /** The sources of time. */
     private final TimeSource time;
 
@@ -57,7 +54,6 @@
      * @param vertx The Vert.x instance.
      * @param quarantine The quarantine.
      * @param detector Tells crashes from broken connections.
-     * @param board The backend servers.
      * @param time The sources of time.
      * @param tellPeers Tells the peers at once.
      * @param gateway The incarnation of this gateway.
@@ -67,7 +63,6 @@
             Vertx vertx,
             Quarantine quarantine,
             CrashDetector detector,
-            BackendBoard board,
             TimeSource time,
             Runnable tellPeers,
             String gateway,
@@ -77,7 +72,6 @@
         this.vertx = vertx;
         this.quarantine = quarantine;
         this.detector = detector;
-        this.board = board;
         this.time = time;
         this.tellPeers = tellPeers;
     }
@@ -100,21 +94,30 @@
     }
 
     /**
-     * Tells whether a request may start on a backend server.
+     * Tells on which backend servers a request may start.
      *
      * @param fingerprint The request.
-     * @param target The model or service.
-     * @param server The backend server.
      * @param submittedAtMillis The monotonic time since which the request has waited in milliseconds.
-     * @return Whether it may.
+     * @return The eligibility, which follows the standing of the request.
      */
-    boolean mayStart(RequestFingerprint fingerprint, String target, BackendServer server, long submittedAtMillis) {
-        long nowMillis = time.monotonicMillis();
-        if (quarantine.standing(nowMillis, fingerprint) == Standing.Clear.INSTANCE) {
-            return true;
-        }
-        return SuspectPlacement.mayStart(nowMillis - submittedAtMillis, gateway, gateways.get(), server.name())
-                && quarantine.mayStart(nowMillis, fingerprint, server.name(), board.healthy(nowMillis, target));
+    Eligibility eligibility(RequestFingerprint fingerprint, long submittedAtMillis) {
+        return new Eligibility() {
+
+            @Override
+            public boolean isRestricted() {
+                return quarantine.standing(time.monotonicMillis(), fingerprint) != Standing.Clear.INSTANCE;
+            }
+
+            @Override
+            public boolean allows(BackendServer server, int healthyServers) {
+                long nowMillis = time.monotonicMillis();
+                if (quarantine.standing(nowMillis, fingerprint) == Standing.Clear.INSTANCE) {
+                    return true;
+                }
+                return SuspectPlacement.mayStart(nowMillis - submittedAtMillis, gateway, gateways.get(), server.name())
+                        && quarantine.mayStart(nowMillis, fingerprint, server.name(), healthyServers);
+            }
+        };
     }
 
     /**
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/ExchangeService.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/ExchangeService.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
+import org.apache.thrift.TException;
 import org.cranberrygauge.decision.membership.PeerReport;
 import org.cranberrygauge.decision.quarantine.Observation;
 import org.cranberrygauge.decision.quarantine.Quarantine;
+import org.cranberrygauge.gateway.usage.UsageCopyDesk;
 import org.cranberrygauge.protocol.generated.GatewayExchange;
 import org.cranberrygauge.protocol.generated.GatewayReport;
 import org.cranberrygauge.protocol.generated.LogSlice;
@@ -31,6 +33,9 @@
     /** Builds the report of this gateway. */
     private final Supplier<GatewayReport> ownReport;
 
+    /** Takes copies of usage from peers. */
+    private final UsageCopyDesk usageCopies;
+
     /** The sources of time. */
     private final TimeSource time;
 
@@ -46,6 +51,7 @@
      * @param blackboard The blackboard.
      * @param follower The follower of the log.
      * @param ownReport Builds the report of this gateway.
+     * @param usageCopies Takes copies of usage from peers.
      * @param time The sources of time.
      * @param quarantine Takes in what peers tell of suspected requests.
      * @param onSuspects Acts on what peers told of suspected requests.
@@ -54,26 +60,31 @@
             Blackboard blackboard,
             LogFollower follower,
             Supplier<GatewayReport> ownReport,
+            UsageCopyDesk usageCopies,
             TimeSource time,
             Quarantine quarantine,
             Runnable onSuspects) {
         this.blackboard = blackboard;
         this.follower = follower;
         this.ownReport = ownReport;
+        this.usageCopies = usageCopies;
         this.time = time;
         this.quarantine = quarantine;
         this.onSuspects = onSuspects;
     }
 
     @Override
-    public GatewayReport exchange(GatewayReport report) {
+    public GatewayReport exchange(GatewayReport report) throws TException {
         take(report);
+        if (!usageCopies.take(report)) {
+            throw new TException("the copy of usage can't be held");
+        }
         return ownReport.get();
     }
 
     @Override
     public GatewayReport status() {
-        return ownReport.get();
+        return usageCopies.withSignals(ownReport.get());
     }
 
     @Override
@@ -107,7 +118,8 @@
                                 report.getLogOffset(),
                                 report.getLogAgeMillis(),
                                 report.getInFlight(),
-                                report.isDraining()));
+                                report.isDraining(),
+                                report.getWaiting()));
     }
 
     /**
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/CallerVerticle.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/CallerVerticle.java
@@ -1,11 +1,8 @@
-package org.cranberrygauge.gateway;
+package org.cranberrygauge.gateway.http;
 
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
 import io.vertx.core.http.HttpServerOptions;
-import java.util.function.IntConsumer;
-import org.cranberrygauge.gateway.http.CallerHandler;
-import org.cranberrygauge.gateway.http.IdleConnections;
 
 /**
  * Lets one more event loop listen to callers.
@@ -23,19 +20,14 @@
     /** The connections of callers. */
     private final IdleConnections connections;
 
-    /** Takes the port. */
-    private final IntConsumer onPort;
-
     /**
      * Creates a verticle.
      *
      * @param options The options of the server.
      * @param handler The handler.
      * @param connections The connections of callers.
-     * @param onPort Takes the port.
      */
-    CallerVerticle(HttpServerOptions options, CallerHandler handler, IdleConnections connections, IntConsumer onPort) {
-        this.onPort = onPort;
+    CallerVerticle(HttpServerOptions options, CallerHandler handler, IdleConnections connections) {
         this.connections = connections;
         this.options = options;
         this.handler = handler;
@@ -47,7 +39,6 @@
                 .requestHandler(handler)
                 .invalidRequestHandler(handler::handleInvalid)
                 .connectionHandler(connections::opened)
-                .listen()
-                .onSuccess(server -> onPort.accept(server.actualPort()));
+                .listen();
     }
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/PendingCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/PendingCall.java
@@ -1,9 +1,9 @@
 package org.cranberrygauge.gateway.schedule;
 
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import org.cranberrygauge.decision.admission.QueuedRequest;
 import org.cranberrygauge.decision.admission.Refusal;
+import org.cranberrygauge.decision.dispatch.Eligibility;
 import org.cranberrygauge.decision.routing.RoutingRequest;
 import org.cranberrygauge.model.backend.BackendServer;
 
@@ -12,13 +12,34 @@
  *
  * @param queued What admission needs to know.
  * @param routing What routing needs to know.
- * @param mayStartOn Tells whether the request may start on a backend server with a free slot.
+ * @param eligibility Tells on which backend servers the request may start.
  * @param onStart Takes the backend server that it starts on.
  * @param onRefused Takes the refusal.
+ * @param onPreempted Stops the attempt and submits the request again, or null if it can't go on elsewhere.
  */
 public record PendingCall(
         QueuedRequest queued,
         RoutingRequest routing,
-        Predicate<BackendServer> mayStartOn,
+        Eligibility eligibility,
         Consumer<BackendServer> onStart,
-        Consumer<Refusal> onRefused) {}
+        Consumer<Refusal> onRefused,
+        Runnable onPreempted) {
+
+    /**
+     * Creates a call that can't be preempted.
+     *
+     * @param queued What admission needs to know.
+     * @param routing What routing needs to know.
+     * @param eligibility Tells on which backend servers the request may start.
+     * @param onStart Takes the backend server that it starts on.
+     * @param onRefused Takes the refusal.
+     */
+    public PendingCall(
+            QueuedRequest queued,
+            RoutingRequest routing,
+            Eligibility eligibility,
+            Consumer<BackendServer> onStart,
+            Consumer<Refusal> onRefused) {
+        this(queued, routing, eligibility, onStart, onRefused, null);
+    }
+}
--- a/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/log/LogSession.java
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/log/LogSession.java
@@ -7,7 +7,9 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.locks.LockSupport;
 import org.cranberrygauge.decision.configuration.ConfigurationMachine.Verdict;
+import org.cranberrygauge.decision.snapshot.Snapshot;
 import org.cranberrygauge.decision.state.Effect;
 import org.cranberrygauge.decision.state.LogState;
 import org.cranberrygauge.model.error.CranberrygaugeException;
@@ -16,6 +18,7 @@
 import org.cranberrygauge.model.record.LogRecord;
 import org.cranberrygauge.protocol.log.LogCodec;
 import org.cranberrygauge.protocol.platform.PlatformLog;
+import org.cranberrygauge.runtime.log.SnapshotReader;
 import org.cranberrygauge.runtime.time.TimeSource;
 
 /**
@@ -28,6 +31,12 @@
     /** The highest number of entries in one read. */
     private static final int READ_LIMIT = 1_000;
 
+    /** The time between two tries in nanoseconds. */
+    private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    /** The number of tries that fit into the time of an append. */
+    private static final long TRIES = 4;
+
     /** The log. */
     private final PlatformLog log;
 
@@ -37,12 +46,18 @@
     /** The incarnation that writes. */
     private final String writer;
 
-    /** The time after which a call is given up in milliseconds. */
+    /** The time after which an append is given up in milliseconds. */
     private final long timeoutMillis;
 
+    /** The time after which one call is given up in milliseconds. */
+    private final long callTimeoutMillis;
+
     /** The state machines. */
     private final LogState state = new LogState();
 
+    /** What the log tells of the past. */
+    private final LogHistory history = new LogHistory();
+
     /** What became of changes that were read. */
     private final List<Effect.ChangeJudged> changes = new ArrayList<>();
 
@@ -55,13 +70,14 @@
      * @param log The log.
      * @param time The sources of time.
      * @param writer The incarnation that writes.
-     * @param timeoutMillis The time after which a call is given up in milliseconds.
+     * @param timeoutMillis The time after which an append is given up in milliseconds; a quarter of it for one call.
      */
     public LogSession(PlatformLog log, TimeSource time, String writer, long timeoutMillis) {
         this.log = log;
         this.time = time;
         this.writer = writer;
         this.timeoutMillis = timeoutMillis;
+        this.callTimeoutMillis = Math.max(1, timeoutMillis / TRIES);
     }
 
     /**
@@ -74,6 +90,10 @@
         PlatformLog.Page page;
         do {
             page = await(log.read(state.offset(), READ_LIMIT, 0));
+            if (page.firstOffset() > state.offset() + 1) {
+                restore();
+                page = await(log.read(state.offset(), READ_LIMIT, 0));
+            }
             for (PlatformLog.StoredEntry entry : page.entries()) {
                 apply(entry);
             }
@@ -81,6 +101,24 @@
         return state;
     }
 
+    /**
+     * Goes on from the newest snapshot, since the log no longer keeps the entries that are needed.
+     *
+     * @throws CranberrygaugeException If the log does not answer or holds no snapshot.
+     */
+    private void restore() throws CranberrygaugeException {
+        SnapshotReader reader = new SnapshotReader();
+        PlatformLog.Page page;
+        do {
+            page = await(log.read(reader.searched(), READ_LIMIT, 0));
+            reader.take(page);
+        } while (reader.searched() < page.endOffset() && !page.entries().isEmpty());
+        Snapshot newest = reader.newest()
+                .orElseThrow(() -> new CranberrygaugeException(
+                        ErrorCode.LOG_UNAVAILABLE, "the log holds neither its beginning nor a whole snapshot"));
+        state.restore(newest);
+    }
+
     /**
      * Appends a record, again with the same sequence number while its answer is lost.
      *
@@ -99,6 +137,7 @@
                 if (time.monotonicMillis() >= untilMillis) {
                     throw exception;
                 }
+                LockSupport.parkNanos(RETRY_NANOS);
             }
         }
     }
@@ -124,6 +163,15 @@
         return List.copyOf(changes);
     }
 
+    /**
+     * Returns what the log tells of the past.
+     *
+     * @return The history up to what was read.
+     */
+    public LogHistory history() {
+        return history;
+    }
+
     /**
      * Applies an entry.
      *
@@ -131,8 +179,10 @@
      */
     private void apply(PlatformLog.StoredEntry entry) {
         try {
-            for (Effect effect :
-                    state.apply(entry.offset(), entry.appendedAtMillis(), LogCodec.read(entry.payload()))) {
+            LogEntry read = LogCodec.read(entry.payload());
+            List<Effect> effects = state.apply(entry.offset(), entry.appendedAtMillis(), read);
+            history.take(entry.offset(), entry.appendedAtMillis(), read, effects, state.usage());
+            for (Effect effect : effects) {
                 if (effect instanceof Effect.ChangeJudged judged) {
                     changes.add(judged);
                 }
@@ -152,13 +202,18 @@
      */
     private <T> T await(CompletionStage<T> stage) throws CranberrygaugeException {
         try {
-            return stage.toCompletableFuture().get(timeoutMillis, TimeUnit.MILLISECONDS);
+            return stage.toCompletableFuture().get(callTimeoutMillis, TimeUnit.MILLISECONDS);
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
             throw new CranberrygaugeException(ErrorCode.LOG_UNAVAILABLE, "interrupted", exception);
-        } catch (ExecutionException | TimeoutException exception) {
+        } catch (ExecutionException exception) {
             throw new CranberrygaugeException(
                     ErrorCode.LOG_UNAVAILABLE, "the log does not answer: " + exception.getMessage(), exception);
+        } catch (TimeoutException exception) {
+            throw new CranberrygaugeException(
+                    ErrorCode.LOG_UNAVAILABLE,
+                    "the log does not answer within " + callTimeoutMillis + " ms",
+                    exception);
         }
     }
 }
