--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/BackendBoard.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/schedule/BackendBoard.java
@@ -106,7 +106,7 @@
      * @param table The table.
      * @param ownWaiting The number of requests that wait at this gateway.
      */
-    void refresh(long nowMillis, BackendTable table, int ownWaiting) {
+    public void refresh(long nowMillis, BackendTable table, int ownWaiting) {
         DrainRegister drains = blackboard.log().drains();
         Map<String, BackendServer> known = new LinkedHashMap<>();
         Map<String, Boolean> available = new HashMap<>();
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/ExchangeMeasures.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/ExchangeMeasures.java
@@ -11,6 +11,9 @@
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.cranberrygauge.decision.membership.PeerReport;
+import org.cranberrygauge.decision.routing.BackendTable;
+import org.cranberrygauge.decision.routing.SpeedRule;
+import org.cranberrygauge.decision.share.SlotDivision;
 import org.cranberrygauge.decision.topology.ControlNode;
 import org.cranberrygauge.decision.topology.ExchangePlan;
 import org.cranberrygauge.gateway.schedule.BackendBoard;
@@ -40,7 +43,7 @@
     private static final int FRAME_BYTES = 20;
 
     /** The numbers of peers whose counts a routing decision adds up. */
-    private static final int[] PEERS = {3, 16, 63};
+    private static final int[] PEERS = {3, 7, 16, 32, 63};
 
     /** The numbers of backend servers. */
     private static final int[] SERVERS = {8, 64, 134, 400, 940};
@@ -182,18 +185,19 @@
      */
     private void routing(List<Slope> slopes) {
         List<Sample> refresh = new ArrayList<>();
-        List<Sample> decide = new ArrayList<>();
         for (int servers : SERVERS) {
-            for (int peers : PEERS) {
-                BackendBoard board = board(servers, peers);
-                decide.add(new Sample((double) servers * peers, meter.micros(() -> board.candidates(1, "model-0"))));
-                if (peers == PEERS[0]) {
-                    refresh.add(new Sample(servers, meter.micros(() -> refreshed(board))));
-                }
-            }
+            BackendBoard board = board(servers, 0);
+            BackendTable table = table();
+            refresh.add(new Sample(servers, meter.micros(() -> refreshed(board, table))));
+        }
+        slopes.add(Slope.of("routing view refresh by backend servers", "backend servers", "microseconds", refresh));
+        List<Sample> peers = new ArrayList<>();
+        for (int count : PEERS) {
+            BackendBoard board = board(SERVERS_IN_USE, count);
+            BackendTable table = table();
+            peers.add(new Sample(count, meter.micros(() -> refreshed(board, table))));
         }
-        slopes.add(Slope.of("routing candidates", "backend servers of a model times peers", "microseconds", decide));
-        slopes.add(Slope.of("routing view refresh", "backend servers", "microseconds", refresh));
+        slopes.add(Slope.of("routing view refresh by peers", "peers", "microseconds", peers));
     }
 
     /**
@@ -237,20 +241,28 @@
             PeerReport report = peerReport(Population.report(peer, Math.min(servers, SERVERS_IN_USE)));
             blackboard.peers().put("host-" + peer, report);
         }
-        BackendBoard board = new BackendBoard(blackboard);
-        board.refresh(1);
-        return board;
+        return new BackendBoard(blackboard, "host-self");
+    }
+
+    /**
+     * Builds an empty table, as the gateway uses it.
+     *
+     * @return The table.
+     */
+    private static BackendTable table() {
+        return new BackendTable(SlotDivision.DemandShare.INSTANCE, SpeedRule.PEERS);
     }
 
     /**
-     * Refreshes a board.
+     * Refreshes a table.
      *
      * @param board The board.
-     * @return The board.
+     * @param table The table.
+     * @return The table.
      */
-    private static Object refreshed(BackendBoard board) {
-        board.refresh(1);
-        return board;
+    private static Object refreshed(BackendBoard board, BackendTable table) {
+        board.refresh(1, table, 0);
+        return table;
     }
 
     /**
--- a/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/NodeRoles.java
+++ b/cranberrygauge-verification/src/main/java/org/cranberrygauge/verification/capacity/NodeRoles.java
@@ -18,7 +18,7 @@
     private static final double ROUNDS_IN_CELLS = 1.5;
 
     /** The refreshes of the view of backend servers a second today. */
-    private static final double REFRESHES_TODAY = 50;
+    private static final double REFRESHES_TODAY = 10;
 
     /** The refreshes of the view of backend servers a second that are needed. */
     private static final double REFRESHES_NEEDED = 2;
@@ -136,23 +136,13 @@
     /** Routing. */
     private void routing() {
         table.role("routing");
-        double decisions = TargetSize.REQUESTS_PER_SECOND / TargetSize.NODES;
-        double all = (double) TargetSize.SERVERS / Population.MODELS * (TargetSize.NODES - 1);
-        table.today(
-                "candidates of a decision",
-                decisions * slopes.at("routing candidates", all),
-                Budget.WORK,
-                "134 backend servers of a model, counts of 329 peers");
-        double cell = ExchangeMeasures.CELL_SERVERS * CELL_PEERS;
-        table.needed(
-                        "candidates of a decision",
-                        decisions * slopes.at("routing candidates", cell),
-                        Budget.WORK,
-                        "24 backend servers of the cell, counts of 7 peers")
-                .counted();
-        double refresh = slopes.at("routing view refresh", TargetSize.SERVERS);
-        table.today("view refresh", REFRESHES_TODAY * refresh, Budget.WORK, "50 a second, 940 backend servers");
-        table.needed("view refresh", REFRESHES_NEEDED * refresh, Budget.WORK, "2 a second, 940 backend servers")
+        Slope servers = slopes.slope("routing view refresh by backend servers");
+        Slope peers = slopes.slope("routing view refresh by peers");
+        double all = servers.at(TargetSize.SERVERS) + peers.fit().slope() * (TargetSize.NODES - 1);
+        table.today("view refresh", REFRESHES_TODAY * all, Budget.WORK, "10 a second, 940 servers, 329 peers")
+                .extrapolated(true);
+        double cell = servers.at(TargetSize.SERVERS) + peers.fit().slope() * CELL_PEERS;
+        table.needed("view refresh", REFRESHES_NEEDED * cell, Budget.WORK, "2 a second, 940 servers, 7 peers")
                 .counted();
     }
 
