--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/usage/UsageCopies.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/usage/UsageCopies.java
@@ -110,6 +110,18 @@
         return byGateway.values().stream().mapToInt(held -> held.totals.size()).sum();
     }
 
+    /**
+     * Returns the calls in the copies, those since the start of each gateway.
+     *
+     * @return The number.
+     */
+    public synchronized long calls() {
+        return byGateway.values().stream()
+                .flatMap(held -> held.totals.values().stream())
+                .mapToLong(UsageFigures::calls)
+                .sum();
+    }
+
     /** The copy of one gateway; guarded by the store. */
     private static final class Held {
 
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -284,7 +284,7 @@
                 time,
                 incarnation);
         CallerHandler callers = new CallerHandler(vertx, settings, tools, blackboard, gate);
-        OperationsHandler operations = new OperationsHandler(registry, gate, blackboard, incarnation);
+        OperationsHandler operations = new OperationsHandler(registry, gate, blackboard, usageCopies, incarnation);
         return server(settings.operationsAddress())
                 .requestHandler(operations)
                 .listen()
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/OperationsHandler.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/OperationsHandler.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Handler;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonObject;
+import org.cranberrygauge.gateway.usage.UsageCopyDesk;
 import org.cranberrygauge.model.error.CranberrygaugeException;
 import org.cranberrygauge.runtime.blackboard.Blackboard;
 import org.cranberrygauge.runtime.metrics.MetricsEndpoint;
@@ -33,6 +34,9 @@
     /** The blackboard. */
     private final Blackboard blackboard;
 
+    /** Holds copies of the usage of peers. */
+    private final UsageCopyDesk usageCopies;
+
     /** The incarnation of the gateway. */
     private final String gateway;
 
@@ -42,12 +46,19 @@
      * @param registry The registry of metrics.
      * @param gate Tells whether the gateway admits.
      * @param blackboard The blackboard.
+     * @param usageCopies Holds copies of the usage of peers.
      * @param gateway The incarnation of the gateway.
      */
-    public OperationsHandler(PrometheusRegistry registry, AdmissionGate gate, Blackboard blackboard, String gateway) {
+    public OperationsHandler(
+            PrometheusRegistry registry,
+            AdmissionGate gate,
+            Blackboard blackboard,
+            UsageCopyDesk usageCopies,
+            String gateway) {
         this.metrics = new MetricsEndpoint(registry);
         this.gate = gate;
         this.blackboard = blackboard;
+        this.usageCopies = usageCopies;
         this.gateway = gateway;
     }
 
@@ -91,6 +102,7 @@
                 .put("log_offset", blackboard.position().offset())
                 .put("lease_holder", blackboard.log().lease().holder())
                 .put("fencing_number", blackboard.log().lease().fencingNumber())
+                .put("held_usage_calls", usageCopies.heldCalls())
                 .put("draining", gate.isDraining());
     }
 
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/usage/UsageCopyDesk.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/usage/UsageCopyDesk.java
@@ -159,4 +159,13 @@
             }
         }
     }
+
+    /**
+     * Returns the calls in the copies held for peers.
+     *
+     * @return The number.
+     */
+    public long heldCalls() {
+        return copies.calls();
+    }
 }
--- a/cranberrygauge-verification/src/test/java/org/cranberrygauge/verification/process/Deployment.java
+++ b/cranberrygauge-verification/src/test/java/org/cranberrygauge/verification/process/Deployment.java
@@ -140,13 +140,20 @@
                 "gateway-" + index,
                 GatewayMain.class,
                 List.of(
-                        "--host-name", "host-" + index,
-                        "--data-centre", "dk-east-a",
-                        "--platform-address", "127.0.0.1:" + platformPort,
-                        "--listen-address", "127.0.0.1:0",
-                        "--operations-address", "127.0.0.1:0",
-                        "--exchange-address", "127.0.0.1:" + exchangePort,
-                        "--peers", peers));
+                        "--host-name",
+                        "host-" + index,
+                        "--data-centre",
+                        "dk-east-a",
+                        "--platform-address",
+                        "127.0.0.1:" + platformPort,
+                        "--listen-address",
+                        "127.0.0.1:0",
+                        "--operations-address",
+                        "127.0.0.1:0",
+                        "--exchange-address",
+                        "127.0.0.1:" + exchangePort,
+                        "--peers",
+                        peers));
     }
 
     private static Node gatewayNode(Program program) {
@@ -158,10 +165,14 @@
 
     Node controller(String host, String... options) {
         List<String> arguments = new ArrayList<>(List.of(
-                "--host-name", host,
-                "--data-centre", "dk-east-a",
-                "--platform-address", "127.0.0.1:" + platformPort,
-                "--operations-address", "127.0.0.1:0"));
+                "--host-name",
+                host,
+                "--data-centre",
+                "dk-east-a",
+                "--platform-address",
+                "127.0.0.1:" + platformPort,
+                "--operations-address",
+                "127.0.0.1:0"));
         arguments.addAll(List.of(options));
         Program program = start("controller-" + host, ControllerMain.class, arguments);
         int port = program.awaitNumber("controller_listening", "operations_port");
@@ -208,7 +219,8 @@
     /** Applies a change as the operators' command does; a negative base is the version in force. */
     ExitStatus apply(String operator, long base, Configuration configuration) {
         try {
-            LogSession session = new LogSession(platform(), TimeSource.System.INSTANCE, operator + UUID.randomUUID(), 5_000);
+            LogSession session =
+                    new LogSession(platform(), TimeSource.System.INSTANCE, operator + UUID.randomUUID(), 5_000);
             ChangeApplier applier = new ChangeApplier(session, 20_000);
             long baseVersion = base < 0 ? applier.currentVersion() : base;
             PrintStream output = new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8);
@@ -241,8 +253,7 @@
     /** Reads all records of the log, in their order. */
     List<LogRecord> log() {
         List<LogRecord> records = new ArrayList<>();
-        PlatformLog.Page page =
-                Http.get(platformPort, "/log/records?after=0&limit=100000", PlatformLog.Page.class);
+        PlatformLog.Page page = Http.get(platformPort, "/log/records?after=0&limit=100000", PlatformLog.Page.class);
         try {
             for (PlatformLog.StoredEntry entry : page.entries()) {
                 records.addAll(LogCodec.read(entry.payload()).records());
@@ -259,8 +270,9 @@
     }
 
     static HttpRequest.Builder chat(int port, int tokens) {
-        String body = "{\"model\":\"amber-large\",\"stream\":true,\"max_tokens\":" + tokens + ",\"metadata\":{\"output_tokens\":\""
-                + tokens + "\"},\"messages\":[{\"role\":\"user\",\"content\":\"What lies in the fountain?\"}]}";
+        String body = "{\"model\":\"amber-large\",\"stream\":true,\"max_tokens\":" + tokens
+                + ",\"metadata\":{\"output_tokens\":\"" + tokens
+                + "\"},\"messages\":[{\"role\":\"user\",\"content\":\"What lies in the fountain?\"}]}";
         return Http.request(port, "/v1/chat/completions")
                 .header("Authorization", "Bearer " + KEY)
                 .header("X-Service-Class", "chat")
@@ -276,7 +288,9 @@
     }
 
     static boolean isWhole(HttpResponse<String> answer) {
-        return answer.statusCode() == 200 && answer.body().contains("[DONE]") && !answer.body().contains("\"error\"");
+        return answer.statusCode() == 200
+                && answer.body().contains("[DONE]")
+                && !answer.body().contains("\"error\"");
     }
 
     static CompletableFuture<HttpResponse<String>> startedChat(Node gateway, Node engine, int tokens) {
--- a/cranberrygauge-verification/src/test/java/org/cranberrygauge/verification/process/Http.java
+++ b/cranberrygauge-verification/src/test/java/org/cranberrygauge/verification/process/Http.java
@@ -38,8 +38,7 @@
 
     static void fault(int port, String name, double amount) {
         String body = JsonCodec.write(new FaultSwitch(name, amount));
-        HttpResponse<String> answer =
-                join(request(port, "/faults").POST(HttpRequest.BodyPublishers.ofString(body)));
+        HttpResponse<String> answer = join(request(port, "/faults").POST(HttpRequest.BodyPublishers.ofString(body)));
         if (answer.statusCode() != 200) {
             throw new IllegalStateException("fault " + name + ": " + answer.body());
         }
