--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/ExchangeService.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/exchange/ExchangeService.java
@@ -5,6 +5,8 @@
 import java.util.function.Supplier;
 import org.apache.thrift.TException;
 import org.cranberrygauge.decision.membership.PeerReport;
+import org.cranberrygauge.decision.quarantine.Observation;
+import org.cranberrygauge.decision.quarantine.Quarantine;
 import org.cranberrygauge.gateway.usage.UsageCopyDesk;
 import org.cranberrygauge.protocol.generated.GatewayExchange;
 import org.cranberrygauge.protocol.generated.GatewayReport;
@@ -37,6 +39,12 @@
     /** The sources of time. */
     private final TimeSource time;
 
+    /** Takes in what peers tell of suspected requests. */
+    private final Quarantine quarantine;
+
+    /** Acts on what peers told of suspected requests. */
+    private final Runnable onSuspects;
+
     /**
      * Creates the service.
      *
@@ -45,18 +53,24 @@
      * @param ownReport Builds the report of this gateway.
      * @param usageCopies Takes copies of usage from peers.
      * @param time The sources of time.
+     * @param quarantine Takes in what peers tell of suspected requests.
+     * @param onSuspects Acts on what peers told of suspected requests.
      */
     public ExchangeService(
             Blackboard blackboard,
             LogFollower follower,
             Supplier<GatewayReport> ownReport,
             UsageCopyDesk usageCopies,
-            TimeSource time) {
+            TimeSource time,
+            Quarantine quarantine,
+            Runnable onSuspects) {
         this.blackboard = blackboard;
         this.follower = follower;
         this.ownReport = ownReport;
         this.usageCopies = usageCopies;
         this.time = time;
+        this.quarantine = quarantine;
+        this.onSuspects = onSuspects;
     }
 
     @Override
@@ -88,6 +102,11 @@
      * @param report The report.
      */
     public void take(GatewayReport report) {
+        List<Observation> observations = ObservationCodec.read(report.getQuarantined());
+        quarantine.heard(time.monotonicMillis(), report.getGateway(), observations);
+        if (!observations.isEmpty()) {
+            onSuspects.run();
+        }
         blackboard
                 .peers()
                 .put(
@@ -99,7 +118,17 @@
                                 report.getLogOffset(),
                                 report.getLogAgeMillis(),
                                 report.getInFlight(),
-                                report.isDraining()));
+                                report.isDraining(),
+                                report.getWaiting()));
+    }
+
+    /**
+     * Writes what this gateway tells its peers of suspected requests.
+     *
+     * @return The texts of a report.
+     */
+    public List<String> suspects() {
+        return ObservationCodec.write(quarantine.observations(time.monotonicMillis()));
     }
 
     /**
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/CallerVerticle.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/CallerVerticle.java
@@ -1,9 +1,8 @@
-package org.cranberrygauge.gateway;
+package org.cranberrygauge.gateway.http;
 
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
 import io.vertx.core.http.HttpServerOptions;
-import org.cranberrygauge.gateway.http.CallerHandler;
 
 /**
  * Lets one more event loop listen to callers.
@@ -31,6 +30,9 @@
 
     @Override
     public Future<?> start() {
-        return vertx.createHttpServer(options).requestHandler(handler).listen();
+        return vertx.createHttpServer(options)
+                .requestHandler(handler)
+                .invalidRequestHandler(handler::handleInvalid)
+                .listen();
     }
 }
