--- a/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/StandInSettings.java
+++ b/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/StandInSettings.java
@@ -160,7 +160,8 @@
         }
 
         /**
-         * Registers with the platform.
+         * Registers with the platform. The client is closed at the end, and so is reachable until then: Vert.x closes a
+         * client that nothing refers to.
          *
          * @param vertx The Vert.x instance.
          * @param server The server.
@@ -184,6 +185,7 @@
                             platformAddress.host(),
                             PlatformMessages.BACKEND_SERVERS_PATH)
                     .compose(request -> request.send(Buffer.buffer(body)))
+                    .eventually(client::close)
                     .map(server);
         }
     }
