--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -346,7 +346,8 @@
                 time,
                 incarnation);
         CallerHandler callers = new CallerHandler(vertx, settings, tools, blackboard, gate, callerConnections);
-        OperationsHandler operations = new OperationsHandler(registry, gate, blackboard, ring, incarnation);
+        OperationsHandler operations =
+                new OperationsHandler(registry, gate, blackboard, ring, usageCopies, incarnation);
         return servers.listen(callers, operations)
                 .onSuccess(done -> events.emit(new GatewayEvents.GatewayListening(
                         incarnation, callerPort(), operationsPort(), exchangeServer.port())));
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/OperationsHandler.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/OperationsHandler.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Handler;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonObject;
+import org.cranberrygauge.gateway.usage.UsageCopyDesk;
 import org.cranberrygauge.model.error.CranberrygaugeException;
 import org.cranberrygauge.protocol.JsonCodec;
 import org.cranberrygauge.runtime.blackboard.Blackboard;
@@ -38,6 +39,9 @@
     /** The newest events. */
     private final EventRing ring;
 
+    /** Holds copies of the usage of peers. */
+    private final UsageCopyDesk usageCopies;
+
     /** The incarnation of the gateway. */
     private final String gateway;
 
@@ -48,14 +52,21 @@
      * @param gate Tells whether the gateway admits.
      * @param blackboard The blackboard.
      * @param ring The newest events.
+     * @param usageCopies Holds copies of the usage of peers.
      * @param gateway The incarnation of the gateway.
      */
     public OperationsHandler(
-            PrometheusRegistry registry, AdmissionGate gate, Blackboard blackboard, EventRing ring, String gateway) {
+            PrometheusRegistry registry,
+            AdmissionGate gate,
+            Blackboard blackboard,
+            EventRing ring,
+            UsageCopyDesk usageCopies,
+            String gateway) {
         this.metrics = new MetricsEndpoint(registry);
         this.gate = gate;
         this.blackboard = blackboard;
         this.ring = ring;
+        this.usageCopies = usageCopies;
         this.gateway = gateway;
     }
 
@@ -110,6 +121,7 @@
                 .put("log_offset", blackboard.position().offset())
                 .put("lease_holder", blackboard.log().lease().holder())
                 .put("fencing_number", blackboard.log().lease().fencingNumber())
+                .put("held_usage_calls", usageCopies.heldCalls())
                 .put("draining", gate.isDraining());
     }
 
