--- a/cranberrygauge-verification/src/test/java/org/cranberrygauge/verification/path/EngineFailureTest.java
+++ b/cranberrygauge-verification/src/test/java/org/cranberrygauge/verification/path/EngineFailureTest.java
@@ -4,6 +4,7 @@
 
 import java.net.http.HttpResponse;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
@@ -64,13 +65,15 @@
         long before = bench.engineCounts(faulty).started();
         bench.fault(faulty, fault, amount);
 
+        AtomicInteger tries = new AtomicInteger();
         Await.until("the faulty engine gets requests", () -> {
-            HttpResponse<String> plain = bench.chat(0, KEY, PROMPT.body(false));
+            ChatPrompt prompt = new ChatPrompt("whole " + fault + " " + tries.incrementAndGet(), 12);
+            HttpResponse<String> plain = bench.chat(0, KEY, prompt.body(false));
             assertThat(plain.statusCode()).as(plain.body()).isEqualTo(200);
-            assertThat(ChatPrompt.contentOf(plain)).isEqualTo(PROMPT.wholeAnswer());
+            assertThat(ChatPrompt.contentOf(plain)).isEqualTo(prompt.wholeAnswer());
             ChatPrompt.Transcript stream =
-                    ChatPrompt.read(bench.stream(0, KEY, PROMPT.body(true)).body());
-            assertThat(stream.text().toString()).isEqualTo(PROMPT.wholeAnswer());
+                    ChatPrompt.read(bench.stream(0, KEY, prompt.body(true)).body());
+            assertThat(stream.text().toString()).isEqualTo(prompt.wholeAnswer());
             assertThat(stream.end().toString()).isEqualTo("done");
             return bench.engineCounts(faulty).started() >= before + 2;
         });
