Declare a gateway gone once its host is neither listed nor heard

Cause: the rule GoneGateways ran in no controller, so that after a host's failure each change stayed "not yet confirmed" until a new gateway started there. Change: the platform lists the entry hosts; the lease holder appends GatewayLeft after 10 s without listing and answer; an outage of the platform makes no host absent.

--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeoutException;
 import org.cranberrygauge.controller.cleaning.CleaningDesk;
 import org.cranberrygauge.controller.gateway.GatewayPoll;
+import org.cranberrygauge.controller.membership.GoneGatewayDesk;
 import org.cranberrygauge.controller.order.OrderDesk;
 import org.cranberrygauge.controller.usage.UsageReporter;
 import org.cranberrygauge.decision.cleaning.CleaningPlanner;
@@ -24,6 +25,7 @@
 import org.cranberrygauge.decision.fleet.FleetView.ModelDemand;
 import org.cranberrygauge.decision.fleet.ForecastFleetPlanner;
 import org.cranberrygauge.decision.lease.LeaseKeeper;
+import org.cranberrygauge.decision.membership.GoneGateways;
 import org.cranberrygauge.decision.snapshot.SnapshotSchedule;
 import org.cranberrygauge.decision.state.LogState;
 import org.cranberrygauge.model.backend.BackendServer;
@@ -61,6 +63,9 @@
     /** The longest time a planned stop waits for the log in milliseconds. */
     private static final long STOP_MILLIS = 1_000;
 
+    /** The time after which a host that is neither listed nor heard is gone in milliseconds. */
+    private static final long HOST_ABSENCE_MILLIS = 10_000;
+
     /** The purpose of a claim of the lease. */
     private static final String CLAIM = "lease-claim";
 
@@ -106,6 +111,9 @@
     /** Carries out the cleaning. */
     private final CleaningDesk cleaning;
 
+    /** Declares gateways gone. */
+    private final GoneGatewayDesk gone;
+
     /** Works out the demand. */
     private final DemandMeter meter = new DemandMeter();
 
@@ -150,6 +158,14 @@
                 time,
                 events);
         usage = new UsageReporter(incarnation, lease, follower, controlAppender, platform, time, events);
+        gone = new GoneGatewayDesk(
+                new GoneGateways.Unlisted(HOST_ABSENCE_MILLIS),
+                platform,
+                follower,
+                lease,
+                controlAppender,
+                time,
+                events);
         cleaning = new CleaningDesk(new CleaningPlanner(settings.cleaningMillis()), lease, controlAppender, events);
         snapshots = new SnapshotWriter(
                 incarnation,
@@ -260,6 +276,7 @@
                 .map(ListedBackendServer::server)
                 .forEach(servers::add);
         Map<String, GatewayLoad> loads = poll.loads(nowMillis, LOAD_AGE_MILLIS);
+        gone.tick(state, loads);
         Map<String, Integer> reserve = cleaning.tick(time.wallMillis(), state, servers, loads);
         Map<String, ModelDemand> demand = meter.observe(configuration, servers, loads.values());
         orders.tick(state, demand, reserve);
--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/ControllerEvents.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/ControllerEvents.java
@@ -61,6 +61,14 @@
      */
     public record OrderDropped(String orderId, String reason) implements Event {}
 
+    /**
+     * A gateway was declared gone, since its host is neither listed nor heard.
+     *
+     * @param gateway The incarnation of the gateway.
+     * @param reason The reason code.
+     */
+    public record GatewayDeclaredGone(String gateway, String reason) implements Event {}
+
     /**
      * A usage window was reported.
      *
--- /dev/null
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Declaring gateways gone whose hosts failed. */
+package org.cranberrygauge.controller.membership;
--- /dev/null
+++ b/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/membership/HostSightingsTest.java
@@ -0,0 +1,60 @@
+package org.cranberrygauge.decision.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.cranberrygauge.model.record.LogRecord.GatewayJoined;
+import org.junit.jupiter.api.Test;
+
+class HostSightingsTest {
+
+    private static final GoneGateways RULE = new GoneGateways.Unlisted(10_000);
+
+    private final HostSightings sightings = new HostSightings();
+    private final Members members = Members.initial()
+            .apply(new GatewayJoined("host-1/1", "host-1", "a", "127.0.0.1:1"))
+            .apply(new GatewayJoined("host-2/1", "host-2", "a", "127.0.0.1:2"));
+
+    @Test
+    void a_host_that_is_neither_listed_nor_heard_for_the_time_is_gone() {
+        read(0, 1_000, List.of("host-1", "host-2"));
+        read(1_000, 12_500, List.of("host-1"));
+
+        assertThat(RULE.decide(12_500, members, sightings.of(12_500, members)))
+                .extracting("gateway")
+                .containsExactly("host-2/1");
+        assertThat(GoneGateways.Disabled.INSTANCE.decide(12_500, members, sightings.of(12_500, members)))
+                .isEmpty();
+    }
+
+    @Test
+    void a_host_that_is_still_heard_is_not_gone() {
+        read(0, 1_000, List.of("host-1", "host-2"));
+        read(1_000, 12_500, List.of("host-1"));
+        sightings.heard(12_000, "host-2");
+
+        assertThat(RULE.decide(12_500, members, sightings.of(12_500, members))).isEmpty();
+    }
+
+    @Test
+    void an_outage_of_the_platform_makes_no_host_gone() {
+        read(0, 1_000, List.of("host-1", "host-2"));
+        sightings.listed(60_000, List.of("host-1"));
+
+        assertThat(RULE.decide(60_000, members, sightings.of(60_000, members))).isEmpty();
+    }
+
+    @Test
+    void a_host_that_the_platform_never_listed_is_not_gone() {
+        read(0, 60_000, List.of());
+
+        assertThat(RULE.decide(60_000, members, sightings.of(60_000, members))).isEmpty();
+    }
+
+    private void read(long fromMillis, long toMillis, List<String> hosts) {
+        for (long nowMillis = fromMillis; nowMillis <= toMillis; nowMillis += 500) {
+            sightings.listed(nowMillis, hosts);
+            sightings.of(nowMillis, members);
+        }
+    }
+}
--- a/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/platform/PlatformStandIn.java
+++ b/cranberrygauge-emulator/src/main/java/org/cranberrygauge/emulator/platform/PlatformStandIn.java
@@ -55,6 +55,9 @@
     /** The backend servers that can be ordered. */
     private final FleetStore fleet;
 
+    /** The entry hosts of the deployment. */
+    private PlatformMessages.EntryHostList entryHosts = new PlatformMessages.EntryHostList(List.of());
+
     /** The usage reports in the order of their arrival. */
     private final List<UsageReport> reports = new ArrayList<>();
 
@@ -90,6 +93,8 @@
         router.get(PlatformMessages.RECORDS_PATH).handler(this::read);
         router.get(PlatformMessages.BACKEND_SERVERS_PATH).handler(this::list);
         router.post(PlatformMessages.BACKEND_SERVERS_PATH).handler(this::register);
+        router.get(PlatformMessages.ENTRY_HOSTS_PATH).handler(this::listEntryHosts);
+        router.post(PlatformMessages.ENTRY_HOSTS_PATH).handler(this::setEntryHosts);
         router.post(PlatformMessages.ORDERS_PATH).handler(this::order);
         router.get(PlatformMessages.ORDERS_PATH).handler(context -> StandInServer.answer(context, fleet.orders()));
         router.post(PlatformMessages.USAGE_PATH).handler(this::report);
@@ -164,6 +169,32 @@
         StandInServer.answer(context, new PlatformMessages.BackendServerList(laggingList));
     }
 
+    /**
+     * Answers with the list of entry hosts.
+     *
+     * @param context The exchange.
+     */
+    private void listEntryHosts(RoutingContext context) {
+        if (isOn(Fault.PLATFORM_OUTAGE)) {
+            StandInServer.answer(context, UNAVAILABLE, new StandInServer.Problem("platform outage"));
+            return;
+        }
+        StandInServer.answer(context, entryHosts);
+    }
+
+    /**
+     * Replaces the list of entry hosts.
+     *
+     * @param context The exchange.
+     */
+    private void setEntryHosts(RoutingContext context) {
+        PlatformMessages.EntryHostList replacement = StandInServer.body(context, PlatformMessages.EntryHostList.class);
+        if (replacement != null) {
+            entryHosts = replacement;
+            StandInServer.answer(context, entryHosts);
+        }
+    }
+
     /**
      * Registers a backend server that can be ordered.
      *
--- a/cranberrygauge-protocol/src/main/java/org/cranberrygauge/protocol/platform/Platform.java
+++ b/cranberrygauge-protocol/src/main/java/org/cranberrygauge/protocol/platform/Platform.java
@@ -21,6 +21,13 @@
      */
     CompletionStage<List<ListedBackendServer>> backendServers();
 
+    /**
+     * Reads the lagging list of the entry hosts of this deployment.
+     *
+     * @return The names of the hosts, live or leaving.
+     */
+    CompletionStage<List<String>> entryHosts();
+
     /**
      * Orders that a pool shall have a number of backend servers.
      *
--- a/cranberrygauge-protocol/src/main/java/org/cranberrygauge/protocol/platform/PlatformMessages.java
+++ b/cranberrygauge-protocol/src/main/java/org/cranberrygauge/protocol/platform/PlatformMessages.java
@@ -15,6 +15,9 @@
     /** The path of the list of backend servers. */
     public static final String BACKEND_SERVERS_PATH = "/backend-servers";
 
+    /** The path of the list of entry hosts. */
+    public static final String ENTRY_HOSTS_PATH = "/entry-hosts";
+
     /** The path of orders. */
     public static final String ORDERS_PATH = "/orders";
 
@@ -38,6 +41,19 @@
      */
     public record AppendAnswer(long offset) {}
 
+    /**
+     * The answer of the list of entry hosts.
+     *
+     * @param hosts The names of the hosts, live or leaving.
+     */
+    public record EntryHostList(List<String> hosts) {
+
+        /** Copies the list. */
+        public EntryHostList {
+            hosts = List.copyOf(hosts);
+        }
+    }
+
     /**
      * The answer of the list of backend servers.
      *
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/platform/HttpPlatform.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/platform/HttpPlatform.java
@@ -89,6 +89,14 @@
                 .toCompletionStage();
     }
 
+    @Override
+    public CompletionStage<List<String>> entryHosts() {
+        return call(HttpMethod.GET, PlatformMessages.ENTRY_HOSTS_PATH, null, timeoutMillis)
+                .compose(text -> parse(text, PlatformMessages.EntryHostList.class))
+                .map(PlatformMessages.EntryHostList::hosts)
+                .toCompletionStage();
+    }
+
     @Override
     public CompletionStage<OrderAnswer> order(Order order) {
         return post(PlatformMessages.ORDERS_PATH, order)
