--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallerReply.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallerReply.java
@@ -28,6 +28,12 @@
     /** The connection. */
     private final HttpConnection connection;
 
+    /** The status of a refusal for lack of capacity. */
+    private static final int TOO_MANY_REQUESTS = 429;
+
+    /** The lowest status of errors that are not the caller's. */
+    private static final int FIRST_SERVER_ERROR = 500;
+
     /** The response. */
     private final HttpServerResponse response;
 
@@ -159,6 +165,19 @@
         }
     }
 
+    /**
+     * Returns the type of an error as callers of chat completions know it.
+     *
+     * @param status The HTTP status.
+     * @return The type.
+     */
+    private static String errorType(int status) {
+        if (status == TOO_MANY_REQUESTS) {
+            return "rate_limit_error";
+        }
+        return status < FIRST_SERVER_ERROR ? "invalid_request_error" : "server_error";
+    }
+
     /**
      * Sends a failure, as an event if a stream has begun.
      *
@@ -169,7 +188,7 @@
             return;
         }
         JsonObject error = new JsonObject()
-                .put("type", failure.code().httpStatus() < 500 ? "invalid_request_error" : "server_error")
+                .put("type", errorType(failure.code().httpStatus()))
                 .put("code", failure.code().text())
                 .put("message", failure.message())
                 .put("not_run", failure.notRun())
