Write failures that no caller waits for as one event each

Cause: Vert.x logged a reset connection with its stack trace, many lines for one event, against the rule of one line. Change: gateways and controllers emit unhandled_failure with type and message.

--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
@@ -139,6 +139,7 @@
         this.settings = settings;
         this.events = events;
         vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
+        Program.reportUnhandled(vertx, events);
         incarnation = Program.incarnation(settings.hostName(), time.wallMillis());
         blackboard = new Blackboard(time.monotonicMillis());
         HttpPlatform platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -176,6 +176,7 @@
         vertx = Vertx.vertx(new VertxOptions()
                 .setEventLoopPoolSize(settings.eventLoops() + 1)
                 .setWorkerPoolSize(1));
+        Program.reportUnhandled(vertx, this.events);
         callerConnections = new IdleConnections(time, settings.callerIdleTimeoutMillis());
         servers = new GatewayServers(vertx, settings, callerConnections, this.events);
         incarnation = Program.incarnation(settings.hostName(), time.wallMillis());
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/lifecycle/Program.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/lifecycle/Program.java
@@ -1,8 +1,10 @@
 package org.cranberrygauge.runtime.lifecycle;
 
 import com.beust.jcommander.JCommander;
+import io.vertx.core.Vertx;
 import java.util.Optional;
 import java.util.function.IntSupplier;
+import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.setting.ProcessSettings;
 import org.cranberrygauge.runtime.setting.SettingException;
 import org.cranberrygauge.runtime.setting.SettingsParser;
@@ -58,6 +60,17 @@
                 .addShutdownHook(new Thread(() -> Runtime.getRuntime().halt(stop.getAsInt()), "planned-stop"));
     }
 
+    /**
+     * Writes failures that no caller waits for as one event each, in place of a stack trace over many lines.
+     *
+     * @param vertx The Vert.x instance.
+     * @param events The event log.
+     */
+    public static void reportUnhandled(Vertx vertx, EventLog events) {
+        vertx.exceptionHandler(failure -> events.emit(new LifecycleEvents.UnhandledFailure(
+                failure.getClass().getSimpleName(), String.valueOf(failure.getMessage()))));
+    }
+
     /**
      * Returns the version of the program.
      *
