Ask gateways for their report in one place; drop two methods that nothing calls

Cause: the controller's GatewayPoll and the operators' GatewayStatus each opened a Thrift connection, with the same time-out, and asked for the same report. GatewayStatus moved to runtime.platform and both call it. Ruled out as one piece: edits, commands and settings that are alike in shape only.

--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/gateway/GatewayPoll.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/gateway/GatewayPoll.java
@@ -6,15 +6,10 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import org.apache.thrift.TException;
-import org.apache.thrift.protocol.TCompactProtocol;
-import org.apache.thrift.transport.TSocket;
-import org.apache.thrift.transport.layered.TFramedTransport;
 import org.cranberrygauge.decision.fleet.DemandMeter.GatewayLoad;
 import org.cranberrygauge.decision.membership.GatewayMember;
-import org.cranberrygauge.model.backend.NetworkAddress;
-import org.cranberrygauge.protocol.generated.GatewayExchange;
 import org.cranberrygauge.protocol.generated.GatewayReport;
+import org.cranberrygauge.runtime.platform.GatewayStatus;
 import org.cranberrygauge.runtime.time.TimeSource;
 
 /**
@@ -25,9 +20,6 @@
  */
 public final class GatewayPoll {
 
-    /** The time after which a gateway is given up in milliseconds. */
-    private static final int TIMEOUT_MILLIS = 1_000;
-
     /** The number of gateways that are asked at once. */
     private static final int THREADS = 4;
 
@@ -94,17 +86,11 @@
      * @param member The gateway.
      */
     private void ask(GatewayMember member) {
-        NetworkAddress address = NetworkAddress.parse(member.address());
         long askedAtMillis = time.monotonicMillis();
-        try (TSocket socket = new TSocket(address.host(), address.port(), TIMEOUT_MILLIS);
-                TFramedTransport transport = new TFramedTransport(socket)) {
-            transport.open();
-            GatewayReport report = new GatewayExchange.Client(new TCompactProtocol(transport)).status();
-            if (report.getGateway().equals(member.gateway())) {
-                loads.put(member.gateway(), load(askedAtMillis, report));
-            }
-        } catch (TException exception) {
-            // The gateway is asked again in the next round; until then its last load grows old.
+        try {
+            GatewayStatus.ask(member)
+                    .filter(report -> report.getGateway().equals(member.gateway()))
+                    .ifPresent(report -> loads.put(member.gateway(), load(askedAtMillis, report)));
         } finally {
             asked.remove(member.gateway());
         }
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/Dispatcher.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/dispatch/Dispatcher.java
@@ -192,17 +192,6 @@
         return policy.queue().waiting(className);
     }
 
-    /**
-     * Returns the work that waits for all targets.
-     *
-     * @return The work in tokens.
-     */
-    public long waitingTokens() {
-        return targets.stream()
-                .mapToLong(target -> policy.queue().waitingTokens(target))
-                .sum();
-    }
-
     /**
      * Returns the work of a request, by which customers share and queues drain.
      *
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/routing/BackendTable.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/routing/BackendTable.java
@@ -192,16 +192,6 @@
         return counts;
     }
 
-    /**
-     * Tells whether any server serves a target, free or not.
-     *
-     * @param target The model or service.
-     * @return Whether one does.
-     */
-    public boolean isServed(String target) {
-        return byTarget.containsKey(target);
-    }
-
     /**
      * Returns the servers that can take a request now.
      *
--- a/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/log/ChangeApplier.java
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/log/ChangeApplier.java
@@ -15,6 +15,7 @@
 import org.cranberrygauge.model.error.ErrorCode;
 import org.cranberrygauge.model.record.LogRecord;
 import org.cranberrygauge.operator.command.ExitStatus;
+import org.cranberrygauge.runtime.platform.GatewayStatus;
 
 /**
  * Brings a change of the configuration into force.
--- a/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/view/StatusView.java
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/view/StatusView.java
@@ -16,8 +16,8 @@
 import org.cranberrygauge.model.configuration.Configuration;
 import org.cranberrygauge.model.configuration.FleetPool;
 import org.cranberrygauge.model.service.ServiceClass;
-import org.cranberrygauge.operator.log.GatewayStatus;
 import org.cranberrygauge.protocol.platform.Platform;
+import org.cranberrygauge.runtime.platform.GatewayStatus;
 
 /**
  * How the system does.
--- a/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/log/GatewayStatus.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/platform/GatewayStatus.java
@@ -1,4 +1,4 @@
-package org.cranberrygauge.operator.log;
+package org.cranberrygauge.runtime.platform;
 
 import java.util.Optional;
 import org.apache.thrift.TException;
