--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -0,0 +1,260 @@
+package org.cranberrygauge.proxy;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
+import org.cranberrygauge.proxy.admission.RequestGate;
+import org.cranberrygauge.proxy.configuration.ConfigurationView;
+import org.cranberrygauge.proxy.control.BackendFollower;
+import org.cranberrygauge.proxy.control.ConfigurationFollower;
+import org.cranberrygauge.proxy.control.ControlTools;
+import org.cranberrygauge.proxy.control.DutyKeeper;
+import org.cranberrygauge.proxy.control.PeerLink;
+import org.cranberrygauge.proxy.control.UsageDesk;
+import org.cranberrygauge.proxy.control.UsageShipper;
+import org.cranberrygauge.proxy.duty.UsageCounter;
+import org.cranberrygauge.proxy.exchange.BackendClient;
+import org.cranberrygauge.proxy.exchange.CallerHandler;
+import org.cranberrygauge.proxy.exchange.ExchangeMetrics;
+import org.cranberrygauge.proxy.exchange.ExchangeTools;
+import org.cranberrygauge.proxy.exchange.FrontServer;
+import org.cranberrygauge.proxy.exchange.PoolBudgets;
+import org.cranberrygauge.proxy.exchange.ProxyBoard;
+import org.cranberrygauge.proxy.exchange.StatusServer;
+import org.cranberrygauge.proxy.retry.CrashRegister;
+import org.cranberrygauge.proxy.routing.BackendChooser;
+import org.cranberrygauge.proxy.routing.LoadTable;
+import org.cranberrygauge.proxy.routing.PeerLoads.Work;
+import org.cranberrygauge.runtime.event.EventLog;
+import org.cranberrygauge.runtime.lifecycle.Program;
+import org.cranberrygauge.runtime.time.TimeSource;
+
+/**
+ * One process of the proxy: requests run on one event loop and the controllers on another, which share the board.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class Proxy {
+
+    /** The part of the bound for withdrawn keys that is left unused, in milliseconds. */
+    private static final long KEY_MARGIN_MILLIS = 250;
+
+    /** The part of the bound for leaving backend servers that a pause between reads may take. */
+    private static final int LEAVING_PAUSE_PARTS = 5;
+
+    /** The pause between publications of this host's work, in milliseconds. */
+    private static final long PUBLISH_MILLIS = 100;
+
+    /** The settings. */
+    private final ProxySettings settings;
+
+    /** What the process is connected to. */
+    private final ProxySources sources;
+
+    /** The Vert.x instance. */
+    private final Vertx vertx;
+
+    /** The clocks. */
+    private final TimeSource time;
+
+    /** The event log. */
+    private final EventLog events;
+
+    /** What the host believes. */
+    private final ProxyBoard board = new ProxyBoard();
+
+    /** The registry of the metrics. */
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+
+    /** The context of the controllers. */
+    private final Context control;
+
+    /** The context of requests. */
+    private final Context traffic;
+
+    /** Keeps the host in the group that deals the duties. */
+    private DutyKeeper duty;
+
+    /** Writes usage counts. */
+    private UsageShipper shipper;
+
+    /**
+     * Creates a process.
+     *
+     * @param settings The settings.
+     * @param sources What the process is connected to.
+     * @param vertx The Vert.x instance.
+     * @param time The clocks.
+     * @param events The event log.
+     */
+    public Proxy(ProxySettings settings, ProxySources sources, Vertx vertx, TimeSource time, EventLog events) {
+        this.settings = settings;
+        this.sources = sources;
+        this.vertx = vertx;
+        this.time = time;
+        this.events = events;
+        this.control = vertx.getOrCreateContext();
+        this.traffic = vertx.getOrCreateContext();
+    }
+
+    /**
+     * Starts the process.
+     *
+     * @return The end of the start.
+     */
+    public Future<Void> start() {
+        AtomicReference<Map<String, Work>> ownWork = new AtomicReference<>(Map.of());
+        CrashRegister crashes = new CrashRegister();
+        UsageCounter usage = new UsageCounter(settings.times().usageWindowMillis());
+        Promise<Void> started = Promise.promise();
+        control.runOnContext(run -> startControl(ownWork, crashes, usage)
+                .onComplete(done -> traffic.runOnContext(next -> startTraffic(ownWork, crashes, usage)
+                        .onSuccess(listening -> events.emit(new ProxyEvents.ProxyStarted(
+                                settings.host(), settings.dataCentre(), Program.version())))
+                        .onComplete(started))));
+        return started.future();
+    }
+
+    /**
+     * Tells whether this host takes requests.
+     *
+     * @return Whether it takes requests.
+     */
+    public boolean ready() {
+        ConfigurationView view = board.configuration();
+        return !board.draining()
+                && board.backends().known()
+                && view.isFresh(time.monotonicMillis(), time.wallMillis(), keyBoundMillis());
+    }
+
+    /**
+     * Stops the process: it leaves the balancer, lets requests in progress end, and hands over its duties.
+     *
+     * @return The number of requests that were cut off.
+     */
+    public int stop() {
+        long startMillis = time.monotonicMillis();
+        board.drain();
+        events.emit(new ProxyEvents.ProxyDraining(board.active().get()));
+        control.runOnContext(run -> duty.leave());
+        DrainWait wait = new DrainWait(startMillis, settings.times().graceMillis());
+        while (!wait.isOver(time.monotonicMillis(), board.active().get())) {
+            wait.pause();
+        }
+        control.runOnContext(run -> shipper.ship());
+        wait.pause();
+        int active = board.active().get();
+        events.emit(new ProxyEvents.ProxyStopped(active, time.monotonicMillis() - startMillis));
+        return active;
+    }
+
+    /**
+     * Starts the controllers.
+     *
+     * @param ownWork The work of this host.
+     * @param crashes The requests that crash backend servers.
+     * @param usage The usage counts.
+     * @return The end of the start.
+     */
+    private Future<Void> startControl(
+            AtomicReference<Map<String, Work>> ownWork, CrashRegister crashes, UsageCounter usage) {
+        ProxySettings.Times times = settings.times();
+        ControlTools tools = new ControlTools(vertx, time, sources.log(), board, events);
+        String incarnation = Program.incarnation(settings.host(), time.wallMillis());
+        new ConfigurationFollower(
+                        tools, sources.configurationTopic(), sources.configurationKey(), sources.configurations())
+                .start();
+        new BackendFollower(
+                        tools, sources.backendTopic(), sources.backends(), times.leavingMillis() / LEAVING_PAUSE_PARTS)
+                .start();
+        duty = new DutyKeeper(tools, incarnation, times.leaseMillis());
+        duty.run();
+        shipper = new UsageShipper(tools, usage, incarnation, times.usageWindowMillis());
+        shipper.start();
+        new UsageDesk(tools, duty, sources.duties(), times.usageWindowMillis()).start();
+        return new PeerLink(tools, settings.host(), settings.peers(), time.wallMillis(), crashes, ownWork).start();
+    }
+
+    /**
+     * Starts to take requests.
+     *
+     * @param ownWork The work of this host.
+     * @param crashes The requests that crash backend servers.
+     * @param usage The usage counts.
+     * @return The end of the start.
+     */
+    private Future<Void> startTraffic(
+            AtomicReference<Map<String, Work>> ownWork, CrashRegister crashes, UsageCounter usage) {
+        ProxySettings.Times times = settings.times();
+        LoadTable loads = new LoadTable();
+        ExchangeMetrics metrics = new ExchangeMetrics(registry);
+        registerGauges(metrics);
+        ExchangeTools tools = new ExchangeTools(
+                vertx,
+                time,
+                board,
+                new BackendClient(vertx),
+                sources.dialect(),
+                new BackendChooser(settings.dataCentre(), loads),
+                loads,
+                new PoolBudgets(times.retryWindowMillis(), times.retryRatio(), times.retryExtra()),
+                crashes,
+                usage,
+                metrics,
+                events);
+        RequestGate gate = new RequestGate(keyBoundMillis(), times.configurationMillis());
+        vertx.setPeriodic(PUBLISH_MILLIS, fired -> {
+            ownWork.set(loads.work());
+            loads.forgetUnlisted(board.backends());
+        });
+        return new FrontServer(vertx, new CallerHandler(tools, gate))
+                .listen(settings.front())
+                .compose(listening ->
+                        new StatusServer(vertx, settings.readyPath(), this::ready, registry).listen(settings.status()));
+    }
+
+    /**
+     * Registers the values that are read when metrics are fetched.
+     *
+     * @param metrics The metrics.
+     */
+    private void registerGauges(ExchangeMetrics metrics) {
+        metrics.gauge(
+                "cranberrygauge_proxy_active_requests",
+                "Requests in progress.",
+                () -> board.active().get());
+        metrics.gauge(
+                "cranberrygauge_proxy_configuration_version",
+                "Version of the configuration in force; -1 if none is known.",
+                () -> board.configuration()
+                        .configuration()
+                        .map(known -> known.version())
+                        .orElse(-1L));
+        metrics.gauge(
+                "cranberrygauge_proxy_configuration_age_milliseconds",
+                "Age of the last confirmation of the configuration.",
+                () -> time.monotonicMillis() - board.configuration().confirmedMillis());
+        metrics.gauge(
+                "cranberrygauge_proxy_backends",
+                "Backend servers that are listed.",
+                () -> board.backends().all().size());
+        metrics.gauge(
+                "cranberrygauge_proxy_hosts",
+                "Hosts that share the budget of repeats, this one included.",
+                () -> board.peers().hosts());
+        metrics.gauge("cranberrygauge_proxy_ready", "Whether this host takes requests.", () -> ready() ? 1 : 0);
+    }
+
+    /**
+     * Returns the age of the configuration up to which keys are honoured.
+     *
+     * @return The age in milliseconds.
+     */
+    private long keyBoundMillis() {
+        return settings.times().keyWithdrawalMillis() - KEY_MARGIN_MILLIS;
+    }
+}
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxySources.java
@@ -0,0 +1,30 @@
+package org.cranberrygauge.proxy;
+
+import org.cranberrygauge.proxy.backend.Backend;
+import org.cranberrygauge.proxy.configuration.ProxyConfiguration;
+import org.cranberrygauge.proxy.duty.DutyReceiver;
+import org.cranberrygauge.proxy.exchange.HeaderDialect;
+import org.cranberrygauge.proxy.store.RecordReader;
+import org.cranberrygauge.proxy.store.SharedLog;
+
+/**
+ * What a process of the proxy is connected to.
+ *
+ * @param log The shared log.
+ * @param configurationTopic The topic with the configuration.
+ * @param configurationKey The key under which the configuration is kept.
+ * @param configurations Reads configurations.
+ * @param backendTopic The topic with the entries of backend servers.
+ * @param backends Reads entries of backend servers.
+ * @param duties Takes what one host does for all.
+ * @param dialect Translates headers.
+ */
+public record ProxySources(
+        SharedLog log,
+        String configurationTopic,
+        String configurationKey,
+        RecordReader<ProxyConfiguration> configurations,
+        String backendTopic,
+        RecordReader<Backend> backends,
+        DutyReceiver duties,
+        HeaderDialect dialect) {}
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Which requests are taken. */
+package org.cranberrygauge.proxy.admission;
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/BackendFollower.java
@@ -0,0 +1,150 @@
+package org.cranberrygauge.proxy.control;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.cranberrygauge.proxy.backend.Backend;
+import org.cranberrygauge.proxy.backend.BackendCatalogue;
+import org.cranberrygauge.proxy.backend.BackendRegister;
+import org.cranberrygauge.proxy.store.KeyedRecord;
+import org.cranberrygauge.proxy.store.RecordReader;
+import org.cranberrygauge.proxy.store.UnreadableRecordException;
+
+/**
+ * Keeps the catalogue of backend servers up to date from the entries that they write.
+ *
+ * <p>Used by one thread.
+ */
+public final class BackendFollower implements TopicFollower.Listener {
+
+    /** The longest time that a read waits for a record, in milliseconds. */
+    private static final long WAIT_MILLIS = 500;
+
+    /** The keys whose unreadable entries are remembered, so that each is logged once. */
+    private static final int REMEMBERED_UNREADABLE = 200;
+
+    /** The tools. */
+    private final ControlTools tools;
+
+    /** The topic. */
+    private final String topic;
+
+    /** Reads entries. */
+    private final RecordReader<Backend> reader;
+
+    /** The pause between reads in milliseconds. */
+    private final long pauseMillis;
+
+    /** The entries. */
+    private final BackendRegister register = new BackendRegister();
+
+    /** The keys whose unreadable entries were logged. */
+    private final Set<String> unreadable = new HashSet<>();
+
+    /** The backend servers as they were last logged, by identifier. */
+    private Map<String, Backend> logged = new HashMap<>();
+
+    /**
+     * Creates a follower.
+     *
+     * @param tools The tools.
+     * @param topic The topic.
+     * @param reader Reads entries.
+     * @param pauseMillis The pause between reads in milliseconds.
+     */
+    public BackendFollower(ControlTools tools, String topic, RecordReader<Backend> reader, long pauseMillis) {
+        this.tools = tools;
+        this.topic = topic;
+        this.reader = reader;
+        this.pauseMillis = pauseMillis;
+    }
+
+    /** Starts to follow. */
+    public void start() {
+        new TopicFollower(tools, topic, WAIT_MILLIS, pauseMillis, this).run();
+    }
+
+    @Override
+    public void all(Map<String, byte[]> values) {
+        register.reached(tools.time().monotonicMillis());
+        Map<String, Backend> listed = new HashMap<>();
+        values.forEach((key, value) -> {
+            try {
+                listed.put(key, reader.read(key, value));
+            } catch (UnreadableRecordException exception) {
+                register.drop(key);
+                logUnreadable(key, exception);
+            }
+        });
+        register.replaceAll(tools.time().monotonicMillis(), listed);
+    }
+
+    @Override
+    public void one(KeyedRecord record, long offset) {
+        long now = tools.time().monotonicMillis();
+        register.reached(now);
+        if (record.value().isEmpty()) {
+            register.remove(now, record.key());
+            return;
+        }
+        try {
+            register.put(reader.read(record.key(), record.value().get()));
+        } catch (UnreadableRecordException exception) {
+            register.drop(record.key());
+            logUnreadable(record.key(), exception);
+        }
+    }
+
+    @Override
+    public void confirmed(long sentMillis, long sentWallMillis) {
+        long now = tools.time().monotonicMillis();
+        register.reached(now);
+        publish(now);
+    }
+
+    @Override
+    public void failed() {
+        publish(tools.time().monotonicMillis());
+    }
+
+    /**
+     * Publishes the catalogue and logs what changed.
+     *
+     * @param now The present monotonic time in milliseconds.
+     */
+    private void publish(long now) {
+        BackendCatalogue catalogue = register.catalogue(now);
+        tools.board().publish(catalogue);
+        Map<String, Backend> present = new HashMap<>();
+        for (Backend backend : catalogue.all()) {
+            present.put(backend.id(), backend);
+            if (!backend.equals(logged.get(backend.id()))) {
+                tools.events()
+                        .emit(new ControlEvents.BackendListed(
+                                backend.id(),
+                                backend.pool(),
+                                backend.dataCentre(),
+                                backend.leaving() ? "leaving" : "ready"));
+            }
+        }
+        for (String id : logged.keySet()) {
+            if (!present.containsKey(id)) {
+                tools.events().emit(new ControlEvents.BackendGone(id));
+            }
+        }
+        logged = present;
+    }
+
+    /**
+     * Logs an entry that can't be understood, once for each key.
+     *
+     * @param key The key.
+     * @param exception What is wrong.
+     */
+    private void logUnreadable(String key, UnreadableRecordException exception) {
+        if (unreadable.size() < REMEMBERED_UNREADABLE && unreadable.add(key)) {
+            tools.events().emit(new ControlEvents.RecordUnreadable(topic, key, exception.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/DutyKeeper.java
@@ -0,0 +1,113 @@
+package org.cranberrygauge.proxy.control;
+
+import java.util.OptionalLong;
+import org.cranberrygauge.proxy.duty.DutyLease;
+
+/**
+ * Keeps this host in the group that deals the duties, and tells whether it holds them.
+ *
+ * <p>Used by one thread.
+ */
+public final class DutyKeeper {
+
+    /** The group, and the topic whose first part stands for the duties. */
+    private static final String GROUP = "cranberrygauge-duty";
+
+    /** The pause between joins in milliseconds. */
+    private static final long PAUSE_MILLIS = 900;
+
+    /** The time that is left unused before the membership lapses, in milliseconds. */
+    private static final long MARGIN_MILLIS = 400;
+
+    /** The tools. */
+    private final ControlTools tools;
+
+    /** The name of this start of the host. */
+    private final String member;
+
+    /** The lifetime of the membership in milliseconds. */
+    private final long lifetimeMillis;
+
+    /** Decides whether the host may act. */
+    private final DutyLease lease;
+
+    /** Notes when the group can't be joined. */
+    private final DependencyWatch watch;
+
+    /** The token that was last logged, or -1 if the duties were not held. */
+    private long loggedToken = -1;
+
+    /** Whether the host has left the group. */
+    private boolean left;
+
+    /**
+     * Creates a keeper.
+     *
+     * @param tools The tools.
+     * @param member The name of this start of the host.
+     * @param leaseMillis The time after which an earlier holder has surely stopped, in milliseconds.
+     */
+    public DutyKeeper(ControlTools tools, String member, long leaseMillis) {
+        this.tools = tools;
+        this.member = member;
+        this.lifetimeMillis = leaseMillis;
+        this.lease = new DutyLease(leaseMillis, leaseMillis - MARGIN_MILLIS);
+        this.watch = new DependencyWatch("duty group", tools.events());
+    }
+
+    /** Joins again and again. */
+    public void run() {
+        if (left) {
+            return;
+        }
+        long sentMillis = tools.time().monotonicMillis();
+        long sentWallMillis = tools.time().wallMillis();
+        tools.log()
+                .join(GROUP, member, GROUP, lifetimeMillis, lease.generation())
+                .onSuccess(share -> {
+                    watch.reached(tools.time().monotonicMillis());
+                    lease.joined(sentMillis, sentWallMillis, share);
+                })
+                .onFailure(
+                        failure -> watch.failed(tools.time().monotonicMillis(), String.valueOf(failure.getMessage())))
+                .onComplete(done -> {
+                    logChange();
+                    tools.vertx().setTimer(PAUSE_MILLIS, fired -> run());
+                });
+    }
+
+    /** Leaves the group, so that another host takes the duties at once. */
+    public void leave() {
+        left = true;
+        tools.log().leave(GROUP, member);
+    }
+
+    /**
+     * Returns the fencing token while this host may act.
+     *
+     * @return The token, or nothing if it may not act.
+     */
+    public OptionalLong token() {
+        return left
+                ? OptionalLong.empty()
+                : lease.token(tools.time().monotonicMillis(), tools.time().wallMillis());
+    }
+
+    /**
+     * Notes that a token was refused.
+     *
+     * @param token The token.
+     */
+    public void refused(long token) {
+        lease.refused(token);
+    }
+
+    /** Logs when the duties are taken or lost. */
+    private void logChange() {
+        long token = token().orElse(-1);
+        if (token != loggedToken) {
+            loggedToken = token;
+            tools.events().emit(new ControlEvents.DutyChanged(token >= 0, token));
+        }
+    }
+}
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerLink.java
@@ -0,0 +1,199 @@
+package org.cranberrygauge.proxy.control;
+
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.datagram.DatagramPacket;
+import io.vertx.core.datagram.DatagramSocket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.thrift.TException;
+import org.cranberrygauge.model.backend.NetworkAddress;
+import org.cranberrygauge.protocol.generated.BackendWork;
+import org.cranberrygauge.protocol.generated.CrashCount;
+import org.cranberrygauge.protocol.generated.HostAddress;
+import org.cranberrygauge.protocol.generated.HostReport;
+import org.cranberrygauge.proxy.retry.CrashRegister;
+import org.cranberrygauge.proxy.routing.PeerLoads.Work;
+
+/**
+ * Tells the other hosts several times a second what this host has in flight, and takes what they say.
+ *
+ * <p>Hosts find each other through the shared log: each writes its address once and then reads those of the others. Every
+ * report tells all there is, so that a lost one does no harm. Used by one thread, but for the work of this host, which the
+ * request path publishes.
+ */
+public final class PeerLink {
+
+    /** The topic with the addresses of hosts. */
+    private static final String TOPIC = "keyed.hosts";
+
+    /** The pause between reports in milliseconds. */
+    private static final long PAUSE_MILLIS = 200;
+
+    /** The pause before a failed announcement is tried again, in milliseconds. */
+    private static final long RETRY_MILLIS = 700;
+
+    /** The tools. */
+    private final ControlTools tools;
+
+    /** The name of this host. */
+    private final String host;
+
+    /** The address at which this host takes reports. */
+    private final NetworkAddress address;
+
+    /** The time of the start of this process in milliseconds of the epoch. */
+    private final long startedAtMillis;
+
+    /** The requests that crash backend servers. */
+    private final CrashRegister crashes;
+
+    /** The work of this host, as the request path last published it. */
+    private final AtomicReference<Map<String, Work>> ownWork;
+
+    /** The other hosts. */
+    private final PeerDirectory peers = new PeerDirectory();
+
+    /** Notes when hosts can't be found. */
+    private final DependencyWatch watch;
+
+    /** The socket. */
+    private DatagramSocket socket;
+
+    /** The number of the last report. */
+    private long sequence;
+
+    /**
+     * Creates a link.
+     *
+     * @param tools The tools.
+     * @param host The name of this host.
+     * @param address The address at which this host takes reports.
+     * @param startedAtMillis The time of the start of this process in milliseconds of the epoch.
+     * @param crashes The requests that crash backend servers.
+     * @param ownWork The work of this host, as the request path publishes it.
+     */
+    public PeerLink(
+            ControlTools tools,
+            String host,
+            NetworkAddress address,
+            long startedAtMillis,
+            CrashRegister crashes,
+            AtomicReference<Map<String, Work>> ownWork) {
+        this.tools = tools;
+        this.host = host;
+        this.address = address;
+        this.startedAtMillis = startedAtMillis;
+        this.crashes = crashes;
+        this.ownWork = ownWork;
+        this.watch = new DependencyWatch("host addresses", tools.events());
+    }
+
+    /**
+     * Starts to exchange reports.
+     *
+     * @return The end of the start.
+     */
+    public Future<Void> start() {
+        socket = tools.vertx().createDatagramSocket();
+        return socket.handler(this::receive)
+                .listen(address.port(), address.host())
+                .onSuccess(bound -> {
+                    announce();
+                    tools.vertx().setPeriodic(PAUSE_MILLIS, fired -> report());
+                })
+                .mapEmpty();
+    }
+
+    /** Writes this host's address and reads those of the others. */
+    private void announce() {
+        byte[] value = MessageCodec.write(new HostAddress(address.host(), address.port(), startedAtMillis));
+        tools.log()
+                .put(TOPIC, host, value)
+                .compose(offset -> tools.log().newest(TOPIC))
+                .onSuccess(newest -> {
+                    watch.reached(tools.time().monotonicMillis());
+                    newest.values().forEach(this::takeAddress);
+                })
+                .onFailure(failure -> {
+                    watch.failed(tools.time().monotonicMillis(), String.valueOf(failure.getMessage()));
+                    tools.vertx().setTimer(RETRY_MILLIS, fired -> announce());
+                });
+    }
+
+    /**
+     * Takes the address of a host.
+     *
+     * @param name The name of the host.
+     * @param value The bytes.
+     */
+    private void takeAddress(String name, byte[] value) {
+        if (name.equals(host)) {
+            return;
+        }
+        try {
+            HostAddress read = MessageCodec.read(value, new HostAddress());
+            peers.announce(tools.time().monotonicMillis(), name, new NetworkAddress(read.getAddress(), read.getPort()));
+        } catch (TException exception) {
+            tools.events().emit(new ControlEvents.RecordUnreadable(TOPIC, name, exception.getMessage()));
+        }
+    }
+
+    /** Sends a report to each other host and publishes what they said. */
+    private void report() {
+        long now = tools.time().monotonicMillis();
+        Buffer bytes = Buffer.buffer(MessageCodec.write(message(now)));
+        for (NetworkAddress peer : peers.addresses(now)) {
+            socket.send(bytes, peer.port(), peer.host());
+        }
+        tools.board().publish(peers.loads(now));
+    }
+
+    /**
+     * Writes down what this host has to say.
+     *
+     * @param now The present monotonic time in milliseconds.
+     * @return The report.
+     */
+    private HostReport message(long now) {
+        Map<String, BackendWork> work = new HashMap<>();
+        ownWork.get()
+                .forEach((incarnation, own) ->
+                        work.put(incarnation, new BackendWork(own.running(), own.unreadTokens(), own.heldTokens())));
+        List<CrashCount> counts = new ArrayList<>();
+        crashes.own(now).forEach((fingerprint, count) -> counts.add(new CrashCount(fingerprint, count)));
+        sequence++;
+        return new HostReport(
+                host,
+                startedAtMillis,
+                sequence,
+                work,
+                counts,
+                !tools.board().draining(),
+                tools.time().wallMillis());
+    }
+
+    /**
+     * Takes a report.
+     *
+     * @param packet The datagram.
+     */
+    private void receive(DatagramPacket packet) {
+        try {
+            HostReport report = MessageCodec.read(packet.data().getBytes(), new HostReport());
+            NetworkAddress sender =
+                    new NetworkAddress(packet.sender().host(), packet.sender().port());
+            if (!peers.take(tools.time().monotonicMillis(), report, sender)) {
+                return;
+            }
+            Map<Long, Integer> counts = new HashMap<>();
+            report.getCrashes().forEach(count -> counts.put(count.getFingerprint(), count.getCrashes()));
+            crashes.takeOthers(report.getHost(), counts);
+        } catch (TException exception) {
+            tools.events().emit(new ControlEvents.RecordUnreadable("datagram", "", exception.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/duty/DutyLease.java
@@ -0,0 +1,117 @@
+package org.cranberrygauge.proxy.duty;
+
+import java.util.OptionalLong;
+import org.cranberrygauge.proxy.store.SharedLog.GroupShare;
+
+/**
+ * Decides whether this host may act for all.
+ *
+ * <p>The host that holds the first part of a group's topic holds the duties, and the generation in which it holds it is its
+ * fencing token. Invariants: it acts only while its last successful join is younger than the lifetime of its membership, by
+ * the monotonic clock and by the time of day, and only after it has held the part for a whole lease, so that an earlier
+ * holder has stopped; a token that was refused is never used again. Used by one thread.
+ */
+public final class DutyLease {
+
+    /** The difference between the clocks above which the host may have been suspended, in milliseconds. */
+    private static final long CLOCK_TOLERANCE_MILLIS = 300;
+
+    /** The time after which a new holder acts, in milliseconds. */
+    private final long settleMillis;
+
+    /** The age of the last join up to which the holder acts, in milliseconds. */
+    private final long validMillis;
+
+    /** Whether the part is held. */
+    private boolean held;
+
+    /** The generation. */
+    private long generation;
+
+    /** The highest token that was refused. */
+    private long refused = -1;
+
+    /** The monotonic time from which the part is held. */
+    private long heldSinceMillis;
+
+    /** The monotonic time at which the last successful join was sent. */
+    private long joinedMillis;
+
+    /** The time of day at which the last successful join was sent. */
+    private long joinedWallMillis;
+
+    /**
+     * Creates a lease.
+     *
+     * @param settleMillis The time after which a new holder acts, in milliseconds.
+     * @param validMillis The age of the last join up to which the holder acts, in milliseconds.
+     */
+    public DutyLease(long settleMillis, long validMillis) {
+        this.settleMillis = settleMillis;
+        this.validMillis = validMillis;
+    }
+
+    /**
+     * Notes a successful join.
+     *
+     * @param sentMillis The monotonic time at which it was sent, in milliseconds.
+     * @param sentWallMillis The time of day at which it was sent, in milliseconds of the epoch.
+     * @param share What the host holds.
+     */
+    public void joined(long sentMillis, long sentWallMillis, GroupShare share) {
+        boolean lapsed = !isValid(sentMillis, sentWallMillis);
+        if (share.holdsFirst() && (!held || lapsed)) {
+            heldSinceMillis = sentMillis;
+        }
+        held = share.holdsFirst();
+        generation = share.generation();
+        joinedMillis = sentMillis;
+        joinedWallMillis = sentWallMillis;
+    }
+
+    /**
+     * Notes that a token was refused since a higher one had been used.
+     *
+     * @param token The token.
+     */
+    public void refused(long token) {
+        refused = Math.max(refused, token);
+    }
+
+    /**
+     * Returns the generation of the last join.
+     *
+     * @return The generation, or 0 before the first join.
+     */
+    public long generation() {
+        return generation;
+    }
+
+    /**
+     * Returns the fencing token while the host may act.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param nowWallMillis The present time of day in milliseconds of the epoch.
+     * @return The token, or nothing if the host may not act.
+     */
+    public OptionalLong token(long nowMillis, long nowWallMillis) {
+        boolean mayAct = held
+                && isValid(nowMillis, nowWallMillis)
+                && nowMillis - heldSinceMillis >= settleMillis
+                && generation > refused;
+        return mayAct ? OptionalLong.of(generation) : OptionalLong.empty();
+    }
+
+    /**
+     * Tells whether the last join is recent.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param nowWallMillis The present time of day in milliseconds of the epoch.
+     * @return Whether it is recent.
+     */
+    private boolean isValid(long nowMillis, long nowWallMillis) {
+        long age = nowMillis - joinedMillis;
+        long wallAge = nowWallMillis - joinedWallMillis;
+        return age < validMillis && wallAge - age < CLOCK_TOLERANCE_MILLIS;
+    }
+}
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/duty/package-info.java
@@ -0,0 +1,2 @@
+/** What one host does for all: usage reports and orders of backend servers. */
+package org.cranberrygauge.proxy.duty;
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
@@ -0,0 +1,181 @@
+package org.cranberrygauge.proxy.exchange;
+
+import io.vertx.core.Handler;
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.Optional;
+import org.cranberrygauge.proxy.admission.RejectReason;
+import org.cranberrygauge.proxy.admission.RequestGate;
+import org.cranberrygauge.proxy.admission.RequestGate.Verdict;
+import org.cranberrygauge.proxy.configuration.ConfigurationView;
+import org.cranberrygauge.proxy.configuration.Pool;
+import org.cranberrygauge.proxy.configuration.Route;
+import org.cranberrygauge.proxy.exchange.HeaderDialect.CallerHead;
+
+/**
+ * Takes requests of callers: checks their framing, lets the gate decide, reads the body and starts the exchange.
+ *
+ * <p>Used by one thread.
+ */
+public final class CallerHandler implements Handler<HttpServerRequest> {
+
+    /** The header with the length of the body. */
+    private static final String CONTENT_LENGTH = "Content-Length";
+
+    /** The header with the framing of the body. */
+    private static final String TRANSFER_ENCODING = "Transfer-Encoding";
+
+    /** The only framing that is understood besides a length. */
+    private static final String CHUNKED = "chunked";
+
+    /** The name of requests without an identifier, and of routes that don't exist. */
+    private static final String NONE = "-";
+
+    /** The tools. */
+    private final ExchangeTools tools;
+
+    /** Decides which requests are taken. */
+    private final RequestGate gate;
+
+    /**
+     * Creates a handler.
+     *
+     * @param tools The tools.
+     * @param gate Decides which requests are taken.
+     */
+    public CallerHandler(ExchangeTools tools, RequestGate gate) {
+        this.tools = tools;
+        this.gate = gate;
+    }
+
+    @Override
+    public void handle(HttpServerRequest request) {
+        long now = tools.time().monotonicMillis();
+        CallerReply reply = new CallerReply(request, tools.board()::draining);
+        CallerHead head = tools.dialect().readCaller(request.headers());
+        ConfigurationView view = tools.board().configuration();
+        String host = request.getHeader("Host");
+        if (isAmbiguous(request.headers()) || host == null || head.requestId().isEmpty()) {
+            reply.closeAfterAnswer();
+            reject(now, request, reply, head, RejectReason.BAD_REQUEST);
+            return;
+        }
+        Verdict verdict = gate.decide(now, tools.time().wallMillis(), view, host, path(request), head.key());
+        if (verdict.rejection().isPresent()) {
+            reject(now, request, reply, head, verdict.rejection().get());
+            return;
+        }
+        Route route = verdict.route().orElseThrow();
+        Pool pool = view.configuration()
+                .orElseThrow()
+                .pools()
+                .get(route.poolFor(head.requestId().get().hashCode()));
+        if (pool == null) {
+            reject(now, request, reply, head, RejectReason.NO_BACKEND);
+            return;
+        }
+        long limit = view.configuration().orElseThrow().limits().bodyBytes();
+        long wait = Math.min(route.timeoutMillis(), head.remainingMillis().orElse(Long.MAX_VALUE));
+        readBody(request, limit, body -> {
+            if (body.isEmpty()) {
+                reply.closeAfterAnswer();
+                reject(now, request, reply, head, RejectReason.BODY_TOO_LONG);
+                return;
+            }
+            ProxyRequest taken = new ProxyRequest(
+                    head.requestId().get(),
+                    request.method(),
+                    request.uri(),
+                    host,
+                    request.headers(),
+                    body.get(),
+                    head,
+                    route,
+                    pool,
+                    verdict.customer(),
+                    verdict.urgency(),
+                    now,
+                    now + wait);
+            new Exchange(tools, taken, reply).start();
+        });
+    }
+
+    /**
+     * Reads the body up to a limit.
+     *
+     * @param request The request.
+     * @param limit The limit in bytes.
+     * @param done Takes the body, or nothing if it is too long.
+     */
+    private static void readBody(HttpServerRequest request, long limit, Handler<Optional<Buffer>> done) {
+        Buffer body = Buffer.buffer();
+        boolean[] over = new boolean[1];
+        request.handler(bytes -> {
+            if (over[0]) {
+                return;
+            }
+            if (body.length() + (long) bytes.length() > limit) {
+                over[0] = true;
+                done.handle(Optional.empty());
+                return;
+            }
+            body.appendBuffer(bytes);
+        });
+        request.endHandler(end -> {
+            if (!over[0]) {
+                done.handle(Optional.of(body));
+            }
+        });
+    }
+
+    /**
+     * Gives an answer of the proxy's own before any exchange.
+     *
+     * @param now The present monotonic time in milliseconds.
+     * @param request The request.
+     * @param reply The answer.
+     * @param head What the caller says.
+     * @param reason The reason.
+     */
+    private void reject(long now, HttpServerRequest request, CallerReply reply, CallerHead head, RejectReason reason) {
+        ConfigurationView view = tools.board().configuration();
+        request.exceptionHandler(failure -> {});
+        reply.reject(reason);
+        tools.metrics().ended(NONE, NONE, reason.name());
+        tools.events()
+                .emit(new ExchangeEvents.RequestRejected(
+                        head.requestId().orElse(NONE),
+                        reason.name(),
+                        reason.status(),
+                        view.configuration().map(known -> known.version()).orElse(-1L),
+                        now - view.confirmedMillis()));
+    }
+
+    /**
+     * Tells whether the end of the body is ambiguous, so that a part of it might be read as another request.
+     *
+     * @param headers The headers.
+     * @return Whether it is ambiguous.
+     */
+    private static boolean isAmbiguous(MultiMap headers) {
+        if (!headers.contains(TRANSFER_ENCODING)) {
+            return headers.getAll(CONTENT_LENGTH).size() > 1;
+        }
+        return headers.contains(CONTENT_LENGTH)
+                || headers.getAll(TRANSFER_ENCODING).size() > 1
+                || !CHUNKED.equalsIgnoreCase(headers.get(TRANSFER_ENCODING).trim());
+    }
+
+    /**
+     * Returns the path of a request.
+     *
+     * @param request The request.
+     * @return The path without its query.
+     */
+    private static String path(HttpServerRequest request) {
+        String uri = request.uri();
+        int query = uri.indexOf('?');
+        return query < 0 ? uri : uri.substring(0, query);
+    }
+}
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeTools.java
@@ -0,0 +1,39 @@
+package org.cranberrygauge.proxy.exchange;
+
+import io.vertx.core.Vertx;
+import org.cranberrygauge.proxy.duty.UsageCounter;
+import org.cranberrygauge.proxy.retry.CrashRegister;
+import org.cranberrygauge.proxy.routing.BackendChooser;
+import org.cranberrygauge.proxy.routing.LoadTable;
+import org.cranberrygauge.runtime.event.EventLog;
+import org.cranberrygauge.runtime.time.TimeSource;
+
+/**
+ * What each exchange needs.
+ *
+ * @param vertx The Vert.x instance.
+ * @param time The clocks.
+ * @param board What the host believes.
+ * @param client Opens connections to backend servers.
+ * @param dialect Translates headers.
+ * @param chooser Chooses backend servers.
+ * @param loads The loads by this host's own requests.
+ * @param budgets The budgets of repeats.
+ * @param crashes The requests that crash backend servers.
+ * @param usage Counts the requests that began to run.
+ * @param metrics The metrics.
+ * @param events The event log.
+ */
+public record ExchangeTools(
+        Vertx vertx,
+        TimeSource time,
+        ProxyBoard board,
+        BackendClient client,
+        HeaderDialect dialect,
+        BackendChooser chooser,
+        LoadTable loads,
+        PoolBudgets budgets,
+        CrashRegister crashes,
+        UsageCounter usage,
+        ExchangeMetrics metrics,
+        EventLog events) {}
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/FrontServer.java
@@ -0,0 +1,72 @@
+package org.cranberrygauge.proxy.exchange;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.cranberrygauge.model.backend.NetworkAddress;
+
+/**
+ * The server that callers connect to.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class FrontServer {
+
+    /** The longest head of a request in bytes. */
+    private static final int HEAD_BYTES = 65_536;
+
+    /** The longest first line of a request in bytes. */
+    private static final int LINE_BYTES = 16_384;
+
+    /** The connections that may wait to be accepted. */
+    private static final int BACKLOG = 1_024;
+
+    /** The server. */
+    private final HttpServer server;
+
+    /** The open connections. */
+    private final Set<HttpConnection> connections = ConcurrentHashMap.newKeySet();
+
+    /**
+     * Creates a server.
+     *
+     * @param vertx The Vert.x instance.
+     * @param handler Takes requests.
+     */
+    public FrontServer(Vertx vertx, CallerHandler handler) {
+        server = vertx.createHttpServer(new HttpServerOptions()
+                        .setTcpNoDelay(true)
+                        .setAcceptBacklog(BACKLOG)
+                        .setMaxHeaderSize(HEAD_BYTES)
+                        .setMaxInitialLineLength(LINE_BYTES)
+                        .setHandle100ContinueAutomatically(true))
+                .connectionHandler(connection -> {
+                    connections.add(connection);
+                    connection.closeHandler(closed -> connections.remove(connection));
+                })
+                .requestHandler(handler);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param address The address.
+     * @return The end of the start.
+     */
+    public Future<Void> listen(NetworkAddress address) {
+        return server.listen(address.port(), address.host()).mapEmpty();
+    }
+
+    /**
+     * Returns the number of open connections.
+     *
+     * @return The number.
+     */
+    public int connections() {
+        return connections.size();
+    }
+}
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBoard.java
@@ -0,0 +1,107 @@
+package org.cranberrygauge.proxy.exchange;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import org.cranberrygauge.proxy.backend.BackendCatalogue;
+import org.cranberrygauge.proxy.configuration.ConfigurationView;
+import org.cranberrygauge.proxy.routing.PeerLoads;
+
+/**
+ * What the host believes, written by its controllers and read on the path of each request.
+ *
+ * <p>Each value is immutable and replaced as a whole. Safe for use by several threads.
+ */
+public final class ProxyBoard {
+
+    /** The configuration. */
+    private final AtomicReference<ConfigurationView> configuration = new AtomicReference<>(ConfigurationView.NONE);
+
+    /** The backend servers. */
+    private final AtomicReference<BackendCatalogue> backends = new AtomicReference<>(BackendCatalogue.UNKNOWN);
+
+    /** The work of the other hosts. */
+    private final AtomicReference<PeerLoads> peers = new AtomicReference<>(PeerLoads.ALONE);
+
+    /** The requests in progress. */
+    private final AtomicInteger active = new AtomicInteger();
+
+    /** Whether the host drains. */
+    private volatile boolean draining;
+
+    /**
+     * Returns the configuration.
+     *
+     * @return The configuration.
+     */
+    public ConfigurationView configuration() {
+        return configuration.get();
+    }
+
+    /**
+     * Replaces the configuration.
+     *
+     * @param view The configuration.
+     */
+    public void publish(ConfigurationView view) {
+        configuration.set(view);
+    }
+
+    /**
+     * Returns the backend servers.
+     *
+     * @return The backend servers.
+     */
+    public BackendCatalogue backends() {
+        return backends.get();
+    }
+
+    /**
+     * Replaces the backend servers.
+     *
+     * @param catalogue The backend servers.
+     */
+    public void publish(BackendCatalogue catalogue) {
+        backends.set(catalogue);
+    }
+
+    /**
+     * Returns the work of the other hosts.
+     *
+     * @return The work.
+     */
+    public PeerLoads peers() {
+        return peers.get();
+    }
+
+    /**
+     * Replaces the work of the other hosts.
+     *
+     * @param loads The work.
+     */
+    public void publish(PeerLoads loads) {
+        peers.set(loads);
+    }
+
+    /**
+     * Returns the count of requests in progress.
+     *
+     * @return The count.
+     */
+    public AtomicInteger active() {
+        return active;
+    }
+
+    /** Notes that the host drains. */
+    public void drain() {
+        draining = true;
+    }
+
+    /**
+     * Tells whether the host drains.
+     *
+     * @return Whether it drains.
+     */
+    public boolean draining() {
+        return draining;
+    }
+}
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
@@ -0,0 +1,65 @@
+package org.cranberrygauge.proxy.exchange;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.util.Optional;
+import org.cranberrygauge.proxy.configuration.Pool;
+import org.cranberrygauge.proxy.configuration.Route;
+import org.cranberrygauge.proxy.exchange.HeaderDialect.CallerHead;
+
+/**
+ * A request that was taken, with its whole body.
+ *
+ * @param id The identifier.
+ * @param method The method.
+ * @param uri The path and query as the caller sent them.
+ * @param host The host that the caller asks for.
+ * @param headers The caller's headers.
+ * @param body The body.
+ * @param head What the caller says in its headers.
+ * @param route The route.
+ * @param pool The pool that serves it.
+ * @param customer The customer, if the route needs a key.
+ * @param urgency The urgency for backend servers.
+ * @param receivedMillis The monotonic time at which the head was read, in milliseconds.
+ * @param endMillis The monotonic time at which the final answer is due, in milliseconds.
+ */
+public record ProxyRequest(
+        String id,
+        HttpMethod method,
+        String uri,
+        String host,
+        MultiMap headers,
+        Buffer body,
+        CallerHead head,
+        Route route,
+        Pool pool,
+        Optional<String> customer,
+        int urgency,
+        long receivedMillis,
+        long endMillis) {
+
+    /** The start of the FNV-1a hash. */
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+
+    /** The factor of the FNV-1a hash. */
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    /**
+     * Returns a hash by which a repeat of the same request by the same customer is recognised.
+     *
+     * @return The hash.
+     */
+    public long fingerprint() {
+        long hash = FNV_OFFSET;
+        String name = customer.orElse("") + '\n' + uri + '\n';
+        for (int index = 0; index < name.length(); index++) {
+            hash = (hash ^ name.charAt(index)) * FNV_PRIME;
+        }
+        for (int index = 0; index < body.length(); index++) {
+            hash = (hash ^ body.getByte(index)) * FNV_PRIME;
+        }
+        return hash;
+    }
+}
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
@@ -0,0 +1,198 @@
+package org.cranberrygauge.proxy.routing;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.ToDoubleFunction;
+import org.cranberrygauge.decision.topology.RendezvousHash;
+import org.cranberrygauge.proxy.backend.Backend;
+import org.cranberrygauge.proxy.configuration.Pool;
+import org.cranberrygauge.proxy.routing.PeerLoads.Work;
+
+/**
+ * Chooses the backend server with the lowest predicted cost.
+ *
+ * <p>For an engine the cost is the time to the first event: the prompts that wait there, the part of this prompt that isn't
+ * cached, the slowdown by requests that run, and the wait where slots or memory are short. Hosts agree on a home for each
+ * shared prompt part without talking, and leave it once its load outweighs the reading it saves. Avoided backend servers are
+ * chosen only if all others are. Used by one thread.
+ */
+public final class BackendChooser {
+
+    /** The prompt tokens that an engine reads in a millisecond. */
+    private static final double READ_TOKENS_PER_MILLI = 38;
+
+    /** The delay that each running request adds to the first event, in milliseconds. */
+    private static final double MILLIS_PER_RUNNING = 4;
+
+    /** The wait for each request beyond the slots, in milliseconds. */
+    private static final double MILLIS_PER_QUEUED = 120;
+
+    /** The wait at an engine whose memory is short, in milliseconds. */
+    private static final double SHORT_MEMORY_MILLIS = 1_500;
+
+    /** The part of the memory that requests in flight may fill. */
+    private static final double MEMORY_PART = 0.9;
+
+    /** The part of the uncached tokens that count at the home of the prompt. */
+    private static final double HOME_PART = 0.4;
+
+    /** The cost of leaving the data centre, in milliseconds. */
+    private static final double OTHER_DATA_CENTRE_MILLIS = 25;
+
+    /** The cost of a plain service's backend server by the share of its places that are taken, in milliseconds. */
+    private static final double FULL_SERVICE_MILLIS = 200;
+
+    /** The cost of a backend server whose requests all fail, in milliseconds. */
+    private static final double ALL_FAIL_MILLIS = 4_000;
+
+    /** The cost of an avoided backend server, which exceeds all others, in milliseconds. */
+    private static final double AVOIDED_MILLIS = 1e7;
+
+    /** The data centre of this host. */
+    private final String dataCentre;
+
+    /** The loads by this host's own requests. */
+    private final LoadTable loads;
+
+    /**
+     * Creates a chooser.
+     *
+     * @param dataCentre The data centre of this host.
+     * @param loads The loads by this host's own requests.
+     */
+    public BackendChooser(String dataCentre, LoadTable loads) {
+        this.dataCentre = dataCentre;
+        this.loads = loads;
+    }
+
+    /**
+     * Chooses a backend server.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param pool The pool.
+     * @param ready The backend servers of the pool that take new work.
+     * @param tried The incarnations that the request was sent to before.
+     * @param prompt The prompt.
+     * @param peers The work of the other hosts.
+     * @return The choice, or nothing if there is none left.
+     */
+    public Optional<Choice> choose(
+            long nowMillis, Pool pool, List<Backend> ready, Set<String> tried, Prompt prompt, PeerLoads peers) {
+        String home = home(ready, prompt);
+        ToDoubleFunction<Backend> cost = pool.engine().isPresent()
+                ? backend -> engineCost(
+                        pool, backend, prompt, peers, backend.incarnation().equals(home))
+                : backend -> serviceCost(backend, peers);
+        Backend best = null;
+        double bestCost = Double.MAX_VALUE;
+        for (Backend backend : ready) {
+            if (tried.contains(backend.incarnation())) {
+                continue;
+            }
+            double total = cost.applyAsDouble(backend) + commonCost(nowMillis, pool, backend);
+            if (total < bestCost) {
+                best = backend;
+                bestCost = total;
+            }
+        }
+        return best == null ? Optional.empty() : Optional.of(new Choice(best, bestCost));
+    }
+
+    /**
+     * Returns the home of a prompt.
+     *
+     * @param ready The backend servers that take new work.
+     * @param prompt The prompt.
+     * @return The incarnation of the home, or an empty text if the prompt has none.
+     */
+    private static String home(List<Backend> ready, Prompt prompt) {
+        String key = prompt.affinityKey();
+        if (key.isEmpty() || ready.isEmpty()) {
+            return "";
+        }
+        return RendezvousHash.ranked(key, ready, Backend::incarnation).get(0).incarnation();
+    }
+
+    /**
+     * Predicts the cost at an engine.
+     *
+     * @param pool The pool.
+     * @param backend The engine.
+     * @param prompt The prompt.
+     * @param peers The work of the other hosts.
+     * @param atHome Whether the engine is the prompt's home.
+     * @return The cost in milliseconds.
+     */
+    private double engineCost(Pool pool, Backend backend, Prompt prompt, PeerLoads peers, boolean atHome) {
+        BackendLoad load = load(pool, backend);
+        Work work = load.work().plus(peers.at(backend.incarnation()));
+        long uncached = load.uncachedTokens(prompt);
+        double toRead = work.unreadTokens() + (atHome ? uncached * HOME_PART : uncached);
+        double cost = toRead / READ_TOKENS_PER_MILLI + work.running() * MILLIS_PER_RUNNING;
+        cost += Math.max(0, work.running() + 1 - backend.slots()) * MILLIS_PER_QUEUED;
+        long memory = memoryTokens(pool);
+        if (work.heldTokens() + uncached + prompt.outputTokens() > memory * MEMORY_PART) {
+            cost += SHORT_MEMORY_MILLIS;
+        }
+        return cost;
+    }
+
+    /**
+     * Predicts the cost at a backend server of a plain service.
+     *
+     * @param backend The backend server.
+     * @param peers The work of the other hosts.
+     * @return The cost in milliseconds.
+     */
+    private double serviceCost(Backend backend, PeerLoads peers) {
+        Work work = loads.of(backend.incarnation(), 0).work().plus(peers.at(backend.incarnation()));
+        return FULL_SERVICE_MILLIS * work.running() / Math.max(1, backend.slots());
+    }
+
+    /**
+     * Predicts the cost that doesn't depend on the kind of pool.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param pool The pool.
+     * @param backend The backend server.
+     * @return The cost in milliseconds.
+     */
+    private double commonCost(long nowMillis, Pool pool, Backend backend) {
+        BackendLoad load = load(pool, backend);
+        double cost = load.failureShare() * ALL_FAIL_MILLIS;
+        if (load.avoided(nowMillis)) {
+            cost += AVOIDED_MILLIS;
+        }
+        return backend.dataCentre().equals(dataCentre) ? cost : cost + OTHER_DATA_CENTRE_MILLIS;
+    }
+
+    /**
+     * Returns the load of a backend server.
+     *
+     * @param pool The pool.
+     * @param backend The backend server.
+     * @return The load.
+     */
+    private BackendLoad load(Pool pool, Backend backend) {
+        return loads.of(backend.incarnation(), memoryTokens(pool));
+    }
+
+    /**
+     * Returns the memory of a pool's engines.
+     *
+     * @param pool The pool.
+     * @return The memory in tokens, or 0 for a plain service.
+     */
+    private static long memoryTokens(Pool pool) {
+        return pool.engine().map(engine -> engine.memoryTokens()).orElse(0L);
+    }
+
+    /**
+     * A chosen backend server.
+     *
+     * @param backend The backend server.
+     * @param costMillis The predicted cost in milliseconds.
+     */
+    public record Choice(Backend backend, double costMillis) {}
+}
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Which backend server runs a request. */
+package org.cranberrygauge.proxy.routing;
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/stream/package-info.java
@@ -0,0 +1,2 @@
+/** Streams of events as they pass through. */
+package org.cranberrygauge.proxy.stream;
