--- a/cranberrygauge-protocol/src/main/thrift/proxy.thrift
+++ b/cranberrygauge-protocol/src/main/thrift/proxy.thrift
@@ -6,6 +6,7 @@
   1: required i32 running
   2: required i64 unreadTokens
   3: required i64 heldTokens
+  4: required i32 shortRunning
 }
 
 // How often a request has crashed the backend server that ran it, as one host saw it.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -138,7 +138,7 @@
      */
     public int stop() {
         long startMillis = time.monotonicMillis();
-        board.drain();
+        board.drain(startMillis);
         events.emit(new ProxyEvents.ProxyDraining(board.active().get()));
         control.runOnContext(run -> duty.leave());
         DrainWait wait = new DrainWait(startMillis, settings.times().graceMillis());
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RejectReason.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RejectReason.java
@@ -18,6 +18,8 @@
     BAD_REQUEST(400, 0),
     /** The body is over the limit. */
     BODY_TOO_LONG(413, 0),
+    /** The host is about to stop, and another one takes the request. */
+    DRAINING(503, 50),
     /** No backend server of the pool takes new work. */
     NO_BACKEND(503, 500),
     /** Every backend server that was asked said that it is full. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
@@ -125,7 +125,7 @@
      * @return The work.
      */
     private static Work work(BackendWork entry) {
-        return new Work(entry.getRunning(), entry.getUnreadTokens(), entry.getHeldTokens());
+        return new Work(entry.getRunning(), entry.getUnreadTokens(), entry.getHeldTokens(), entry.getShortRunning());
     }
 
     /**
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBoard.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBoard.java
@@ -25,9 +25,15 @@
     /** The requests in progress. */
     private final AtomicInteger active = new AtomicInteger();
 
+    /** The time that a host which drains still takes requests, in milliseconds; by then the balancer has noticed. */
+    private static final long TAKES_WHILE_DRAINING_MILLIS = 2_800;
+
     /** Whether the host drains. */
     private volatile boolean draining;
 
+    /** The monotonic time at which the host began to drain. */
+    private volatile long drainingSinceMillis;
+
     /**
      * Returns the configuration.
      *
@@ -91,11 +97,26 @@
         return active;
     }
 
-    /** Notes that the host drains. */
-    public void drain() {
+    /**
+     * Notes that the host drains.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     */
+    public void drain(long nowMillis) {
+        drainingSinceMillis = nowMillis;
         draining = true;
     }
 
+    /**
+     * Tells whether the host is so near its end that it takes no more requests.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @return Whether it takes no more requests.
+     */
+    public boolean closing(long nowMillis) {
+        return draining && nowMillis - drainingSinceMillis > TAKES_WHILE_DRAINING_MILLIS;
+    }
+
     /**
      * Tells whether the host drains.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
@@ -22,8 +22,26 @@
     /** The prompt tokens that an engine reads in a millisecond. */
     private static final double READ_TOKENS_PER_MILLI = 38;
 
-    /** The delay that each running request adds to the first event, in milliseconds. */
-    private static final double MILLIS_PER_RUNNING = 4;
+    /** The time of a step of an idle engine, which makes one token of each request, in milliseconds. */
+    private static final double STEP_MILLIS = 5;
+
+    /** The time that each running request adds to a step, in milliseconds. */
+    private static final double STEP_MILLIS_PER_RUNNING = 0.15;
+
+    /** The time that reading prompts adds to a step of an engine that always reads, in milliseconds. */
+    private static final double READING_STEP_MILLIS = 108;
+
+    /** The prompt tokens of running requests at which an engine reads half of the time. */
+    private static final double HALF_READING_TOKENS = 30_000;
+
+    /** The part of the time between the events of a request that counts as its cost. */
+    private static final double OUTPUT_PART = 0.1;
+
+    /** The part of the time for which a long prompt holds up each short request beside it that counts as its cost. */
+    private static final double HOLD_UP_PART = 0.5;
+
+    /** The cost of an engine that is meant for other prompts, in milliseconds. */
+    private static final double OTHER_LANE_MILLIS = 60;
 
     /** The wait for each request beyond the slots, in milliseconds. */
     private static final double MILLIS_PER_QUEUED = 120;
@@ -114,6 +132,24 @@
         return RendezvousHash.ranked(key, ready, Backend::incarnation).get(0).incarnation();
     }
 
+    /**
+     * Returns what predicts the cost at each engine.
+     *
+     * @param pool The pool.
+     * @param ready The engines that take new work.
+     * @param prompt The prompt.
+     * @param peers The work of the other hosts.
+     * @return The prediction.
+     */
+    private ToDoubleFunction<Backend> engineCosts(Pool pool, List<Backend> ready, Prompt prompt, PeerLoads peers) {
+        List<Backend> lane = EngineLanes.split(ready).of(prompt);
+        String home = home(lane, prompt);
+        return backend -> {
+            double cost = engineCost(pool, backend, prompt, peers, backend.incarnation().equals(home));
+            return lane.contains(backend) ? cost : cost + OTHER_LANE_MILLIS;
+        };
+    }
+
     /**
      * Predicts the cost at an engine.
      *
@@ -127,12 +163,16 @@
     private double engineCost(Pool pool, Backend backend, Prompt prompt, PeerLoads peers, boolean atHome) {
         BackendLoad load = load(pool, backend);
         Work work = load.work().plus(peers.at(backend.incarnation()));
-        long uncached = load.uncachedTokens(prompt);
-        double toRead = work.unreadTokens() + (atHome ? uncached * HOME_PART : uncached);
-        double cost = toRead / READ_TOKENS_PER_MILLI + work.running() * MILLIS_PER_RUNNING;
+        double uncached = load.uncachedTokens(prompt) * (atHome ? HOME_PART : 1);
+        double reading = work.heldTokens() / (work.heldTokens() + HALF_READING_TOKENS);
+        double step = STEP_MILLIS + STEP_MILLIS_PER_RUNNING * work.running() + READING_STEP_MILLIS * reading;
+        double cost = (work.unreadTokens() + uncached) / READ_TOKENS_PER_MILLI;
+        cost += prompt.outputTokens() * step * OUTPUT_PART;
+        if (!EngineLanes.isShort(prompt)) {
+            cost += work.shortRunning() * uncached / READ_TOKENS_PER_MILLI * HOLD_UP_PART;
+        }
         cost += Math.max(0, work.running() + 1 - backend.slots()) * MILLIS_PER_QUEUED;
-        long memory = memoryTokens(pool);
-        if (work.heldTokens() + uncached + prompt.outputTokens() > memory * MEMORY_PART) {
+        if (work.heldTokens() + uncached + prompt.outputTokens() > memoryTokens(pool) * MEMORY_PART) {
             cost += SHORT_MEMORY_MILLIS;
         }
         return cost;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendLoad.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendLoad.java
@@ -30,9 +30,12 @@
     /** The uncached prompt tokens of requests that wait for their first event. */
     private long unreadTokens;
 
-    /** The tokens that requests in flight may hold in memory. */
+    /** The tokens that requests in flight add to memory. */
     private long heldTokens;
 
+    /** The requests in flight with short prompts. */
+    private int shortRunning;
+
     /** The cached prompt parts. */
     private final CachedParts cached;
 
@@ -67,8 +70,10 @@
         running++;
         unreadTokens += unread;
         heldTokens += held;
+        boolean isShort = EngineLanes.isShort(prompt);
+        shortRunning += isShort ? 1 : 0;
         cached.note(prompt.parts());
-        return new Placement(this, unread, held);
+        return new Placement(this, unread, held, isShort);
     }
 
     /**
@@ -87,7 +92,7 @@
      * @return The work.
      */
     public Work work() {
-        return new Work(running, unreadTokens, heldTokens);
+        return new Work(running, unreadTokens, heldTokens, shortRunning);
     }
 
     /** Notes an answer that is no failure. */
@@ -143,6 +148,9 @@
         /** The tokens held. */
         private final long held;
 
+        /** Whether the prompt is short. */
+        private final boolean isShort;
+
         /** Whether the request has ended. */
         private boolean ended;
 
@@ -152,11 +160,13 @@
          * @param load The load.
          * @param unread The tokens still to be read.
          * @param held The tokens held.
+         * @param isShort Whether the prompt is short.
          */
-        private Placement(BackendLoad load, long unread, long held) {
+        private Placement(BackendLoad load, long unread, long held, boolean isShort) {
             this.load = load;
             this.unread = unread;
             this.held = held;
+            this.isShort = isShort;
         }
 
         /** Notes the first event, after which the prompt is read. */
@@ -174,6 +184,7 @@
             started();
             load.running--;
             load.heldTokens -= held;
+            load.shortRunning -= isShort ? 1 : 0;
         }
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/PeerLoads.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/PeerLoads.java
@@ -33,12 +33,13 @@
      *
      * @param running The requests in flight.
      * @param unreadTokens The prompt tokens of requests that wait for their first event.
-     * @param heldTokens The tokens that requests in flight may hold in memory.
+     * @param heldTokens The tokens that requests in flight add to memory.
+     * @param shortRunning The requests in flight with short prompts.
      */
-    public record Work(int running, long unreadTokens, long heldTokens) {
+    public record Work(int running, long unreadTokens, long heldTokens, int shortRunning) {
 
         /** No work. */
-        public static final Work NONE = new Work(0, 0, 0);
+        public static final Work NONE = new Work(0, 0, 0, 0);
 
         /**
          * Adds work.
@@ -47,7 +48,10 @@
          * @return The sum.
          */
         public Work plus(Work other) {
-            return new Work(running + other.running, unreadTokens + other.unreadTokens, heldTokens + other.heldTokens);
+            return new Work(running + other.running,
+                    unreadTokens + other.unreadTokens,
+                    heldTokens + other.heldTokens,
+                    shortRunning + other.shortRunning);
         }
     }
 }
