--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/DrainWait.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/DrainWait.java
@@ -18,7 +18,7 @@
     private static final long QUIET_MILLIS = 300;
 
     /** The part of the grace period that is kept for the end itself, in milliseconds. */
-    private static final long RESERVE_MILLIS = 500;
+    private static final long RESERVE_MILLIS = 800;
 
     /** The pause between looks in milliseconds. */
     private static final long PAUSE_MILLIS = 50;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -23,6 +23,7 @@
 import org.cranberrygauge.proxy.exchange.ExchangeTools;
 import org.cranberrygauge.proxy.exchange.FrontServer;
 import org.cranberrygauge.proxy.exchange.PoolBudgets;
+import org.cranberrygauge.proxy.exchange.PoolLines;
 import org.cranberrygauge.proxy.exchange.ProxyBoard;
 import org.cranberrygauge.proxy.exchange.StatusServer;
 import org.cranberrygauge.proxy.retry.CrashRegister;
@@ -49,6 +50,9 @@
     /** The pause between publications of this host's work, in milliseconds. */
     private static final long PUBLISH_MILLIS = 100;
 
+    /** The pause between looks at the requests that wait for room, in milliseconds. */
+    private static final long ADVANCE_MILLIS = 25;
+
     /** The settings. */
     private final ProxySettings settings;
 
@@ -191,8 +195,10 @@
             AtomicReference<Map<String, Work>> ownWork, CrashRegister crashes, UsageCounter usage) {
         ProxySettings.Times times = settings.times();
         LoadTable loads = new LoadTable();
+        PoolLines lines = new PoolLines();
         ExchangeMetrics metrics = new ExchangeMetrics(registry);
         registerGauges(metrics);
+        metrics.gauge("cranberrygauge_proxy_waiting_requests", "Requests that wait for room.", lines::size);
         ExchangeTools tools = new ExchangeTools(
                 vertx,
                 time,
@@ -201,12 +207,14 @@
                 sources.dialect(),
                 new BackendChooser(settings.dataCentre(), loads),
                 loads,
+                lines,
                 new PoolBudgets(times.retryWindowMillis(), times.retryRatio(), times.retryExtra()),
                 crashes,
                 usage,
                 metrics,
                 events);
         RequestGate gate = new RequestGate(keyBoundMillis(), times.configurationMillis());
+        vertx.setPeriodic(ADVANCE_MILLIS, fired -> lines.advance(time.monotonicMillis()));
         vertx.setPeriodic(PUBLISH_MILLIS, fired -> {
             ownWork.set(loads.work());
             loads.forgetUnlisted(board.backends());
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
@@ -61,6 +61,10 @@
             reject(now, request, reply, head, RejectReason.BAD_REQUEST);
             return;
         }
+        if (tools.board().closing(now)) {
+            reject(now, request, reply, head, RejectReason.DRAINING);
+            return;
+        }
         Verdict verdict = gate.decide(now, tools.time().wallMillis(), view, host, path(request), head.key());
         if (verdict.rejection().isPresent()) {
             reject(now, request, reply, head, verdict.rejection().get());
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -6,12 +6,14 @@
 import java.util.Optional;
 import java.util.Set;
 import org.cranberrygauge.proxy.admission.RejectReason;
+import org.cranberrygauge.proxy.admission.WaitingLine.Entry;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.exchange.BackendAttempt.WholeAnswer;
 import org.cranberrygauge.proxy.retry.AttemptHistory;
 import org.cranberrygauge.proxy.retry.AttemptOutcome;
 import org.cranberrygauge.proxy.retry.NextStep;
 import org.cranberrygauge.proxy.retry.RetryRule;
+import org.cranberrygauge.proxy.routing.BackendChooser;
 import org.cranberrygauge.proxy.routing.BackendChooser.Choice;
 import org.cranberrygauge.proxy.routing.BackendLoad;
 import org.cranberrygauge.proxy.routing.BackendLoad.Placement;
@@ -27,6 +29,9 @@
     /** The label of requests without a customer. */
     private static final String NO_CUSTOMER = "-";
 
+    /** The part of its time that a request may wait for room. */
+    private static final double WAITING_PART = 0.4;
+
     /** The tools. */
     private final ExchangeTools tools;
 
@@ -69,6 +74,9 @@
     /** Whether the request's bytes went out on the connection of the attempt in progress. */
     private boolean sent;
 
+    /** Whether the request waits for room. */
+    private boolean waiting;
+
     /** Whether the final answer was given. */
     private boolean over;
 
@@ -252,13 +260,74 @@
     }
 
     /**
-     * Sends the request to the next backend server.
+     * Sends the request to the next backend server, or lets it wait for room.
      *
-     * @return Whether there was one.
+     * @return Whether there is one.
      */
     private boolean tryNext() {
         long now = now();
-        Optional<Choice> choice = tools.chooser()
+        Optional<Choice> choice = choose(now);
+        if (choice.isEmpty()) {
+            return false;
+        }
+        if (choice.get().crowded() && history.sent() == 0) {
+            joinLine(now, choice.get());
+            return true;
+        }
+        send(now, choice.get());
+        return true;
+    }
+
+    /**
+     * Lets the request wait for room, or refuses it if the line is too long.
+     *
+     * @param now The present monotonic time in milliseconds.
+     * @param choice The best choice, which has no room.
+     */
+    private void joinLine(long now, Choice choice) {
+        if (waiting) {
+            return;
+        }
+        waiting = true;
+        long tokens = load(choice.backend()).uncachedTokens(request.head().prompt());
+        long readMillis = (long) (tokens / BackendChooser.READ_TOKENS_PER_MILLI);
+        long onTime = request.receivedMillis() + request.route().targetMillis() - readMillis;
+        long wait = request.endMillis() - request.receivedMillis();
+        long giveUp = request.receivedMillis() + (long) (wait * WAITING_PART);
+        tools.lines()
+                .of(request.pool().name())
+                .add(new Entry<>(this, request.urgency(), tokens, onTime, giveUp));
+    }
+
+    /**
+     * Sends the request if there is room for it by now.
+     *
+     * @return Whether the request waits no more.
+     */
+    boolean tryWaiting() {
+        Optional<Choice> choice = choose(now());
+        if (choice.isEmpty() || choice.get().crowded()) {
+            return false;
+        }
+        waiting = false;
+        send(now(), choice.get());
+        return true;
+    }
+
+    /** Refuses the request, which has waited for room and is out of the line. */
+    void giveUpWaiting() {
+        waiting = false;
+        reject(RejectReason.BACKENDS_FULL);
+    }
+
+    /**
+     * Chooses a backend server.
+     *
+     * @param now The present monotonic time in milliseconds.
+     * @return The choice, or nothing if there is none left.
+     */
+    private Optional<Choice> choose(long now) {
+        return tools.chooser()
                 .choose(
                         now,
                         request.pool(),
@@ -266,12 +335,18 @@
                         tried,
                         request.head().prompt(),
                         tools.board().peers());
-        if (choice.isEmpty()) {
-            return false;
-        }
-        Backend backend = choice.get().backend();
+    }
+
+    /**
+     * Sends the request to a backend server.
+     *
+     * @param now The present monotonic time in milliseconds.
+     * @param choice The backend server.
+     */
+    private void send(long now, Choice choice) {
+        Backend backend = choice.backend();
         if (costMillis < 0) {
-            costMillis = (long) choice.get().costMillis();
+            costMillis = (long) choice.costMillis();
         }
         tried.add(backend.incarnation());
         placement = load(backend).place(request.head().prompt());
@@ -279,7 +354,6 @@
         attemptMillis = now;
         sent = false;
         attempt.start(tools.client(), request.endMillis() - now, lastEventId);
-        return true;
     }
 
     /**
@@ -392,6 +466,9 @@
         over = true;
         tools.vertx().cancelTimer(timer);
         tools.board().active().decrementAndGet();
+        if (waiting) {
+            tools.lines().of(request.pool().name()).remove(this);
+        }
         if (placement != null) {
             placement.end();
         }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeTools.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeTools.java
@@ -18,6 +18,7 @@
  * @param dialect Translates headers.
  * @param chooser Chooses backend servers.
  * @param loads The loads by this host's own requests.
+ * @param lines The requests that wait for room.
  * @param budgets The budgets of repeats.
  * @param crashes The requests that crash backend servers.
  * @param usage Counts the requests that began to run.
@@ -32,6 +33,7 @@
         HeaderDialect dialect,
         BackendChooser chooser,
         LoadTable loads,
+        PoolLines lines,
         PoolBudgets budgets,
         CrashRegister crashes,
         UsageCounter usage,
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/PoolLines.java
@@ -0,0 +1,52 @@
+package org.cranberrygauge.proxy.exchange;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.cranberrygauge.proxy.admission.WaitingLine;
+
+/**
+ * The requests that wait for room at the engines of each pool.
+ *
+ * <p>Used by one thread.
+ */
+public final class PoolLines {
+
+    /** The lines by name of the pool. */
+    private final Map<String, WaitingLine<Exchange>> lines = new HashMap<>();
+
+    /**
+     * Returns the line of a pool.
+     *
+     * @param pool The name of the pool.
+     * @return The line.
+     */
+    WaitingLine<Exchange> of(String pool) {
+        return lines.computeIfAbsent(pool, name -> new WaitingLine<>());
+    }
+
+    /**
+     * Lets requests go on for which there is room, and gives up those whose time is short.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     */
+    public void advance(long nowMillis) {
+        for (WaitingLine<Exchange> line : lines.values()) {
+            line.takeGivenUp(nowMillis).forEach(Exchange::giveUpWaiting);
+            Optional<Exchange> first = line.first(nowMillis);
+            while (first.isPresent() && first.get().tryWaiting()) {
+                line.remove(first.get());
+                first = line.first(nowMillis);
+            }
+        }
+    }
+
+    /**
+     * Returns the number of requests that wait.
+     *
+     * @return The number.
+     */
+    public int size() {
+        return lines.values().stream().mapToInt(WaitingLine::size).sum();
+    }
+}
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
@@ -20,7 +20,7 @@
 public final class BackendChooser {
 
     /** The prompt tokens that an engine reads in a millisecond. */
-    private static final double READ_TOKENS_PER_MILLI = 38;
+    public static final double READ_TOKENS_PER_MILLI = 38;
 
     /** The time of a step of an idle engine, which makes one token of each request, in milliseconds. */
     private static final double STEP_MILLIS = 5;
@@ -34,6 +34,9 @@
     /** The prompt tokens of running requests at which an engine reads half of the time. */
     private static final double HALF_READING_TOKENS = 30_000;
 
+    /** The prompt tokens of running requests above which an engine gets no more long prompts. */
+    private static final double CROWDED_TOKENS = 90_000;
+
     /** The part of the time between the events of a request that counts as its cost. */
     private static final double OUTPUT_PART = 0.1;
 
@@ -114,7 +117,30 @@
                 bestCost = total;
             }
         }
-        return best == null ? Optional.empty() : Optional.of(new Choice(best, bestCost));
+        return best == null
+                ? Optional.empty()
+                : Optional.of(new Choice(best, bestCost, isCrowded(pool, best, prompt, peers)));
+    }
+
+    /**
+     * Tells whether an engine has no room for another long prompt.
+     *
+     * <p>An engine that reads most of the time makes tokens so slowly that no request ends within its time. The prompts of
+     * the requests that run tell how much of the time it reads.
+     *
+     * @param pool The pool.
+     * @param backend The engine.
+     * @param prompt The prompt.
+     * @param peers The work of the other hosts.
+     * @return Whether it has no room.
+     */
+    private boolean isCrowded(Pool pool, Backend backend, Prompt prompt, PeerLoads peers) {
+        if (pool.engine().isEmpty() || EngineLanes.isShort(prompt)) {
+            return false;
+        }
+        BackendLoad load = load(pool, backend);
+        Work work = load.work().plus(peers.at(backend.incarnation()));
+        return work.heldTokens() > 0 && work.heldTokens() + load.uncachedTokens(prompt) > CROWDED_TOKENS;
     }
 
     /**
@@ -233,6 +259,7 @@
      *
      * @param backend The backend server.
      * @param costMillis The predicted cost in milliseconds.
+     * @param crowded Whether it has no room for the prompt at present.
      */
-    public record Choice(Backend backend, double costMillis) {}
+    public record Choice(Backend backend, double costMillis, boolean crowded) {}
 }
