--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -13,6 +13,7 @@
 import org.cranberrygauge.proxy.control.ConfigurationFollower;
 import org.cranberrygauge.proxy.control.ControlTools;
 import org.cranberrygauge.proxy.control.DutyKeeper;
+import org.cranberrygauge.proxy.control.FleetDesk;
 import org.cranberrygauge.proxy.control.PeerLink;
 import org.cranberrygauge.proxy.control.UsageDesk;
 import org.cranberrygauge.proxy.control.UsageShipper;
@@ -180,6 +181,7 @@
         shipper = new UsageShipper(tools, usage, incarnation, times.usageWindowMillis());
         shipper.start();
         new UsageDesk(tools, duty, sources.duties(), times.usageWindowMillis()).start();
+        new FleetDesk(tools, duty, sources.duties(), ownWork).start();
         return new PeerLink(tools, settings.host(), settings.peers(), time.wallMillis(), crashes, ownWork).start();
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/DutyKeeper.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/DutyKeeper.java
@@ -51,7 +51,7 @@
         this.tools = tools;
         this.member = member;
         this.lifetimeMillis = leaseMillis;
-        this.lease = new DutyLease(leaseMillis, leaseMillis - MARGIN_MILLIS);
+        this.lease = new DutyLease(tools.time().monotonicMillis(), leaseMillis, leaseMillis - MARGIN_MILLIS);
         this.watch = new DependencyWatch("duty group", tools.events());
     }
 
@@ -93,6 +93,11 @@
                 : lease.token(tools.time().monotonicMillis(), tools.time().wallMillis());
     }
 
+    /** Notes that this host acts. */
+    public void acting() {
+        lease.acted(tools.time().monotonicMillis());
+    }
+
     /**
      * Notes that a token was refused.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerLink.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerLink.java
@@ -161,9 +161,9 @@
     private HostReport message(long now) {
         Map<String, BackendWork> work = new HashMap<>();
         ownWork.get()
-                .forEach((incarnation, own) ->
-                        work.put(incarnation, new BackendWork(
-                                own.running(), own.unreadTokens(), own.heldTokens(), own.shortRunning())));
+                .forEach((incarnation, own) -> work.put(
+                        incarnation,
+                        new BackendWork(own.running(), own.unreadTokens(), own.heldTokens(), own.shortRunning())));
         List<CrashCount> counts = new ArrayList<>();
         crashes.own(now).forEach((fingerprint, count) -> counts.add(new CrashCount(fingerprint, count)));
         sequence++;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageDesk.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageDesk.java
@@ -163,6 +163,7 @@
             return Future.succeededFuture();
         }
         long fence = token.getAsLong();
+        duty.acting();
         return receiver.reportUsage(fence, window, figures).map(answer -> {
             tools.events().emit(new ControlEvents.UsageReported(window, figures, fence, answer.name()));
             if (answer == DutyAnswer.ACCEPTED) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/duty/DutyLease.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/duty/DutyLease.java
@@ -8,16 +8,17 @@
  *
  * <p>The host that holds the first part of a group's topic holds the duties, and the generation in which it holds it is its
  * fencing token. Invariants: it acts only while its last successful join is younger than the lifetime of its membership, by
- * the monotonic clock and by the time of day, and only after it has held the part for a whole lease, so that an earlier
- * holder has stopped; a token that was refused is never used again. Used by one thread.
+ * the monotonic clock and by the time of day; after it lost the duties, it acts again only once a whole lease has passed since
+ * its last act, so that two holders never act by turns within a lease; a process that has just started waits as long, since
+ * it doesn't know what the process before it did; a token that was refused is never used again. Used by one thread.
  */
 public final class DutyLease {
 
     /** The difference between the clocks above which the host may have been suspended, in milliseconds. */
     private static final long CLOCK_TOLERANCE_MILLIS = 300;
 
-    /** The time after which a new holder acts, in milliseconds. */
-    private final long settleMillis;
+    /** The time between an act before the duties were lost and one after they came back, in milliseconds. */
+    private final long leaseMillis;
 
     /** The age of the last join up to which the holder acts, in milliseconds. */
     private final long validMillis;
@@ -31,8 +32,11 @@
     /** The highest token that was refused. */
     private long refused = -1;
 
-    /** The monotonic time from which the part is held. */
-    private long heldSinceMillis;
+    /** The monotonic time of the last act. */
+    private long actedMillis;
+
+    /** The monotonic time of the last act before the duties were lost, or of the start. */
+    private long earlierActMillis;
 
     /** The monotonic time at which the last successful join was sent. */
     private long joinedMillis;
@@ -43,11 +47,14 @@
     /**
      * Creates a lease.
      *
-     * @param settleMillis The time after which a new holder acts, in milliseconds.
+     * @param startMillis The monotonic time of the start of the process in milliseconds.
+     * @param leaseMillis The time between an act before the duties were lost and one after, in milliseconds.
      * @param validMillis The age of the last join up to which the holder acts, in milliseconds.
      */
-    public DutyLease(long settleMillis, long validMillis) {
-        this.settleMillis = settleMillis;
+    public DutyLease(long startMillis, long leaseMillis, long validMillis) {
+        this.earlierActMillis = startMillis;
+        this.actedMillis = startMillis;
+        this.leaseMillis = leaseMillis;
         this.validMillis = validMillis;
     }
 
@@ -59,9 +66,8 @@
      * @param share What the host holds.
      */
     public void joined(long sentMillis, long sentWallMillis, GroupShare share) {
-        boolean lapsed = !isValid(sentMillis, sentWallMillis);
-        if (share.holdsFirst() && (!held || lapsed)) {
-            heldSinceMillis = sentMillis;
+        if (held && (!share.holdsFirst() || !isValid(sentMillis, sentWallMillis))) {
+            earlierActMillis = actedMillis;
         }
         held = share.holdsFirst();
         generation = share.generation();
@@ -69,6 +75,15 @@
         joinedWallMillis = sentWallMillis;
     }
 
+    /**
+     * Notes an act.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     */
+    public void acted(long nowMillis) {
+        actedMillis = nowMillis;
+    }
+
     /**
      * Notes that a token was refused since a higher one had been used.
      *
@@ -97,7 +112,7 @@
     public OptionalLong token(long nowMillis, long nowWallMillis) {
         boolean mayAct = held
                 && isValid(nowMillis, nowWallMillis)
-                && nowMillis - heldSinceMillis >= settleMillis
+                && nowMillis - earlierActMillis >= leaseMillis
                 && generation > refused;
         return mayAct ? OptionalLong.of(generation) : OptionalLong.empty();
     }
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/duty/FleetPlan.java
@@ -0,0 +1,251 @@
+package org.cranberrygauge.proxy.duty;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.cranberrygauge.model.backend.Supply;
+import org.cranberrygauge.proxy.backend.Backend;
+import org.cranberrygauge.proxy.configuration.FleetLimits;
+
+/**
+ * Decides how many backend servers of a pool are ordered in each data centre.
+ *
+ * <p>Cheap ones are spread over all data centres where they can be had, so that the loss of all of one data centre leaves the
+ * rest. Regular ones are handed back only once the cheap ones are ready, and come back where cheap ones can't be had. A few
+ * regular ones always stay. Used by one thread.
+ */
+public final class FleetPlan {
+
+    /** The backend servers wished for, for each one that was there at the start. */
+    private static final double START_FACTOR = 1.25;
+
+    /** The regular backend servers that always stay. */
+    private static final int REGULAR_FLOOR = 1;
+
+    /** The time for which a data centre that had no cheap backend server to give is left out, in milliseconds. */
+    private static final long DRY_MILLIS = 6_000;
+
+    /** The time after which an order whose result isn't seen is stated again, beyond the boot time, in milliseconds. */
+    private static final long RESTATE_MILLIS = 2_500;
+
+    /** The time for which the demand must be low before the fleet shrinks, in milliseconds. */
+    private static final long SHRINK_MILLIS = 8_000;
+
+    /** The part of the fleet below which the demand is low. */
+    private static final double LOW_PART = 0.6;
+
+    /** The pool. */
+    private final String pool;
+
+    /** The times until which data centres are left out. */
+    private final Map<String, Long> dryUntilMillis = new HashMap<>();
+
+    /** The last order for each kind and data centre. */
+    private final Map<String, Stated> stated = new HashMap<>();
+
+    /** The number wished for in all. */
+    private int size;
+
+    /** The monotonic time from which the demand is low. */
+    private long lowSinceMillis;
+
+    /**
+     * Creates a plan.
+     *
+     * @param pool The pool.
+     */
+    public FleetPlan(String pool) {
+        this.pool = pool;
+    }
+
+    /**
+     * Decides what to order.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param limits How backend servers may be ordered.
+     * @param present The backend servers that take new work.
+     * @param needed The number that the present demand needs.
+     * @return The orders.
+     */
+    public List<BackendOrder> decide(long nowMillis, FleetLimits limits, List<Backend> present, double needed) {
+        List<String> dataCentres = new ArrayList<>(limits.dataCentrePrices().keySet());
+        dataCentres.sort(Comparator.comparing(name -> limits.dataCentrePrices().get(name)));
+        if (dataCentres.isEmpty() || present.isEmpty()) {
+            return List.of();
+        }
+        resize(nowMillis, present.size(), needed, limits.maximum() * dataCentres.size());
+        Map<String, Integer> cheap = count(present, Supply.CHEAP);
+        Map<String, Integer> regular = count(present, Supply.REGULAR);
+        Map<String, Integer> cheapWish = cheapWish(nowMillis, limits, dataCentres);
+        int cheapReady = cheap.values().stream().mapToInt(Integer::intValue).sum();
+        int regularWish = Math.max(REGULAR_FLOOR, size - cheapReady);
+        Map<String, Integer> regularWishes = regularWishes(limits, dataCentres, cheapWish, regular, regularWish);
+        List<BackendOrder> orders = new ArrayList<>();
+        for (String dataCentre : dataCentres) {
+            state(nowMillis, limits, orders, dataCentre, Supply.CHEAP, cheapWish, cheap);
+            state(nowMillis, limits, orders, dataCentre, Supply.REGULAR, regularWishes, regular);
+        }
+        return orders;
+    }
+
+    /**
+     * Notes that an order was turned away, since none can be had there at present.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param order The order.
+     */
+    public void turnedAway(long nowMillis, BackendOrder order) {
+        stated.remove(order.supply() + order.dataCentre());
+        if (order.supply() == Supply.CHEAP) {
+            dryUntilMillis.put(order.dataCentre(), nowMillis + DRY_MILLIS);
+        }
+    }
+
+    /**
+     * Notes that it isn't known whether an order was carried out, so that it is stated again.
+     *
+     * @param order The order.
+     */
+    public void unanswered(BackendOrder order) {
+        stated.remove(order.supply() + order.dataCentre());
+    }
+
+    /**
+     * Sets the number wished for by the demand.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param present The number that takes new work.
+     * @param needed The number that the demand needs.
+     * @param maximum The highest number.
+     */
+    private void resize(long nowMillis, int present, double needed, int maximum) {
+        if (size == 0) {
+            size = (int) Math.ceil(present * START_FACTOR);
+            lowSinceMillis = nowMillis;
+        }
+        if (needed > size * LOW_PART) {
+            lowSinceMillis = nowMillis;
+        }
+        if (needed > size) {
+            size = (int) Math.ceil(needed);
+        } else if (nowMillis - lowSinceMillis > SHRINK_MILLIS) {
+            size--;
+            lowSinceMillis = nowMillis;
+        }
+        size = Math.max(2, Math.min(maximum, size));
+    }
+
+    /**
+     * Spreads the cheap ones over the data centres.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param limits The limits.
+     * @param dataCentres The data centres, cheapest first.
+     * @return The numbers by data centre.
+     */
+    private Map<String, Integer> cheapWish(long nowMillis, FleetLimits limits, List<String> dataCentres) {
+        List<String> open = new ArrayList<>(dataCentres);
+        open.removeIf(name -> nowMillis < dryUntilMillis.getOrDefault(name, Long.MIN_VALUE));
+        Map<String, Integer> wish = new HashMap<>();
+        int most = limits.maximum() - REGULAR_FLOOR;
+        for (int index = 0; index < size && !open.isEmpty(); index++) {
+            String dataCentre = open.get(index % open.size());
+            wish.merge(dataCentre, 1, (left, right) -> Math.min(most, left + right));
+        }
+        return wish;
+    }
+
+    /**
+     * Spreads the regular ones, where they are already first.
+     *
+     * @param limits The limits.
+     * @param dataCentres The data centres, cheapest first.
+     * @param cheapWish The cheap ones wished for.
+     * @param regular The regular ones that are there.
+     * @param number The number of regular ones.
+     * @return The numbers by data centre.
+     */
+    private static Map<String, Integer> regularWishes(
+            FleetLimits limits,
+            List<String> dataCentres,
+            Map<String, Integer> cheapWish,
+            Map<String, Integer> regular,
+            int number) {
+        Map<String, Integer> wish = new TreeMap<>();
+        int left = number;
+        for (String dataCentre : dataCentres) {
+            int kept = Math.min(left, regular.getOrDefault(dataCentre, 0));
+            wish.put(dataCentre, kept);
+            left -= kept;
+        }
+        for (String dataCentre : dataCentres) {
+            int room = limits.maximum() - cheapWish.getOrDefault(dataCentre, 0) - wish.get(dataCentre);
+            int added = Math.max(0, Math.min(left, room));
+            wish.merge(dataCentre, added, Integer::sum);
+            left -= added;
+        }
+        for (String dataCentre : dataCentres) {
+            int total = wish.get(dataCentre) + cheapWish.getOrDefault(dataCentre, 0);
+            wish.merge(dataCentre, Math.max(0, limits.minimum() - total), Integer::sum);
+        }
+        return wish;
+    }
+
+    /**
+     * Adds an order if what is there, or was ordered last, isn't what is wished for.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param limits The limits.
+     * @param orders The orders to add to.
+     * @param dataCentre The data centre.
+     * @param supply The kind.
+     * @param wishes The numbers wished for.
+     * @param counts The numbers that are there.
+     */
+    private void state(
+            long nowMillis,
+            FleetLimits limits,
+            List<BackendOrder> orders,
+            String dataCentre,
+            Supply supply,
+            Map<String, Integer> wishes,
+            Map<String, Integer> counts) {
+        int wish = wishes.getOrDefault(dataCentre, 0);
+        Stated last = stated.get(supply + dataCentre);
+        boolean unseen = counts.getOrDefault(dataCentre, 0) != wish
+                && (last == null || nowMillis - last.atMillis() > limits.bootMillis() + RESTATE_MILLIS);
+        boolean changed = last != null && last.number() != wish;
+        if (unseen || changed) {
+            stated.put(supply + dataCentre, new Stated(wish, nowMillis));
+            orders.add(new BackendOrder(pool, dataCentre, supply, wish));
+        }
+    }
+
+    /**
+     * Counts backend servers by data centre.
+     *
+     * @param present The backend servers.
+     * @param supply The kind.
+     * @return The numbers by data centre.
+     */
+    private static Map<String, Integer> count(List<Backend> present, Supply supply) {
+        Map<String, Integer> counts = new HashMap<>();
+        for (Backend backend : present) {
+            if (backend.supply() == supply) {
+                counts.merge(backend.dataCentre(), 1, Integer::sum);
+            }
+        }
+        return counts;
+    }
+
+    /**
+     * The last order for a kind and data centre.
+     *
+     * @param number The number.
+     * @param atMillis The monotonic time.
+     */
+    private record Stated(int number, long atMillis) {}
+}
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -294,9 +294,7 @@
         long onTime = request.receivedMillis() + request.route().targetMillis() - readMillis;
         long wait = request.endMillis() - request.receivedMillis();
         long giveUp = request.receivedMillis() + (long) (wait * WAITING_PART);
-        tools.lines()
-                .of(request.pool().name())
-                .add(new Entry<>(this, request.urgency(), tokens, onTime, giveUp));
+        tools.lines().of(request.pool().name()).add(new Entry<>(this, request.urgency(), tokens, onTime, giveUp));
     }
 
     /**
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
@@ -171,7 +171,8 @@
         List<Backend> lane = EngineLanes.split(ready).of(prompt);
         String home = home(lane, prompt);
         return backend -> {
-            double cost = engineCost(pool, backend, prompt, peers, backend.incarnation().equals(home));
+            double cost = engineCost(
+                    pool, backend, prompt, peers, backend.incarnation().equals(home));
             return lane.contains(backend) ? cost : cost + OTHER_LANE_MILLIS;
         };
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/PeerLoads.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/PeerLoads.java
@@ -48,7 +48,8 @@
          * @return The sum.
          */
         public Work plus(Work other) {
-            return new Work(running + other.running,
+            return new Work(
+                    running + other.running,
                     unreadTokens + other.unreadTokens,
                     heldTokens + other.heldTokens,
                     shortRunning + other.shortRunning);
