--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/FleetDesk.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/FleetDesk.java
@@ -25,10 +25,10 @@
     private static final long TICK_MILLIS = 500;
 
     /** The prompt tokens of running requests that one engine is meant to have. */
-    private static final double TOKENS_PER_ENGINE = 35_000;
+    private static final double TOKENS_PER_ENGINE = 45_000;
 
     /** The requests with short prompts that one engine is meant to have. */
-    private static final double SHORT_REQUESTS_PER_ENGINE = 16;
+    private static final double SHORT_REQUESTS_PER_ENGINE = 24;
 
     /** The part of a new measurement of the demand that counts when it is lower. */
     private static final double FALL_PART = 0.05;
@@ -79,7 +79,6 @@
     private void tick() {
         OptionalLong token = duty.token();
         if (token.isEmpty()) {
-            plans.clear();
             return;
         }
         tools.board()
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/duty/FleetPlan.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/duty/FleetPlan.java
@@ -46,6 +46,12 @@
     /** The last order for each kind and data centre. */
     private final Map<String, Stated> stated = new HashMap<>();
 
+    /** The time in which the backend servers that are there register, in milliseconds. */
+    private static final long REGISTRATION_MILLIS = 4_500;
+
+    /** The monotonic time at which a backend server was first seen, or -1 before. */
+    private long seenSinceMillis = -1;
+
     /** The number wished for in all. */
     private int size;
 
@@ -73,15 +79,20 @@
     public List<BackendOrder> decide(long nowMillis, FleetLimits limits, List<Backend> present, double needed) {
         List<String> dataCentres = new ArrayList<>(limits.dataCentrePrices().keySet());
         dataCentres.sort(Comparator.comparing(name -> limits.dataCentrePrices().get(name)));
-        if (dataCentres.isEmpty() || present.isEmpty()) {
+        if (present.isEmpty()) {
+            return List.of();
+        }
+        if (seenSinceMillis < 0) {
+            seenSinceMillis = nowMillis;
+        }
+        if (dataCentres.isEmpty() || nowMillis - seenSinceMillis < REGISTRATION_MILLIS) {
             return List.of();
         }
         resize(nowMillis, present.size(), needed, limits.maximum() * dataCentres.size());
         Map<String, Integer> cheap = count(present, Supply.CHEAP);
         Map<String, Integer> regular = count(present, Supply.REGULAR);
         Map<String, Integer> cheapWish = cheapWish(nowMillis, limits, dataCentres);
-        int cheapReady = cheap.values().stream().mapToInt(Integer::intValue).sum();
-        int regularWish = Math.max(REGULAR_FLOOR, size - cheapReady);
+        int regularWish = regularWish(nowMillis, limits, cheap, cheapWish, total(regular));
         Map<String, Integer> regularWishes = regularWishes(limits, dataCentres, cheapWish, regular, regularWish);
         List<BackendOrder> orders = new ArrayList<>();
         for (String dataCentre : dataCentres) {
@@ -158,6 +169,45 @@
         return wish;
     }
 
+    /**
+     * Decides the number of regular ones: those that are there stay until the cheap ones are ready, and more are ordered only
+     * for cheap ones that don't come.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param limits The limits.
+     * @param cheap The cheap ones that are there.
+     * @param cheapWish The cheap ones wished for.
+     * @param regular The number of regular ones that are there.
+     * @return The number of regular ones.
+     */
+    private int regularWish(
+            long nowMillis,
+            FleetLimits limits,
+            Map<String, Integer> cheap,
+            Map<String, Integer> cheapWish,
+            int regular) {
+        int missing = size - total(cheap);
+        int coming = 0;
+        for (Map.Entry<String, Integer> wish : cheapWish.entrySet()) {
+            Stated last = stated.get(Supply.CHEAP + wish.getKey());
+            boolean soon = last == null || nowMillis - last.atMillis() <= limits.bootMillis() + RESTATE_MILLIS;
+            int absent = wish.getValue() - cheap.getOrDefault(wish.getKey(), 0);
+            coming += soon ? Math.max(0, absent) : 0;
+        }
+        int kept = Math.min(regular, missing);
+        return Math.max(REGULAR_FLOOR, Math.max(kept, missing - coming));
+    }
+
+    /**
+     * Adds up numbers.
+     *
+     * @param numbers The numbers.
+     * @return The sum.
+     */
+    private static int total(Map<String, Integer> numbers) {
+        return numbers.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
     /**
      * Spreads the regular ones, where they are already first.
      *
