--- a/cranberrygauge-protocol/src/main/thrift/proxy.thrift
+++ b/cranberrygauge-protocol/src/main/thrift/proxy.thrift
@@ -15,6 +15,13 @@
   2: required i32 crashes
 }
 
+// A prompt part that one host has sent to an engine, which caches it.
+struct PartPlaced {
+  1: required string incarnation
+  2: required string part
+  3: required i64 tokens
+}
+
 // What one host says of itself to the others, several times a second.
 struct HostReport {
   1: required string host
@@ -22,8 +29,9 @@
   3: required i64 sequence
   4: required map<string, BackendWork> work
   5: required list<CrashCount> crashes
-  6: required bool takesRequests
-  7: required i64 sentAtWallMillis
+  6: required list<PartPlaced> placed
+  7: required bool takesRequests
+  8: required i64 sentAtWallMillis
 }
 
 // Where a host takes reports.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -31,6 +31,7 @@
 import org.cranberrygauge.proxy.routing.BackendChooser;
 import org.cranberrygauge.proxy.routing.LoadTable;
 import org.cranberrygauge.proxy.routing.PeerLoads.Work;
+import org.cranberrygauge.proxy.routing.PlacementExchange;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.lifecycle.Program;
 import org.cranberrygauge.runtime.time.TimeSource;
@@ -75,6 +76,9 @@
     /** The registry of the metrics. */
     private final PrometheusRegistry registry = new PrometheusRegistry();
 
+    /** Tells other hosts which engine reads which prompt part. */
+    private final PlacementExchange placements = new PlacementExchange();
+
     /** The context of the controllers. */
     private final Context control;
 
@@ -182,7 +186,8 @@
         shipper.start();
         new UsageDesk(tools, duty, sources.duties(), times.usageWindowMillis()).start();
         new FleetDesk(tools, duty, sources.duties(), ownWork).start();
-        return new PeerLink(tools, settings.host(), settings.peers(), time.wallMillis(), crashes, ownWork).start();
+        return new PeerLink(tools, settings.host(), settings.peers(), time.wallMillis(), crashes, placements, ownWork)
+                .start();
     }
 
     /**
@@ -209,6 +214,7 @@
                 sources.dialect(),
                 new BackendChooser(settings.dataCentre(), loads),
                 loads,
+                placements,
                 lines,
                 new PoolBudgets(times.retryWindowMillis(), times.retryRatio(), times.retryExtra()),
                 crashes,
@@ -218,6 +224,7 @@
         RequestGate gate = new RequestGate(keyBoundMillis(), times.configurationMillis());
         vertx.setPeriodic(ADVANCE_MILLIS, fired -> lines.advance(time.monotonicMillis()));
         vertx.setPeriodic(PUBLISH_MILLIS, fired -> {
+            placements.applyTo(loads);
             ownWork.set(loads.work());
             loads.forgetUnlisted(board.backends());
         });
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerLink.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerLink.java
@@ -15,8 +15,12 @@
 import org.cranberrygauge.protocol.generated.CrashCount;
 import org.cranberrygauge.protocol.generated.HostAddress;
 import org.cranberrygauge.protocol.generated.HostReport;
+import org.cranberrygauge.protocol.generated.PartPlaced;
 import org.cranberrygauge.proxy.retry.CrashRegister;
 import org.cranberrygauge.proxy.routing.PeerLoads.Work;
+import org.cranberrygauge.proxy.routing.PlacedPart;
+import org.cranberrygauge.proxy.routing.PlacementExchange;
+import org.cranberrygauge.proxy.routing.PromptPart;
 
 /**
  * Tells the other hosts several times a second what this host has in flight, and takes what they say.
@@ -51,6 +55,9 @@
     /** The requests that crash backend servers. */
     private final CrashRegister crashes;
 
+    /** Tells other hosts which engine reads which prompt part. */
+    private final PlacementExchange placements;
+
     /** The work of this host, as the request path last published it. */
     private final AtomicReference<Map<String, Work>> ownWork;
 
@@ -74,6 +81,7 @@
      * @param address The address at which this host takes reports.
      * @param startedAtMillis The time of the start of this process in milliseconds of the epoch.
      * @param crashes The requests that crash backend servers.
+     * @param placements Tells other hosts which engine reads which prompt part.
      * @param ownWork The work of this host, as the request path publishes it.
      */
     public PeerLink(
@@ -82,12 +90,14 @@
             NetworkAddress address,
             long startedAtMillis,
             CrashRegister crashes,
+            PlacementExchange placements,
             AtomicReference<Map<String, Work>> ownWork) {
         this.tools = tools;
         this.host = host;
         this.address = address;
         this.startedAtMillis = startedAtMillis;
         this.crashes = crashes;
+        this.placements = placements;
         this.ownWork = ownWork;
         this.watch = new DependencyWatch("host addresses", tools.events());
     }
@@ -166,6 +176,11 @@
                         new BackendWork(own.running(), own.unreadTokens(), own.heldTokens(), own.shortRunning())));
         List<CrashCount> counts = new ArrayList<>();
         crashes.own(now).forEach((fingerprint, count) -> counts.add(new CrashCount(fingerprint, count)));
+        List<PartPlaced> parts = new ArrayList<>();
+        placements
+                .toTell(now)
+                .forEach(placed -> parts.add(new PartPlaced(
+                        placed.incarnation(), placed.part().id(), placed.part().tokens())));
         sequence++;
         return new HostReport(
                 host,
@@ -173,6 +188,7 @@
                 sequence,
                 work,
                 counts,
+                parts,
                 !tools.board().draining(),
                 tools.time().wallMillis());
     }
@@ -193,6 +209,9 @@
             Map<Long, Integer> counts = new HashMap<>();
             report.getCrashes().forEach(count -> counts.put(count.getFingerprint(), count.getCrashes()));
             crashes.takeOthers(report.getHost(), counts);
+            report.getPlaced()
+                    .forEach(placed -> placements.heard(new PlacedPart(
+                            placed.getIncarnation(), new PromptPart(placed.getPart(), placed.getTokens()))));
         } catch (TException exception) {
             tools.events().emit(new ControlEvents.RecordUnreadable("datagram", "", exception.getMessage()));
         }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -348,6 +348,7 @@
         }
         tried.add(backend.incarnation());
         placement = load(backend).place(request.head().prompt());
+        tools.placements().placed(now, backend.incarnation(), request.head().prompt());
         attempt = new BackendAttempt(tools.dialect(), request, backend, this);
         attemptMillis = now;
         sent = false;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeTools.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeTools.java
@@ -5,6 +5,7 @@
 import org.cranberrygauge.proxy.retry.CrashRegister;
 import org.cranberrygauge.proxy.routing.BackendChooser;
 import org.cranberrygauge.proxy.routing.LoadTable;
+import org.cranberrygauge.proxy.routing.PlacementExchange;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.time.TimeSource;
 
@@ -18,6 +19,7 @@
  * @param dialect Translates headers.
  * @param chooser Chooses backend servers.
  * @param loads The loads by this host's own requests.
+ * @param placements Tells other hosts which engine reads which prompt part.
  * @param lines The requests that wait for room.
  * @param budgets The budgets of repeats.
  * @param crashes The requests that crash backend servers.
@@ -33,6 +35,7 @@
         HeaderDialect dialect,
         BackendChooser chooser,
         LoadTable loads,
+        PlacementExchange placements,
         PoolLines lines,
         PoolBudgets budgets,
         CrashRegister crashes,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
@@ -58,6 +58,12 @@
     /** The part of the uncached tokens that count at the home of the prompt. */
     private static final double HOME_PART = 0.4;
 
+    /**
+     * The times that shared tokens count which are read again outside their home: they take the room of other cached parts,
+     * and later requests that share them find two engines with half of the use each.
+     */
+    private static final double SHARED_AGAIN_FACTOR = 3;
+
     /** The cost of leaving the data centre, in milliseconds. */
     private static final double OTHER_DATA_CENTRE_MILLIS = 25;
 
@@ -195,6 +201,9 @@
         double step = STEP_MILLIS + STEP_MILLIS_PER_RUNNING * work.running() + READING_STEP_MILLIS * reading;
         double cost = (work.unreadTokens() + uncached) / READ_TOKENS_PER_MILLI;
         cost += prompt.outputTokens() * step * OUTPUT_PART;
+        if (!atHome) {
+            cost += load.uncachedSharedTokens(prompt) / READ_TOKENS_PER_MILLI * SHARED_AGAIN_FACTOR;
+        }
         if (!EngineLanes.isShort(prompt)) {
             cost += work.shortRunning() * uncached / READ_TOKENS_PER_MILLI * HOLD_UP_PART;
         }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendLoad.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendLoad.java
@@ -1,5 +1,6 @@
 package org.cranberrygauge.proxy.routing;
 
+import java.util.List;
 import org.cranberrygauge.proxy.routing.PeerLoads.Work;
 
 /**
@@ -86,6 +87,27 @@
         return Math.max(0, prompt.inputTokens() - cached.cachedTokens(prompt.parts()));
     }
 
+    /**
+     * Notes a prompt part that another host has sent here.
+     *
+     * @param part The part.
+     */
+    void notePart(PromptPart part) {
+        cached.note(List.of(part));
+    }
+
+    /**
+     * Returns the tokens of a prompt's shared parts that would have to be read.
+     *
+     * @param prompt The prompt.
+     * @return The tokens.
+     */
+    public long uncachedSharedTokens(Prompt prompt) {
+        List<PromptPart> shared = prompt.sharedParts();
+        long tokens = shared.stream().mapToLong(PromptPart::tokens).sum();
+        return tokens - cached.cachedTokens(shared);
+    }
+
     /**
      * Returns the work of this host.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/LoadTable.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/LoadTable.java
@@ -26,6 +26,18 @@
         return loads.computeIfAbsent(incarnation, name -> new BackendLoad(memoryTokens));
     }
 
+    /**
+     * Notes that another host has sent a prompt part to an engine.
+     *
+     * @param placed The part and the engine.
+     */
+    void notePart(PlacedPart placed) {
+        BackendLoad load = loads.get(placed.incarnation());
+        if (load != null) {
+            load.notePart(placed.part());
+        }
+    }
+
     /**
      * Forgets idle backend servers that are no longer listed.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/Prompt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/Prompt.java
@@ -19,6 +19,15 @@
         parts = List.copyOf(parts);
     }
 
+    /**
+     * Returns the parts that other requests may share.
+     *
+     * @return The parts but for the last.
+     */
+    public List<PromptPart> sharedParts() {
+        return parts.subList(0, Math.max(0, parts.size() - 1));
+    }
+
     /**
      * Returns the part by which requests that share a long start are kept together.
      *
