--- /dev/null
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/PlacementExchangeTest.java
@@ -0,0 +1,31 @@
+package org.cranberrygauge.proxy.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.cranberrygauge.proxy.ProxyFixtures;
+import org.junit.jupiter.api.Test;
+
+class PlacementExchangeTest {
+
+    private final PlacementExchange exchange = new PlacementExchange();
+
+    @Test
+    void tellsLongSharedPartsForAShortTime() {
+        exchange.placed(1_000, "engine/1", ProxyFixtures.study("document"));
+        exchange.placed(1_000, "engine/1", ProxyFixtures.chat("session"));
+        assertThat(exchange.toTell(1_600))
+                .containsExactly(new PlacedPart("engine/1", new PromptPart("document", 13_300)));
+        assertThat(exchange.toTell(1_601)).isEmpty();
+    }
+
+    @Test
+    void whatIsHeardCountsForEnginesThatAreKnown() {
+        LoadTable loads = new LoadTable();
+        loads.of("engine/1", 500_000);
+        exchange.heard(new PlacedPart("engine/1", new PromptPart("document", 13_300)));
+        exchange.heard(new PlacedPart("unknown/1", new PromptPart("document", 13_300)));
+        exchange.applyTo(loads);
+        assertThat(loads.of("engine/1", 500_000).uncachedSharedTokens(ProxyFixtures.study("document")))
+                .isZero();
+    }
+}
