Refuse ambiguous framing, answer 100-continue, remember outcomes of own calls; test the whole path over sockets

Cause of the failed AtMostOnceTest: a gateway that had answered outcome_unknown judged the next call by the log alone, which it had not read back yet. Both Content-Length and Transfer-Encoding: the decoder dropped the length before any check saw it; a stricter decoder refuses it with 400 and closes. The confirmation of the configuration was up to 2.4 s old, so that unknown keys got 503: reads now wait 0.4 of the bound.

--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/reservation/Reservations.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/reservation/Reservations.java
@@ -158,6 +158,19 @@
                 .map(winner -> verdictAgainst(winner, bodyDigest));
     }
 
+    /**
+     * Returns the reservation that holds a key.
+     *
+     * @param customer The name of the customer.
+     * @param route The path prefix of the route.
+     * @param key The digest of the idempotency key.
+     * @return The identifier of the reservation, or nothing if the key is free as far as this reader knows.
+     */
+    public Optional<String> winner(String customer, String route, String key) {
+        return Optional.ofNullable(winners.get(new Name(customer, route, key)))
+                .map(winner -> winner.reservation().reservationId());
+    }
+
     /**
      * Returns the number of remembered reservations.
      *
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -205,7 +205,7 @@
      */
     public Future<Void> start() {
         ReservationDesk desk = new ReservationDesk(
-                vertx, appender, follower.state().reservations(), settings.reservationTimeoutMillis());
+                vertx, appender::append, follower.state().reservations(), settings.reservationTimeoutMillis());
         follower.addListener(desk::accept);
         follower.addListener(this::onEffect);
         service = new ExchangeService(
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/CallerVerticle.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/CallerVerticle.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import java.util.function.Consumer;
+import org.cranberrygauge.runtime.http.StrictRequestDecoder;
 
 /**
  * Lets one event loop listen to callers.
@@ -49,7 +50,10 @@
         return vertx.createHttpServer(options)
                 .requestHandler(handler)
                 .invalidRequestHandler(handler::handleInvalid)
-                .connectionHandler(connections::opened)
+                .connectionHandler(connection -> {
+                    StrictRequestDecoder.install(connection, options);
+                    connections.opened(connection);
+                })
                 .listen()
                 .onSuccess(onListening::accept);
     }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/GatewayServers.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/GatewayServers.java
@@ -137,6 +137,7 @@
         HttpServerOptions options = options(address)
                 .setPort(address.port() == 0 ? ANY_SHARED_PORT : address.port())
                 .setHttp2ClearTextEnabled(false)
+                .setHandle100ContinueAutomatically(true)
                 .setMaxHeaderSize(settings.headerLimitBytes());
         return certificate == null ? options : options.setSsl(true).setKeyCertOptions(certificate.options());
     }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/reservation/ReservationDesk.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/reservation/ReservationDesk.java
@@ -3,32 +3,38 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
 import org.cranberrygauge.decision.reservation.ReservationVerdict;
 import org.cranberrygauge.decision.reservation.Reservations;
 import org.cranberrygauge.decision.state.Effect;
 import org.cranberrygauge.model.error.CranberrygaugeException;
 import org.cranberrygauge.model.error.ErrorCode;
+import org.cranberrygauge.model.record.LogRecord;
 import org.cranberrygauge.model.record.LogRecord.Disposition;
 import org.cranberrygauge.model.record.LogRecord.Reservation;
 import org.cranberrygauge.model.record.LogRecord.ReservationOutcome;
-import org.cranberrygauge.runtime.log.LogAppender;
 
 /**
  * Reserves calls in the log and waits until the reservation is read back.
  *
  * <p>Invariants: a call is told that it won only after its reservation was read back from the log within the timeout; a
- * call that was given up is recorded as not run, so that its key becomes free. Safe for use by several threads.
+ * call that was given up is recorded as not run, so that its key becomes free; a call that ended in this gateway is never
+ * said to run, also before its outcome is read back. Safe for use by several threads.
  */
 public final class ReservationDesk {
 
+    /** The outcomes that are remembered until they are read back. */
+    private static final int REMEMBERED_OUTCOMES = 1_024;
+
     /** The Vert.x instance. */
     private final Vertx vertx;
 
-    /** The appender. */
-    private final LogAppender appender;
+    /** Appends records to the log. */
+    private final Function<LogRecord, Future<Long>> appender;
 
     /** The table of reserved calls. */
     private final Reservations reservations;
@@ -36,6 +42,18 @@
     /** The time after which a reservation is given up in milliseconds. */
     private final long timeoutMillis;
 
+    /** The outcomes of calls that ended in this gateway, by identifier of the reservation; the newest ones. */
+    private final Map<String, ReservationOutcome> endedHere = new LinkedHashMap<>() {
+
+        /** The version of the serialized form. */
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, ReservationOutcome> eldest) {
+            return size() > REMEMBERED_OUTCOMES;
+        }
+    };
+
     /** Those that wait, by identifier of the reservation. */
     private final Map<String, Promise<ReservationVerdict>> waiting = new ConcurrentHashMap<>();
 
@@ -43,11 +61,12 @@
      * Creates a desk.
      *
      * @param vertx The Vert.x instance.
-     * @param appender The appender.
+     * @param appender Appends records to the log.
      * @param reservations The table of reserved calls.
      * @param timeoutMillis The time after which a reservation is given up in milliseconds.
      */
-    public ReservationDesk(Vertx vertx, LogAppender appender, Reservations reservations, long timeoutMillis) {
+    public ReservationDesk(
+            Vertx vertx, Function<LogRecord, Future<Long>> appender, Reservations reservations, long timeoutMillis) {
         this.vertx = vertx;
         this.appender = appender;
         this.reservations = reservations;
@@ -78,12 +97,12 @@
         Optional<ReservationVerdict> known = reservations.lookup(
                 reservation.customer(), reservation.route(), reservation.key(), reservation.bodyDigest());
         if (known.isPresent()) {
-            return Future.succeededFuture(known.get());
+            return Future.succeededFuture(withOwnOutcome(reservation, known.get()));
         }
         Promise<ReservationVerdict> promise = Promise.promise();
         waiting.put(reservation.reservationId(), promise);
         vertx.setTimer(timeoutMillis, timer -> giveUp(reservation));
-        appender.append(reservation).onFailure(failure -> {
+        appender.apply(reservation).onFailure(failure -> {
             if (waiting.remove(reservation.reservationId()) != null) {
                 promise.fail(failure);
             }
@@ -97,7 +116,38 @@
      * @param outcome The outcome.
      */
     public void record(ReservationOutcome outcome) {
-        appender.append(outcome);
+        if (outcome.disposition() != Disposition.NOT_RUN) {
+            synchronized (endedHere) {
+                endedHere.put(outcome.reservationId(), outcome);
+            }
+        }
+        appender.apply(outcome);
+    }
+
+    /**
+     * Replaces the verdict on a call that still runs, as far as the log tells, by the outcome that this gateway knows.
+     *
+     * @param reservation The later reservation of the same key.
+     * @param verdict The verdict.
+     * @return The verdict to give.
+     */
+    private ReservationVerdict withOwnOutcome(Reservation reservation, ReservationVerdict verdict) {
+        if (verdict != ReservationVerdict.Running.INSTANCE) {
+            return verdict;
+        }
+        ReservationOutcome outcome;
+        synchronized (endedHere) {
+            outcome = reservations
+                    .winner(reservation.customer(), reservation.route(), reservation.key())
+                    .map(endedHere::get)
+                    .orElse(null);
+        }
+        if (outcome == null) {
+            return verdict;
+        }
+        return outcome.disposition() == Disposition.ANSWERED
+                ? new ReservationVerdict.Answered(outcome)
+                : ReservationVerdict.Unknown.INSTANCE;
     }
 
     /**
--- /dev/null
+++ b/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/reservation/ReservationDeskTest.java
@@ -0,0 +1,71 @@
+package org.cranberrygauge.gateway.reservation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.concurrent.TimeUnit;
+import org.cranberrygauge.decision.reservation.ReservationVerdict;
+import org.cranberrygauge.decision.reservation.Reservations;
+import org.cranberrygauge.model.record.LogRecord.Disposition;
+import org.cranberrygauge.model.record.LogRecord.Reservation;
+import org.cranberrygauge.model.record.LogRecord.ReservationOutcome;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class ReservationDeskTest {
+
+    private static final Reservation FIRST = reservation("r-1");
+
+    private final Vertx vertx = Vertx.vertx();
+
+    private final Reservations reservations = new Reservations();
+
+    private final ReservationDesk desk =
+            new ReservationDesk(vertx, record -> Future.succeededFuture(1L), reservations, 60_000);
+
+    @AfterEach
+    void stop() throws Exception {
+        vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void aCallThatEndedHereIsNeverSaidToRunBeforeItsOutcomeIsReadBack() throws Exception {
+        reservations.reserve(1, 0, FIRST);
+        assertThat(again()).isEqualTo(ReservationVerdict.Running.INSTANCE);
+
+        desk.record(new ReservationOutcome("r-1", Disposition.UNKNOWN, 0, "", "", false));
+
+        assertThat(again()).isEqualTo(ReservationVerdict.Unknown.INSTANCE);
+    }
+
+    @Test
+    void anAnswerThatWasGivenHereIsRepeatedBeforeItIsReadBack() throws Exception {
+        reservations.reserve(1, 0, FIRST);
+        ReservationOutcome outcome = new ReservationOutcome("r-1", Disposition.ANSWERED, 200, "text", "body", true);
+
+        desk.record(outcome);
+
+        assertThat(again()).isEqualTo(new ReservationVerdict.Answered(outcome));
+    }
+
+    @Test
+    void anotherBodyIsStillRefused() throws Exception {
+        reservations.reserve(1, 0, FIRST);
+        desk.record(new ReservationOutcome("r-1", Disposition.UNKNOWN, 0, "", "", false));
+        Reservation other = new Reservation("r-3", "customer", "/route/", "key", "other", "gateway", 0);
+        assertThat(desk.reserve(other).toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS))
+                .isEqualTo(ReservationVerdict.OtherBody.INSTANCE);
+    }
+
+    private ReservationVerdict again() throws Exception {
+        return desk.reserve(reservation("r-2"))
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(10, TimeUnit.SECONDS);
+    }
+
+    private static Reservation reservation(String id) {
+        return new Reservation(id, "customer", "/route/", "key", "digest", "gateway", 0);
+    }
+}
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -46,8 +46,11 @@
     /** The part of the bound for withdrawn keys that is left unused, in milliseconds. */
     private static final long KEY_MARGIN_MILLIS = 250;
 
+    /** The part of the bound for configurations that a read waits for a change. */
+    private static final double CONFIGURATION_WAIT_PART = 0.4;
+
     /** The part of the bound for leaving backend servers that a pause between reads may take. */
-    private static final int LEAVING_PAUSE_PARTS = 5;
+    private static final int LEAVING_PAUSE_PARTS = 3;
 
     /** The pause between publications of this host's work, in milliseconds. */
     private static final long PUBLISH_MILLIS = 100;
@@ -175,7 +178,11 @@
         ControlTools tools = new ControlTools(vertx, time, sources.log(), board, events);
         String incarnation = Program.incarnation(settings.host(), time.wallMillis());
         new ConfigurationFollower(
-                        tools, sources.configurationTopic(), sources.configurationKey(), sources.configurations())
+                        tools,
+                        sources.configurationTopic(),
+                        sources.configurationKey(),
+                        sources.configurations(),
+                        (long) (times.configurationMillis() * CONFIGURATION_WAIT_PART))
                 .start();
         new BackendFollower(
                         tools, sources.backendTopic(), sources.backends(), times.leavingMillis() / LEAVING_PAUSE_PARTS)
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ConfigurationFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ConfigurationFollower.java
@@ -15,9 +15,6 @@
  */
 public final class ConfigurationFollower implements TopicFollower.Listener {
 
-    /** The longest time that a read waits for a change, in milliseconds; it bounds the age of the confirmation. */
-    private static final long WAIT_MILLIS = 1_200;
-
     /** The tools. */
     private final ControlTools tools;
 
@@ -27,6 +24,9 @@
     /** The key under which the configuration is kept. */
     private final String key;
 
+    /** The longest time that a read waits for a change, in milliseconds; a confirmation is at most twice as old. */
+    private final long waitMillis;
+
     /** Reads configurations. */
     private final RecordReader<ProxyConfiguration> reader;
 
@@ -37,18 +37,20 @@
      * @param topic The topic.
      * @param key The key under which the configuration is kept.
      * @param reader Reads configurations.
+     * @param waitMillis The longest time that a read waits for a change, in milliseconds.
      */
     public ConfigurationFollower(
-            ControlTools tools, String topic, String key, RecordReader<ProxyConfiguration> reader) {
+            ControlTools tools, String topic, String key, RecordReader<ProxyConfiguration> reader, long waitMillis) {
         this.tools = tools;
         this.topic = topic;
         this.key = key;
         this.reader = reader;
+        this.waitMillis = waitMillis;
     }
 
     /** Starts to follow. */
     public void start() {
-        new TopicFollower(tools, topic, WAIT_MILLIS, 0, this).run();
+        new TopicFollower(tools, topic, waitMillis, 0, this).run();
     }
 
     @Override
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
@@ -151,13 +151,13 @@
             return;
         }
         response = answer;
+        answer.exceptionHandler(failure -> broken(String.valueOf(failure.getMessage())));
         AnswerHead head = dialect.readAnswer(answer.headers());
         if (head.requestId().filter(id -> !id.equals(request.id())).isPresent()) {
             broken("answer names another request");
             return;
         }
         if (head.notRun()) {
-            answer.exceptionHandler(failure -> {});
             fail(AttemptOutcome.NOT_RUN, "status " + answer.statusCode());
             return;
         }
@@ -166,7 +166,6 @@
             broken("success without a receipt");
             return;
         }
-        answer.exceptionHandler(failure -> broken(String.valueOf(failure.getMessage())));
         if (success && request.route().kind().streams()) {
             readStream(answer);
         } else {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
@@ -105,6 +105,18 @@
         });
     }
 
+    /**
+     * Answers what can't be read as a request; what follows on the connection can't be trusted.
+     *
+     * @param request What was read.
+     */
+    void handleInvalid(HttpServerRequest request) {
+        CallerReply reply = new CallerReply(request, tools.board()::draining);
+        reply.closeAfterAnswer();
+        CallerHead head = tools.dialect().readCaller(request.headers());
+        reject(tools.time().monotonicMillis(), request, reply, head, RejectReason.BAD_REQUEST);
+    }
+
     /**
      * Reads the body up to a limit.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/FrontServer.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/FrontServer.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.cranberrygauge.model.backend.NetworkAddress;
+import org.cranberrygauge.runtime.http.StrictRequestDecoder;
 
 /**
  * The server that callers connect to.
@@ -38,16 +39,20 @@
      * @param handler Takes requests.
      */
     public FrontServer(Vertx vertx, CallerHandler handler) {
-        server = vertx.createHttpServer(new HttpServerOptions()
-                        .setTcpNoDelay(true)
-                        .setAcceptBacklog(BACKLOG)
-                        .setMaxHeaderSize(HEAD_BYTES)
-                        .setMaxInitialLineLength(LINE_BYTES)
-                        .setHandle100ContinueAutomatically(true))
+        HttpServerOptions options = new HttpServerOptions()
+                .setHttp2ClearTextEnabled(false)
+                .setTcpNoDelay(true)
+                .setAcceptBacklog(BACKLOG)
+                .setMaxHeaderSize(HEAD_BYTES)
+                .setMaxInitialLineLength(LINE_BYTES)
+                .setHandle100ContinueAutomatically(true);
+        server = vertx.createHttpServer(options)
                 .connectionHandler(connection -> {
+                    StrictRequestDecoder.install(connection, options);
                     connections.add(connection);
                     connection.closeHandler(closed -> connections.remove(connection));
                 })
+                .invalidRequestHandler(handler::handleInvalid)
                 .requestHandler(handler);
     }
 
--- a/cranberrygauge-verification/src/test/java/org/cranberrygauge/verification/path/BadInputTest.java
+++ b/cranberrygauge-verification/src/test/java/org/cranberrygauge/verification/path/BadInputTest.java
@@ -251,6 +251,28 @@
                 .isEqualTo(TokenText.answer(TokenText.digest("a b"), 2));
     }
 
+    @Test
+    void refusesAmbiguousFramingAndReadsNothingAfterIt() throws Exception {
+        String smuggled = "GET /v1/models HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + KEY + "\r\n\r\n";
+
+        String answer = raw("POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + KEY
+                + "\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled);
+
+        assertThat(answer).startsWith("HTTP/1.1 400");
+        assertThat(answer.indexOf("HTTP/1.1", 1)).isEqualTo(-1);
+    }
+
+    @Test
+    void tellsACallerThatExpectsItToContinue() throws Exception {
+        String body = new ChatPrompt("a", 1).body(false);
+
+        String answer = raw("POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + KEY
+                + "\r\nExpect: 100-continue\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                + body);
+
+        assertThat(answer).startsWith("HTTP/1.1 100 Continue").contains("HTTP/1.1 200");
+    }
+
     @Test
     void keepsServingAnIdleConnectionAfterARefusal() throws Exception {
         assertRefused(bench.chat(0, KEY, "{"), 400, "invalid_request");
