--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicReference;
 import org.cranberrygauge.proxy.admission.RequestGate;
 import org.cranberrygauge.proxy.configuration.ConfigurationView;
@@ -219,7 +220,7 @@
                 board,
                 new BackendClient(vertx),
                 sources.dialect(),
-                new BackendChooser(settings.dataCentre(), loads),
+                new BackendChooser(settings.dataCentre(), loads, new SplittableRandom()),
                 loads,
                 placements,
                 lines,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
+import java.util.random.RandomGenerator;
 import org.cranberrygauge.decision.topology.RendezvousHash;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.configuration.Pool;
@@ -64,6 +65,9 @@
      */
     private static final double SHARED_AGAIN_FACTOR = 3;
 
+    /** The random part of the cost of short prompts, so that hosts with the same view of loads don't choose alike. */
+    private static final double SPREAD_PART = 0.5;
+
     /** The cost of leaving the data centre, in milliseconds. */
     private static final double OTHER_DATA_CENTRE_MILLIS = 25;
 
@@ -82,15 +86,20 @@
     /** The loads by this host's own requests. */
     private final LoadTable loads;
 
+    /** The source of randomness. */
+    private final RandomGenerator random;
+
     /**
      * Creates a chooser.
      *
      * @param dataCentre The data centre of this host.
      * @param loads The loads by this host's own requests.
+     * @param random The source of randomness.
      */
-    public BackendChooser(String dataCentre, LoadTable loads) {
+    public BackendChooser(String dataCentre, LoadTable loads, RandomGenerator random) {
         this.dataCentre = dataCentre;
         this.loads = loads;
+        this.random = random;
     }
 
     /**
@@ -179,6 +188,9 @@
         return backend -> {
             double cost = engineCost(
                     pool, backend, prompt, peers, backend.incarnation().equals(home));
+            if (EngineLanes.isShort(prompt)) {
+                cost *= 1 + SPREAD_PART * random.nextDouble();
+            }
             return lane.contains(backend) ? cost : cost + OTHER_LANE_MILLIS;
         };
     }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendChooserTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendChooserTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.cranberrygauge.model.backend.Supply;
 import org.cranberrygauge.proxy.ProxyFixtures;
 import org.cranberrygauge.proxy.backend.Backend;
@@ -22,13 +23,13 @@
 
     private final LoadTable loads = new LoadTable();
 
-    private final BackendChooser chooser = new BackendChooser("east-a", loads);
+    private final BackendChooser chooser = new BackendChooser("east-a", loads, new SplittableRandom(1));
 
     private final List<Backend> engines = engines(8);
 
     @Test
     void hostsThatDoNotTalkSendADocumentToTheSameEngine() {
-        BackendChooser other = new BackendChooser("east-a", new LoadTable());
+        BackendChooser other = new BackendChooser("east-a", new LoadTable(), new SplittableRandom(2));
         for (int document = 0; document < 30; document++) {
             Prompt prompt = ProxyFixtures.study("document-" + document);
             assertThat(choose(chooser, prompt, PeerLoads.ALONE).backend())
@@ -81,6 +82,33 @@
         }
     }
 
+    @Test
+    void hostsWithTheSameOldViewOfLoadsSpreadABurstOfChats() {
+        List<Backend> many = engines(40);
+        Map<String, Work> work = new HashMap<>();
+        for (int index = 0; index < many.size(); index++) {
+            work.put(many.get(index).incarnation(), new Work(10, 1_000, 14_000 + index * 10L, 10));
+        }
+        PeerLoads peers = new PeerLoads(work, 32);
+        Map<Backend, Integer> chosen = new HashMap<>();
+        for (int host = 0; host < 32; host++) {
+            BackendChooser other = new BackendChooser("east-a", new LoadTable(), new SplittableRandom(host));
+            chosen.merge(
+                    other.choose(
+                                    1_000,
+                                    ProxyFixtures.ENGINES,
+                                    many,
+                                    Set.of(),
+                                    ProxyFixtures.chat("session-" + host),
+                                    peers)
+                            .orElseThrow()
+                            .backend(),
+                    1,
+                    Integer::sum);
+        }
+        assertThat(chosen.values()).allSatisfy(count -> assertThat(count).isLessThanOrEqualTo(10));
+    }
+
     @Test
     void aBurstOfStudiesWaitsOnceAllEnginesReadMostOfTheTime() {
         Map<String, Work> work = new HashMap<>();
