--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
@@ -44,8 +44,11 @@
     /** The part of the time for which a long prompt holds up each short request beside it that counts as its cost. */
     private static final double HOLD_UP_PART = 0.5;
 
-    /** The cost of an engine that is meant for other prompts, in milliseconds. */
-    private static final double OTHER_LANE_MILLIS = 60;
+    /** The cost of an engine for long prompts to a short one, in milliseconds. */
+    private static final double LONG_LANE_MILLIS = 400;
+
+    /** The cost of an engine for short prompts to a long one, which would hold up all that run there, in milliseconds. */
+    private static final double SHORT_LANE_MILLIS = 5_000;
 
     /** The wait for each request beyond the slots, in milliseconds. */
     private static final double MILLIS_PER_QUEUED = 120;
@@ -60,10 +63,10 @@
     private static final double HOME_PART = 0.4;
 
     /**
-     * The times that shared tokens count which are read again outside their home: they take the room of other cached parts,
-     * and later requests that share them find two engines with half of the use each.
+     * The highest number of times that shared tokens count which an engine would read again. They count once more for each
+     * engine that comes before it among the homes of the prompt, so that only prompts in great demand spread.
      */
-    private static final double SHARED_AGAIN_FACTOR = 3;
+    private static final int MOST_TIMES_AGAIN = 10;
 
     /** The random part of the cost of short prompts, so that hosts with the same view of loads don't choose alike. */
     private static final double SPREAD_PART = 0.5;
@@ -115,10 +118,8 @@
      */
     public Optional<Choice> choose(
             long nowMillis, Pool pool, List<Backend> ready, Set<String> tried, Prompt prompt, PeerLoads peers) {
-        String home = home(ready, prompt);
         ToDoubleFunction<Backend> cost = pool.engine().isPresent()
-                ? backend -> engineCost(
-                        pool, backend, prompt, peers, backend.incarnation().equals(home))
+                ? engineCosts(pool, ready, prompt, peers)
                 : backend -> serviceCost(backend, peers);
         Backend best = null;
         double bestCost = Double.MAX_VALUE;
@@ -159,18 +160,15 @@
     }
 
     /**
-     * Returns the home of a prompt.
+     * Ranks the homes of a prompt.
      *
-     * @param ready The backend servers that take new work.
+     * @param lane The engines that are meant for it.
      * @param prompt The prompt.
-     * @return The incarnation of the home, or an empty text if the prompt has none.
+     * @return The engines, the first home first; empty if the prompt shares nothing.
      */
-    private static String home(List<Backend> ready, Prompt prompt) {
+    private static List<Backend> homes(List<Backend> lane, Prompt prompt) {
         String key = prompt.affinityKey();
-        if (key.isEmpty() || ready.isEmpty()) {
-            return "";
-        }
-        return RendezvousHash.ranked(key, ready, Backend::incarnation).get(0).incarnation();
+        return key.isEmpty() ? List.of() : RendezvousHash.ranked(key, lane, Backend::incarnation);
     }
 
     /**
@@ -184,14 +182,15 @@
      */
     private ToDoubleFunction<Backend> engineCosts(Pool pool, List<Backend> ready, Prompt prompt, PeerLoads peers) {
         List<Backend> lane = EngineLanes.split(ready).of(prompt);
-        String home = home(lane, prompt);
+        List<Backend> homes = homes(lane, prompt);
         return backend -> {
-            double cost = engineCost(
-                    pool, backend, prompt, peers, backend.incarnation().equals(home));
-            if (EngineLanes.isShort(prompt)) {
-                cost *= 1 + SPREAD_PART * random.nextDouble();
+            int home = homes.indexOf(backend);
+            double cost = engineCost(pool, backend, prompt, peers, home < 0 ? MOST_TIMES_AGAIN : home);
+            if (!EngineLanes.isShort(prompt)) {
+                return lane.contains(backend) ? cost : cost + SHORT_LANE_MILLIS;
             }
-            return lane.contains(backend) ? cost : cost + OTHER_LANE_MILLIS;
+            cost *= 1 + SPREAD_PART * random.nextDouble();
+            return lane.contains(backend) ? cost : cost + LONG_LANE_MILLIS;
         };
     }
 
@@ -202,20 +201,18 @@
      * @param backend The engine.
      * @param prompt The prompt.
      * @param peers The work of the other hosts.
-     * @param atHome Whether the engine is the prompt's home.
+     * @param home The place of the engine among the homes of the prompt, from 0.
      * @return The cost in milliseconds.
      */
-    private double engineCost(Pool pool, Backend backend, Prompt prompt, PeerLoads peers, boolean atHome) {
+    private double engineCost(Pool pool, Backend backend, Prompt prompt, PeerLoads peers, int home) {
         BackendLoad load = load(pool, backend);
         Work work = load.work().plus(peers.at(backend.incarnation()));
-        double uncached = load.uncachedTokens(prompt) * (atHome ? HOME_PART : 1);
+        double uncached = load.uncachedTokens(prompt) * (home == 0 ? HOME_PART : 1);
         double reading = work.heldTokens() / (work.heldTokens() + HALF_READING_TOKENS);
         double step = STEP_MILLIS + STEP_MILLIS_PER_RUNNING * work.running() + READING_STEP_MILLIS * reading;
         double cost = (work.unreadTokens() + uncached) / READ_TOKENS_PER_MILLI;
         cost += prompt.outputTokens() * step * OUTPUT_PART;
-        if (!atHome) {
-            cost += load.uncachedSharedTokens(prompt) / READ_TOKENS_PER_MILLI * SHARED_AGAIN_FACTOR;
-        }
+        cost += load.uncachedSharedTokens(prompt) / READ_TOKENS_PER_MILLI * Math.min(MOST_TIMES_AGAIN, home);
         if (!EngineLanes.isShort(prompt)) {
             cost += work.shortRunning() * uncached / READ_TOKENS_PER_MILLI * HOLD_UP_PART;
         }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendChooserTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendChooserTest.java
@@ -82,6 +82,31 @@
         }
     }
 
+    @Test
+    void studiesAndChatsGoToEnginesOfTheirOwnAlsoWithoutAnyLoad() {
+        EngineLanes lanes = EngineLanes.split(engines);
+        for (int number = 0; number < 40; number++) {
+            assertThat(lanes.longPrompts())
+                    .contains(choose(chooser, ProxyFixtures.study("document-" + number), PeerLoads.ALONE)
+                            .backend());
+            assertThat(lanes.shortPrompts())
+                    .contains(choose(chooser, ProxyFixtures.chat("session-" + number), PeerLoads.ALONE)
+                            .backend());
+        }
+    }
+
+    @Test
+    void aDocumentInGreatDemandSpreadsOverFewEngines() {
+        Prompt prompt = ProxyFixtures.study("document");
+        Set<Backend> used = new HashSet<>();
+        for (int number = 0; number < 40; number++) {
+            Backend chosen = choose(chooser, prompt, PeerLoads.ALONE).backend();
+            loads.of(chosen.incarnation(), MEMORY).place(prompt);
+            used.add(chosen);
+        }
+        assertThat(used).hasSizeBetween(2, 4);
+    }
+
     @Test
     void hostsWithTheSameOldViewOfLoadsSpreadABurstOfChats() {
         List<Backend> many = engines(40);
