--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/reservation/ReservationDesk.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/reservation/ReservationDesk.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.Function;
 import org.cranberrygauge.decision.reservation.ReservationVerdict;
 import org.cranberrygauge.decision.reservation.Reservations;
 import org.cranberrygauge.decision.state.Effect;
@@ -34,7 +33,7 @@
     private final Vertx vertx;
 
     /** Appends records to the log. */
-    private final Function<LogRecord, Future<Long>> appender;
+    private final RecordAppender appender;
 
     /** The table of reserved calls. */
     private final Reservations reservations;
@@ -65,8 +64,7 @@
      * @param reservations The table of reserved calls.
      * @param timeoutMillis The time after which a reservation is given up in milliseconds.
      */
-    public ReservationDesk(
-            Vertx vertx, Function<LogRecord, Future<Long>> appender, Reservations reservations, long timeoutMillis) {
+    public ReservationDesk(Vertx vertx, RecordAppender appender, Reservations reservations, long timeoutMillis) {
         this.vertx = vertx;
         this.appender = appender;
         this.reservations = reservations;
@@ -102,7 +100,7 @@
         Promise<ReservationVerdict> promise = Promise.promise();
         waiting.put(reservation.reservationId(), promise);
         vertx.setTimer(timeoutMillis, timer -> giveUp(reservation));
-        appender.apply(reservation).onFailure(failure -> {
+        appender.append(reservation).onFailure(failure -> {
             if (waiting.remove(reservation.reservationId()) != null) {
                 promise.fail(failure);
             }
@@ -121,7 +119,7 @@
                 endedHere.put(outcome.reservationId(), outcome);
             }
         }
-        appender.apply(outcome);
+        appender.append(outcome);
     }
 
     /**
@@ -164,4 +162,17 @@
         promise.fail(
                 new CranberrygaugeException(ErrorCode.LOG_UNAVAILABLE, "the log did not take the reservation in time"));
     }
+
+    /** Appends records to the log. */
+    @FunctionalInterface
+    public interface RecordAppender {
+
+        /**
+         * Appends a record.
+         *
+         * @param record The record.
+         * @return The offset of its entry.
+         */
+        Future<Long> append(LogRecord record);
+    }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -18,6 +18,7 @@
 import org.cranberrygauge.proxy.control.PeerLink;
 import org.cranberrygauge.proxy.control.UsageDesk;
 import org.cranberrygauge.proxy.control.UsageShipper;
+import org.cranberrygauge.proxy.duty.SteadyTimeSource;
 import org.cranberrygauge.proxy.duty.UsageCounter;
 import org.cranberrygauge.proxy.exchange.BackendClient;
 import org.cranberrygauge.proxy.exchange.CallerHandler;
@@ -71,6 +72,9 @@
     /** The clocks. */
     private final TimeSource time;
 
+    /** The clocks by which usage is counted. */
+    private final TimeSource usageTime;
+
     /** The event log. */
     private final EventLog events;
 
@@ -110,6 +114,7 @@
         this.vertx = vertx;
         this.time = time;
         this.events = events;
+        this.usageTime = new SteadyTimeSource(time);
         this.control = vertx.getOrCreateContext();
         this.traffic = vertx.getOrCreateContext();
     }
@@ -190,9 +195,10 @@
                 .start();
         duty = new DutyKeeper(tools, incarnation, times.leaseMillis());
         duty.run();
-        shipper = new UsageShipper(tools, usage, incarnation, times.usageWindowMillis());
+        ControlTools usageTools = new ControlTools(vertx, usageTime, sources.log(), board, events);
+        shipper = new UsageShipper(usageTools, usage, incarnation, times.usageWindowMillis());
         shipper.start();
-        new UsageDesk(tools, duty, sources.duties(), times.usageWindowMillis()).start();
+        new UsageDesk(usageTools, duty, sources.duties(), times.usageWindowMillis()).start();
         new FleetDesk(tools, duty, sources.duties(), ownWork).start();
         return new PeerLink(tools, settings.host(), settings.peers(), time.wallMillis(), crashes, placements, ownWork)
                 .start();
@@ -227,6 +233,7 @@
                 new PoolBudgets(times.retryWindowMillis(), times.retryRatio(), times.retryExtra()),
                 crashes,
                 usage,
+                usageTime,
                 metrics,
                 events);
         RequestGate gate = new RequestGate(keyBoundMillis(), times.configurationMillis());
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
@@ -126,7 +126,7 @@
     private void failed(Throwable failure) {
         watch.failed(tools.time().monotonicMillis(), String.valueOf(failure.getMessage()));
         listener.failed();
-        if (failure instanceof SharedLogException && ((SharedLogException) failure).kind() == Kind.TRIMMED) {
+        if (failure instanceof SharedLogException known && known.kind() == Kind.TRIMMED) {
             next = -1;
         }
         tools.vertx().setTimer(retryMillis, fired -> run());
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageDesk.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageDesk.java
@@ -215,8 +215,8 @@
      */
     private Future<LogSlice> read(String topic, long from) {
         return tools.log().read(topic, from, 0).recover(failure -> {
-            if (failure instanceof SharedLogException && ((SharedLogException) failure).kind() == Kind.TRIMMED) {
-                return tools.log().read(topic, ((SharedLogException) failure).firstOffset(), 0);
+            if (failure instanceof SharedLogException known && known.kind() == Kind.TRIMMED) {
+                return tools.log().read(topic, known.firstOffset(), 0);
             }
             return Future.failedFuture(failure);
         });
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -15,7 +15,6 @@
 import org.cranberrygauge.proxy.retry.RetryRule;
 import org.cranberrygauge.proxy.routing.BackendChooser;
 import org.cranberrygauge.proxy.routing.BackendChooser.Choice;
-import org.cranberrygauge.proxy.routing.BackendLoad;
 import org.cranberrygauge.proxy.routing.BackendLoad.Placement;
 
 /**
@@ -26,12 +25,6 @@
  */
 final class Exchange implements BackendAttempt.Listener {
 
-    /** The label of requests without a customer. */
-    private static final String NO_CUSTOMER = "-";
-
-    /** The part of its time that a request may wait for room. */
-    private static final double WAITING_PART = 0.4;
-
     /** The tools. */
     private final ExchangeTools tools;
 
@@ -41,6 +34,9 @@
     /** The answer to the caller. */
     private final CallerReply reply;
 
+    /** Tells what becomes of the request. */
+    private final ExchangeReport report;
+
     /** The incarnations of backend servers that were tried. */
     private final Set<String> tried = new HashSet<>();
 
@@ -62,15 +58,6 @@
     /** The monotonic time at which the attempt in progress started. */
     private long attemptMillis;
 
-    /** The predicted cost of the first choice in milliseconds. */
-    private long costMillis = -1;
-
-    /** The time to the first event or whole answer in milliseconds; -1 before it. */
-    private long firstMillis = -1;
-
-    /** Whether the request was counted as one that began to run. */
-    private boolean counted;
-
     /** Whether the request's bytes went out on the connection of the attempt in progress. */
     private boolean sent;
 
@@ -94,6 +81,7 @@
         this.tools = tools;
         this.request = request;
         this.reply = reply;
+        this.report = new ExchangeReport(tools, request);
         this.lastEventId = request.head().lastEventId();
     }
 
@@ -140,25 +128,25 @@
     @Override
     public void streamEnd(int status, MultiMap headers) {
         begin(status, headers);
-        load(attempt.backend()).noteSuccess();
+        tools.load(request.pool(), attempt.backend()).noteSuccess();
         reply.endStream();
         end("served", status);
     }
 
     @Override
     public void whole(WholeAnswer answer) {
-        countUsage();
+        report.began();
         if (answer.isServerError()) {
             failure = Optional.of(answer);
             failed(AttemptOutcome.SERVER_ERROR, "status " + answer.status());
             return;
         }
-        load(attempt.backend()).noteSuccess();
+        tools.load(request.pool(), attempt.backend()).noteSuccess();
         if (history.streaming()) {
             cut("resumed_with_status");
             return;
         }
-        noteFirst();
+        report.first(now());
         passOn(answer, "served");
     }
 
@@ -177,17 +165,7 @@
         if (next == NextStep.TRY_ANOTHER && !another) {
             next = RetryRule.withoutAnother(history, outcome);
         }
-        tools.metrics().attemptFailed(request.pool().name(), outcome.name());
-        tools.events()
-                .emit(new ExchangeEvents.AttemptFailed(
-                        request.id(),
-                        backend.id(),
-                        outcome.name(),
-                        detail,
-                        next.name(),
-                        history.sent(),
-                        remaining,
-                        now - attemptMillis));
+        report.attemptFailed(backend, outcome, detail, next, history, remaining, now - attemptMillis);
         follow(next, outcome);
     }
 
@@ -231,9 +209,9 @@
      * @param now The present monotonic time in milliseconds.
      */
     private void noteFailure(Backend backend, AttemptOutcome outcome, long now) {
-        load(backend).noteFailure(now);
+        tools.load(request.pool(), backend).noteFailure(now);
         if (outcome == AttemptOutcome.BROKEN && !request.route().kind().streams()) {
-            countUsage();
+            report.began();
         }
         if (outcome == AttemptOutcome.BROKEN || outcome == AttemptOutcome.STREAM_BROKEN) {
             tools.crashes().note(now, request.fingerprint());
@@ -271,7 +249,7 @@
             return false;
         }
         if (choice.get().crowded() && history.sent() == 0) {
-            joinLine(now, choice.get());
+            joinLine(choice.get());
             return true;
         }
         send(now, choice.get());
@@ -279,22 +257,22 @@
     }
 
     /**
-     * Lets the request wait for room, or refuses it if the line is too long.
+     * Lets the request wait for room.
      *
-     * @param now The present monotonic time in milliseconds.
      * @param choice The best choice, which has no room.
      */
-    private void joinLine(long now, Choice choice) {
+    private void joinLine(Choice choice) {
         if (waiting) {
             return;
         }
         waiting = true;
-        long tokens = load(choice.backend()).uncachedTokens(request.head().prompt());
+        long tokens = tools.load(request.pool(), choice.backend())
+                .uncachedTokens(request.head().prompt());
         long readMillis = (long) (tokens / BackendChooser.READ_TOKENS_PER_MILLI);
-        long onTime = request.receivedMillis() + request.route().targetMillis() - readMillis;
-        long wait = request.endMillis() - request.receivedMillis();
-        long giveUp = request.receivedMillis() + (long) (wait * WAITING_PART);
-        tools.lines().of(request.pool().name()).add(new Entry<>(this, request.urgency(), tokens, onTime, giveUp));
+        tools.lines()
+                .of(request.pool().name())
+                .add(new Entry<>(
+                        this, request.urgency(), tokens, request.onTimeMillis() - readMillis, request.giveUpMillis()));
     }
 
     /**
@@ -343,11 +321,9 @@
      */
     private void send(long now, Choice choice) {
         Backend backend = choice.backend();
-        if (costMillis < 0) {
-            costMillis = (long) choice.costMillis();
-        }
+        report.chosen(choice);
         tried.add(backend.incarnation());
-        placement = load(backend).place(request.head().prompt());
+        placement = tools.load(request.pool(), backend).place(request.head().prompt());
         tools.placements().placed(now, backend.incarnation(), request.head().prompt());
         attempt = new BackendAttempt(tools.dialect(), request, backend, this);
         attemptMillis = now;
@@ -363,32 +339,17 @@
      */
     private void begin(int status, MultiMap headers) {
         placement.started();
-        countUsage();
+        report.began();
         if (history.streaming()) {
             return;
         }
         history = history.withStart();
-        noteFirst();
+        report.first(now());
         MultiMap passed = MultiMap.caseInsensitiveMultiMap();
         tools.dialect().copyAnswer(headers, passed);
         reply.startStream(status, passed);
     }
 
-    /** Notes the time to the first event or the whole answer. */
-    private void noteFirst() {
-        firstMillis = now() - request.receivedMillis();
-        tools.metrics().first(request.route().name(), customer(), firstMillis);
-    }
-
-    /** Counts the request as one that began to run, once. */
-    private void countUsage() {
-        if (counted) {
-            return;
-        }
-        counted = true;
-        request.customer().ifPresent(name -> tools.usage().count(tools.time().wallMillis(), name));
-    }
-
     /**
      * Passes on a whole answer.
      *
@@ -428,12 +389,7 @@
             return;
         }
         boolean mayHaveRun = history.mayHaveRun() || sent;
-        if (attempt != null) {
-            attempt.abandon();
-            if (sent && !request.route().kind().streams()) {
-                countUsage();
-            }
-        }
+        abandonAttempt();
         if (history.streaming()) {
             cut("timed_out_midway");
             return;
@@ -441,17 +397,23 @@
         reject(mayHaveRun ? RejectReason.TIMED_OUT : RejectReason.EXPIRED);
     }
 
+    /** Ends the attempt in progress, whose request may have run if it was sent. */
+    private void abandonAttempt() {
+        if (attempt == null) {
+            return;
+        }
+        attempt.abandon();
+        if (sent && !request.route().kind().streams()) {
+            report.began();
+        }
+    }
+
     /** Ends the request since its caller has left. */
     private void callerGone() {
         if (over) {
             return;
         }
-        if (attempt != null) {
-            attempt.abandon();
-            if (sent && !request.route().kind().streams()) {
-                countUsage();
-            }
-        }
+        abandonAttempt();
         end("caller_left", 0);
     }
 
@@ -471,41 +433,8 @@
         if (placement != null) {
             placement.end();
         }
-        tools.metrics().ended(request.route().name(), customer(), outcome);
-        tools.events()
-                .emit(new ExchangeEvents.RequestEnded(
-                        request.id(),
-                        request.route().name(),
-                        customer(),
-                        request.urgency(),
-                        outcome,
-                        status,
-                        attempt == null ? "-" : attempt.backend().id(),
-                        history.sent() + (sent ? 1 : 0),
-                        costMillis,
-                        firstMillis,
-                        now() - request.receivedMillis()));
-    }
-
-    /**
-     * Returns the customer.
-     *
-     * @return The name of the customer, or a dash.
-     */
-    private String customer() {
-        return request.customer().orElse(NO_CUSTOMER);
-    }
-
-    /**
-     * Returns the load of a backend server.
-     *
-     * @param backend The backend server.
-     * @return The load.
-     */
-    private BackendLoad load(Backend backend) {
-        long memory =
-                request.pool().engine().map(engine -> engine.memoryTokens()).orElse(0L);
-        return tools.loads().of(backend.incarnation(), memory);
+        String backend = attempt == null ? "-" : attempt.backend().id();
+        report.ended(now(), outcome, status, backend, history.sent() + (sent ? 1 : 0));
     }
 
     /**
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeTools.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeTools.java
@@ -1,9 +1,13 @@
 package org.cranberrygauge.proxy.exchange;
 
 import io.vertx.core.Vertx;
+import org.cranberrygauge.proxy.backend.Backend;
+import org.cranberrygauge.proxy.configuration.EngineLimits;
+import org.cranberrygauge.proxy.configuration.Pool;
 import org.cranberrygauge.proxy.duty.UsageCounter;
 import org.cranberrygauge.proxy.retry.CrashRegister;
 import org.cranberrygauge.proxy.routing.BackendChooser;
+import org.cranberrygauge.proxy.routing.BackendLoad;
 import org.cranberrygauge.proxy.routing.LoadTable;
 import org.cranberrygauge.proxy.routing.PlacementExchange;
 import org.cranberrygauge.runtime.event.EventLog;
@@ -24,6 +28,7 @@
  * @param budgets The budgets of repeats.
  * @param crashes The requests that crash backend servers.
  * @param usage Counts the requests that began to run.
+ * @param usageTime The clocks by which they are counted.
  * @param metrics The metrics.
  * @param events The event log.
  */
@@ -40,5 +45,20 @@
         PoolBudgets budgets,
         CrashRegister crashes,
         UsageCounter usage,
+        TimeSource usageTime,
         ExchangeMetrics metrics,
-        EventLog events) {}
+        EventLog events) {
+
+    /**
+     * Returns the load of a backend server.
+     *
+     * @param pool Its pool.
+     * @param backend The backend server.
+     * @return The load.
+     */
+    BackendLoad load(Pool pool, Backend backend) {
+        return loads.of(
+                backend.incarnation(),
+                pool.engine().map(EngineLimits::memoryTokens).orElse(0L));
+    }
+}
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
@@ -40,12 +40,33 @@
         long receivedMillis,
         long endMillis) {
 
+    /** The part of its time that a request may wait for room. */
+    private static final double WAITING_PART = 0.4;
+
     /** The start of the FNV-1a hash. */
     private static final long FNV_OFFSET = 0xcbf29ce484222325L;
 
     /** The factor of the FNV-1a hash. */
     private static final long FNV_PRIME = 0x100000001b3L;
 
+    /**
+     * Returns the time up to which the first event is on time.
+     *
+     * @return The monotonic time in milliseconds.
+     */
+    public long onTimeMillis() {
+        return receivedMillis + route.targetMillis();
+    }
+
+    /**
+     * Returns the time up to which the request may wait for room.
+     *
+     * @return The monotonic time in milliseconds.
+     */
+    public long giveUpMillis() {
+        return receivedMillis + (long) ((endMillis - receivedMillis) * WAITING_PART);
+    }
+
     /**
      * Returns a hash by which a repeat of the same request by the same customer is recognised.
      *
--- /dev/null
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/duty/SteadyTimeSourceTest.java
@@ -0,0 +1,54 @@
+package org.cranberrygauge.proxy.duty;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.cranberrygauge.runtime.time.TimeSource;
+import org.junit.jupiter.api.Test;
+
+class SteadyTimeSourceTest {
+
+    private static final long EPOCH = 1_000_000;
+
+    private long now;
+
+    private long jump;
+
+    private final TimeSource steady = new SteadyTimeSource(new TimeSource() {
+        @Override
+        public long monotonicMillis() {
+            return now;
+        }
+
+        @Override
+        public long wallMillis() {
+            return EPOCH + now + jump;
+        }
+    });
+
+    @Test
+    void ignoresAJumpThatGoesBack() {
+        jump = 2_000;
+        now = 100;
+        assertThat(steady.wallMillis()).isEqualTo(EPOCH + 100);
+        now = 6_000;
+        assertThat(steady.wallMillis()).isEqualTo(EPOCH + 6_000);
+        jump = 0;
+        assertThat(steady.wallMillis()).isEqualTo(EPOCH + 6_000);
+    }
+
+    @Test
+    void takesOverAJumpThatLasts() {
+        jump = -3_000;
+        now = 100;
+        steady.wallMillis();
+        now = 12_100;
+        assertThat(steady.wallMillis()).isEqualTo(EPOCH + 12_100 - 3_000);
+    }
+
+    @Test
+    void followsSmallCorrections() {
+        jump = 200;
+        now = 100;
+        assertThat(steady.wallMillis()).isEqualTo(EPOCH + 300);
+    }
+}
--- a/cranberrygauge-verification/src/test/java/org/cranberrygauge/verification/ArchitectureTest.java
+++ b/cranberrygauge-verification/src/test/java/org/cranberrygauge/verification/ArchitectureTest.java
@@ -22,6 +22,10 @@
             .definedBy("org.cranberrygauge.protocol..")
             .layer("runtime")
             .definedBy("org.cranberrygauge.runtime..")
+            .layer("proxy")
+            .definedBy("org.cranberrygauge.proxy..")
+            .layer("platform")
+            .definedBy("org.cranberrygauge.platform..")
             .layer("gateway")
             .definedBy("org.cranberrygauge.gateway..")
             .layer("controller")
@@ -36,6 +40,10 @@
             .mayNotBeAccessedByAnyLayer()
             .whereLayer("emulator")
             .mayOnlyBeAccessedByLayers("verification")
+            .whereLayer("platform")
+            .mayNotBeAccessedByAnyLayer()
+            .whereLayer("proxy")
+            .mayOnlyBeAccessedByLayers("platform", "verification")
             .whereLayer("gateway")
             .mayOnlyBeAccessedByLayers("verification")
             .whereLayer("controller")
@@ -43,7 +51,8 @@
             .whereLayer("operator")
             .mayOnlyBeAccessedByLayers("verification")
             .whereLayer("runtime")
-            .mayOnlyBeAccessedByLayers("gateway", "controller", "operator", "emulator", "verification");
+            .mayOnlyBeAccessedByLayers(
+                    "proxy", "platform", "gateway", "controller", "operator", "emulator", "verification");
 
     @ArchTest
     static final ArchRule THE_MODEL_DEPENDS_ON_NOTHING_ELSE = noClasses()
