--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -25,6 +25,7 @@
 import org.cranberrygauge.proxy.exchange.ExchangeMetrics;
 import org.cranberrygauge.proxy.exchange.ExchangeTools;
 import org.cranberrygauge.proxy.exchange.FrontServer;
+import org.cranberrygauge.proxy.exchange.HostMetrics;
 import org.cranberrygauge.proxy.exchange.PoolBudgets;
 import org.cranberrygauge.proxy.exchange.PoolLines;
 import org.cranberrygauge.proxy.exchange.ProxyBoard;
@@ -218,8 +219,7 @@
         LoadTable loads = new LoadTable();
         PoolLines lines = new PoolLines();
         ExchangeMetrics metrics = new ExchangeMetrics(registry);
-        registerGauges(metrics);
-        metrics.gauge("cranberrygauge_proxy_waiting_requests", "Requests that wait for room.", lines::size);
+        HostMetrics hostMetrics = new HostMetrics(registry);
         ExchangeTools tools = new ExchangeTools(
                 vertx,
                 time,
@@ -242,6 +242,7 @@
             placements.applyTo(loads);
             ownWork.set(loads.work());
             loads.forgetUnlisted(board.backends());
+            publish(hostMetrics, lines.size());
         });
         return new FrontServer(vertx, new CallerHandler(tools, gate))
                 .listen(settings.front())
@@ -250,35 +251,20 @@
     }
 
     /**
-     * Registers the values that are read when metrics are fetched.
+     * Publishes what the host has in hand and believes as metrics.
      *
      * @param metrics The metrics.
+     * @param waiting The requests that wait for room.
      */
-    private void registerGauges(ExchangeMetrics metrics) {
-        metrics.gauge(
-                "cranberrygauge_proxy_active_requests",
-                "Requests in progress.",
-                () -> board.active().get());
-        metrics.gauge(
-                "cranberrygauge_proxy_configuration_version",
-                "Version of the configuration in force; -1 if none is known.",
-                () -> board.configuration()
-                        .configuration()
-                        .map(known -> known.version())
-                        .orElse(-1L));
-        metrics.gauge(
-                "cranberrygauge_proxy_configuration_age_milliseconds",
-                "Age of the last confirmation of the configuration.",
-                () -> time.monotonicMillis() - board.configuration().confirmedMillis());
-        metrics.gauge(
-                "cranberrygauge_proxy_backends",
-                "Backend servers that are listed.",
-                () -> board.backends().all().size());
-        metrics.gauge(
-                "cranberrygauge_proxy_hosts",
-                "Hosts that share the budget of repeats, this one included.",
-                () -> board.peers().hosts());
-        metrics.gauge("cranberrygauge_proxy_ready", "Whether this host takes requests.", () -> ready() ? 1 : 0);
+    private void publish(HostMetrics metrics, int waiting) {
+        ConfigurationView view = board.configuration();
+        metrics.requests(board.active().get(), waiting);
+        metrics.beliefs(
+                view.configuration().map(known -> known.version()).orElse(-1L),
+                time.monotonicMillis() - view.confirmedMillis(),
+                board.backends().all().size(),
+                board.peers().hosts(),
+                ready());
     }
 
     /**
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeMetrics.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeMetrics.java
@@ -1,10 +1,8 @@
 package org.cranberrygauge.proxy.exchange;
 
 import io.prometheus.metrics.core.metrics.Counter;
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.util.function.DoubleSupplier;
 
 /**
  * The metrics of requests.
@@ -37,16 +35,12 @@
     /** The time to the first event or the whole answer. */
     private final Histogram first;
 
-    /** The registry. */
-    private final PrometheusRegistry registry;
-
     /**
      * Registers the metrics.
      *
      * @param registry The registry.
      */
     public ExchangeMetrics(PrometheusRegistry registry) {
-        this.registry = registry;
         ended = Counter.builder()
                 .name("cranberrygauge_proxy_requests_total")
                 .help("Requests that ended, by route, customer and outcome.")
@@ -66,21 +60,6 @@
                 .register(registry);
     }
 
-    /**
-     * Registers a value that is read when metrics are fetched.
-     *
-     * @param name The name.
-     * @param help What it tells.
-     * @param value The value.
-     */
-    public void gauge(String name, String help, DoubleSupplier value) {
-        GaugeWithCallback.builder()
-                .name(name)
-                .help(help)
-                .callback(callback -> callback.call(value.getAsDouble()))
-                .register(registry);
-    }
-
     /**
      * Counts a request that ended.
      *
@@ -88,7 +67,7 @@
      * @param customer The customer, or a dash if there is none.
      * @param outcome How it ended.
      */
-    void ended(String route, String customer, String outcome) {
+    public void ended(String route, String customer, String outcome) {
         ended.labelValues(route, customer, outcome).inc();
     }
 
@@ -98,7 +77,7 @@
      * @param pool The pool.
      * @param outcome How it ended.
      */
-    void attemptFailed(String pool, String outcome) {
+    public void attemptFailed(String pool, String outcome) {
         attempts.labelValues(pool, outcome).inc();
     }
 
@@ -109,7 +88,7 @@
      * @param customer The customer.
      * @param millis The time in milliseconds.
      */
-    void first(String route, String customer, long millis) {
+    public void first(String route, String customer, long millis) {
         first.labelValues(route, customer).observe(millis / MILLIS_PER_SECOND);
     }
 }
