Hash, score and size each in one place; drop state that nothing reads

Read again as a whole: FNV-1a stood in RendezvousHash and in ProxyRequest (now StableHash); a ranking computed each score again at every comparison, on the path of each request; the memory of a pool's engines was derived in two places (Pool.memoryTokens); the check for requests that crash stood twice with its guard; FrontServer kept connections that nothing read. Behaviour is unchanged. Checked by verify of all modules up to platform.

--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/topology/RendezvousHash.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/topology/RendezvousHash.java
@@ -16,11 +16,8 @@
  */
 public final class RendezvousHash {
 
-    /** The start of the FNV-1a hash. */
-    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-
-    /** The factor of the FNV-1a hash. */
-    private static final long FNV_PRIME = 0x100000001b3L;
+    /** The value between the two texts of a pair. */
+    private static final int SEPARATOR = 0xff;
 
     /** The first factor of the finalizer. */
     private static final long FIRST_MIX = 0xff51afd7ed558ccdL;
@@ -44,10 +41,15 @@
      * @return The candidates, best first.
      */
     public static <T> List<T> ranked(String key, Collection<T> candidates, Function<T, String> nameOf) {
-        List<T> ranked = new ArrayList<>(candidates);
-        ranked.sort(Comparator.<T>comparingLong(candidate -> score(key, nameOf.apply(candidate)))
-                .reversed()
-                .thenComparing(nameOf));
+        List<Scored<T>> scored = new ArrayList<>(candidates.size());
+        for (T candidate : candidates) {
+            String name = nameOf.apply(candidate);
+            scored.add(new Scored<>(candidate, name, score(key, name)));
+        }
+        scored.sort(
+                Comparator.<Scored<T>>comparingLong(Scored::score).reversed().thenComparing(Scored::name));
+        List<T> ranked = new ArrayList<>(scored.size());
+        scored.forEach(entry -> ranked.add(entry.candidate()));
         return ranked;
     }
 
@@ -85,27 +87,21 @@
      * @return The score.
      */
     static long score(String key, String candidate) {
-        long hash = FNV_OFFSET;
-        hash = update(hash, key);
-        hash = (hash ^ 0xff) * FNV_PRIME;
-        hash = update(hash, candidate);
+        long hash = StableHash.update(StableHash.START, key);
+        hash = StableHash.update(hash, SEPARATOR);
+        hash = StableHash.update(hash, candidate);
         hash = (hash ^ (hash >>> MIX_SHIFT)) * FIRST_MIX;
         hash = (hash ^ (hash >>> MIX_SHIFT)) * SECOND_MIX;
         return hash ^ (hash >>> MIX_SHIFT);
     }
 
     /**
-     * Takes a text into a hash.
+     * A candidate with its score, which is computed once for each ranking.
      *
-     * @param before The hash before.
-     * @param text The text.
-     * @return The hash after.
+     * @param candidate The candidate.
+     * @param name Its unique name.
+     * @param score Its score.
+     * @param <T> The type of the candidate.
      */
-    private static long update(long before, String text) {
-        long hash = before;
-        for (int index = 0; index < text.length(); index++) {
-            hash = (hash ^ text.charAt(index)) * FNV_PRIME;
-        }
-        return hash;
-    }
+    private record Scored<T>(T candidate, String name, long score) {}
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
@@ -15,7 +15,7 @@
  * One attempt at a backend server.
  *
  * <p>Invariants: the listener hears of exactly one end, and nothing after it or after the attempt was abandoned; an answer
- * that names another request, or a success without a receipt, counts as broken. Used by one thread.
+ * that names another request, or a success without a signature, counts as broken. Used by one thread.
  */
 final class BackendAttempt {
 
@@ -162,8 +162,8 @@
             return;
         }
         boolean success = answer.statusCode() >= OK && answer.statusCode() < NOT_SUCCESS;
-        if (success && !head.receipt()) {
-            broken("success without a receipt");
+        if (success && !head.signature()) {
+            broken("success without a signature");
             return;
         }
         if (success && request.route().kind().streams()) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -95,7 +95,7 @@
             return;
         }
         timer = tools.vertx().setTimer(request.endMillis() - now, fired -> expire());
-        if (!tools.crashes().isEmpty() && tools.crashes().refuses(request.fingerprint())) {
+        if (tools.crashes().refuses(request::fingerprint)) {
             reject(RejectReason.CRASHES_BACKENDS);
             return;
         }
@@ -229,7 +229,7 @@
         if (outcome == AttemptOutcome.NOT_CONNECTED) {
             return true;
         }
-        if (!tools.crashes().isEmpty() && tools.crashes().refuses(request.fingerprint())) {
+        if (tools.crashes().refuses(request::fingerprint)) {
             return false;
         }
         return tools.budgets()
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeTools.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeTools.java
@@ -2,7 +2,6 @@
 
 import io.vertx.core.Vertx;
 import org.cranberrygauge.proxy.backend.Backend;
-import org.cranberrygauge.proxy.configuration.EngineLimits;
 import org.cranberrygauge.proxy.configuration.Pool;
 import org.cranberrygauge.proxy.duty.UsageCounter;
 import org.cranberrygauge.proxy.retry.CrashRegister;
@@ -57,8 +56,6 @@
      * @return The load.
      */
     BackendLoad load(Pool pool, Backend backend) {
-        return loads.of(
-                backend.incarnation(),
-                pool.engine().map(EngineLimits::memoryTokens).orElse(0L));
+        return loads.of(backend.incarnation(), pool.memoryTokens());
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/FrontServer.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/FrontServer.java
@@ -2,11 +2,8 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.runtime.http.StrictRequestDecoder;
 
@@ -29,9 +26,6 @@
     /** The server. */
     private final HttpServer server;
 
-    /** The open connections. */
-    private final Set<HttpConnection> connections = ConcurrentHashMap.newKeySet();
-
     /**
      * Creates a server.
      *
@@ -47,11 +41,7 @@
                 .setMaxInitialLineLength(LINE_BYTES)
                 .setHandle100ContinueAutomatically(true);
         server = vertx.createHttpServer(options)
-                .connectionHandler(connection -> {
-                    StrictRequestDecoder.install(connection, options);
-                    connections.add(connection);
-                    connection.closeHandler(closed -> connections.remove(connection));
-                })
+                .connectionHandler(connection -> StrictRequestDecoder.install(connection, options))
                 .invalidRequestHandler(handler::handleInvalid)
                 .requestHandler(handler);
     }
@@ -65,13 +55,4 @@
     public Future<Void> listen(NetworkAddress address) {
         return server.listen(address.port(), address.host()).mapEmpty();
     }
-
-    /**
-     * Returns the number of open connections.
-     *
-     * @return The number.
-     */
-    public int connections() {
-        return connections.size();
-    }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HeaderDialect.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HeaderDialect.java
@@ -85,7 +85,7 @@
      *
      * @param requestId The identifier of the request that it answers.
      * @param notRun Whether it says that the request has not run.
-     * @param receipt Whether the answer has the receipt of a backend server.
+     * @param signature Whether the answer has the signature of a backend server.
      */
-    record AnswerHead(Optional<String> requestId, boolean notRun, boolean receipt) {}
+    record AnswerHead(Optional<String> requestId, boolean notRun, boolean signature) {}
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
@@ -4,6 +4,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import java.util.Optional;
+import org.cranberrygauge.decision.topology.StableHash;
 import org.cranberrygauge.proxy.configuration.Pool;
 import org.cranberrygauge.proxy.configuration.Route;
 import org.cranberrygauge.proxy.exchange.HeaderDialect.CallerHead;
@@ -43,12 +44,6 @@
     /** The part of its time that a request may wait for room. */
     private static final double WAITING_PART = 0.4;
 
-    /** The start of the FNV-1a hash. */
-    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-
-    /** The factor of the FNV-1a hash. */
-    private static final long FNV_PRIME = 0x100000001b3L;
-
     /**
      * Returns the time up to which the first event is on time.
      *
@@ -73,13 +68,9 @@
      * @return The hash.
      */
     public long fingerprint() {
-        long hash = FNV_OFFSET;
-        String name = customer.orElse("") + '\n' + uri + '\n';
-        for (int index = 0; index < name.length(); index++) {
-            hash = (hash ^ name.charAt(index)) * FNV_PRIME;
-        }
+        long hash = StableHash.update(StableHash.START, customer.orElse("") + '\n' + uri + '\n');
         for (int index = 0; index < body.length(); index++) {
-            hash = (hash ^ body.getByte(index)) * FNV_PRIME;
+            hash = StableHash.update(hash, body.getByte(index));
         }
         return hash;
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/retry/CrashRegister.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/retry/CrashRegister.java
@@ -4,6 +4,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.LongSupplier;
 
 /**
  * Counts how often requests broke the connection to a backend server before it answered, over all hosts.
@@ -72,7 +73,7 @@
     }
 
     /**
-     * Tells whether no crash is known, so that no fingerprint need be computed.
+     * Tells whether no crash is known.
      *
      * @return Whether no crash is known.
      */
@@ -80,6 +81,16 @@
         return own.isEmpty() && others.isEmpty();
     }
 
+    /**
+     * Tells whether a request is refused; its fingerprint is computed only if a crash is known.
+     *
+     * @param fingerprint Computes the fingerprint of the request.
+     * @return Whether it is refused.
+     */
+    public boolean refuses(LongSupplier fingerprint) {
+        return !isEmpty() && refuses(fingerprint.getAsLong());
+    }
+
     /**
      * Tells whether a request is refused.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
@@ -217,7 +217,7 @@
             cost += work.shortRunning() * uncached / READ_TOKENS_PER_MILLI * HOLD_UP_PART;
         }
         cost += Math.max(0, work.running() + 1 - backend.slots()) * MILLIS_PER_QUEUED;
-        if (work.heldTokens() + uncached + prompt.outputTokens() > memoryTokens(pool) * MEMORY_PART) {
+        if (work.heldTokens() + uncached + prompt.outputTokens() > pool.memoryTokens() * MEMORY_PART) {
             cost += SHORT_MEMORY_MILLIS;
         }
         return cost;
@@ -260,17 +260,7 @@
      * @return The load.
      */
     private BackendLoad load(Pool pool, Backend backend) {
-        return loads.of(backend.incarnation(), memoryTokens(pool));
-    }
-
-    /**
-     * Returns the memory of a pool's engines.
-     *
-     * @param pool The pool.
-     * @return The memory in tokens, or 0 for a plain service.
-     */
-    private static long memoryTokens(Pool pool) {
-        return pool.engine().map(engine -> engine.memoryTokens()).orElse(0L);
+        return loads.of(backend.incarnation(), pool.memoryTokens());
     }
 
     /**
