Pass by dead engines quickly, and leave more engines to long prompts

Ruled out: the budget of repeats (a connect that fails is no arrival), stale lists (entries lapse after three heartbeats). Changes: 16 connects in place of 3, each 2 to 7 ms; 1.5 s in place of 0.3 s before a dead engine is tried again; 0.15 in place of 0.25 of the engines for short prompts.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -209,7 +209,7 @@
      * @param now The present monotonic time in milliseconds.
      */
     private void noteFailure(Backend backend, AttemptOutcome outcome, long now) {
-        tools.load(request.pool(), backend).noteFailure(now);
+        tools.load(request.pool(), backend).noteFailure(now, outcome != AttemptOutcome.NOT_CONNECTED);
         if (outcome == AttemptOutcome.BROKEN && !request.route().kind().streams()) {
             report.began();
         }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/retry/RetryRule.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/retry/RetryRule.java
@@ -11,7 +11,7 @@
 public final class RetryRule {
 
     /** The connects that may fail before the request is refused. */
-    private static final int MAXIMUM_FAILED_CONNECTS = 3;
+    private static final int MAXIMUM_FAILED_CONNECTS = 16;
 
     /** The remaining time under which another attempt is pointless, in milliseconds. */
     private static final long MINIMUM_REMAINING_MILLIS = 30;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendLoad.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendLoad.java
@@ -19,6 +19,9 @@
     /** The time for which a backend server is avoided after a first failure, in milliseconds. */
     private static final long FIRST_PAUSE_MILLIS = 300;
 
+    /** The time for which a backend server is avoided that could not be reached, in milliseconds. */
+    private static final long UNREACHABLE_PAUSE_MILLIS = 1_500;
+
     /** The longest time for which a backend server is avoided, in milliseconds. */
     private static final long LONGEST_PAUSE_MILLIS = 3_000;
 
@@ -127,11 +130,13 @@
      * Notes a failure of the backend server itself.
      *
      * @param nowMillis The present monotonic time in milliseconds.
+     * @param reached Whether a connection to it came about.
      */
-    public void noteFailure(long nowMillis) {
+    public void noteFailure(long nowMillis, boolean reached) {
         failuresInRow++;
         failureShare += NEW_RESULT_WEIGHT * (1 - failureShare);
-        long pause = FIRST_PAUSE_MILLIS << Math.min(4, failuresInRow - 1);
+        long first = reached ? FIRST_PAUSE_MILLIS : UNREACHABLE_PAUSE_MILLIS;
+        long pause = first << Math.min(4, failuresInRow - 1);
         avoidUntilMillis = nowMillis + Math.min(LONGEST_PAUSE_MILLIS, pause);
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/EngineLanes.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/EngineLanes.java
@@ -23,7 +23,7 @@
     private static final int SPLIT_FROM = 3;
 
     /** The part of the engines that is for short prompts. */
-    private static final double SHORT_PART = 0.25;
+    private static final double SHORT_PART = 0.15;
 
     /** The key by which engines are ranked. */
     private static final String KEY = "short prompts";
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/retry/RetryRuleTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/retry/RetryRuleTest.java
@@ -26,6 +26,20 @@
                 .isEqualTo(NextStep.TRY_ANOTHER);
     }
 
+    @Test
+    void aRequestGoesPastManyDeadEnginesAfterAThirdOfThemCrashed() {
+        AttemptHistory history = AttemptHistory.NONE;
+        for (int dead = 0; dead < 14; dead++) {
+            history = history.withOutcome(AttemptOutcome.NOT_CONNECTED);
+        }
+        assertThat(RetryRule.next(
+                        ProxyFixtures.route(RouteKind.AT_MOST_ONCE, 1),
+                        history,
+                        AttemptOutcome.NOT_CONNECTED,
+                        ENOUGH_MILLIS))
+                .isEqualTo(NextStep.TRY_ANOTHER);
+    }
+
     @Test
     void aRefusalIsNeverGivenOnceTheRequestMayHaveRun() {
         AttemptHistory history =
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendChooserTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendChooserTest.java
@@ -152,7 +152,7 @@
     void anEngineThatFailsIsAvoidedWhileOthersAreThereAndUsedIfNoneIs() {
         Prompt prompt = ProxyFixtures.study("document");
         Backend home = choose(chooser, prompt, PeerLoads.ALONE).backend();
-        loads.of(home.incarnation(), MEMORY).noteFailure(1_000);
+        loads.of(home.incarnation(), MEMORY).noteFailure(1_000, true);
         assertThat(choose(chooser, prompt, PeerLoads.ALONE).backend()).isNotEqualTo(home);
         assertThat(chooser.choose(1_000, ProxyFixtures.ENGINES, List.of(home), Set.of(), prompt, PeerLoads.ALONE)
                         .map(Choice::backend))
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendLoadTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendLoadTest.java
@@ -42,15 +42,22 @@
         assertThat(load.uncachedSharedTokens(ProxyFixtures.study("document-5"))).isZero();
     }
 
+    @Test
+    void isAvoidedUntilItsEntryLapsesWhenItCannotBeReached() {
+        load.noteFailure(0, false);
+        assertThat(load.avoided(1_499)).isTrue();
+        assertThat(load.avoided(1_500)).isFalse();
+    }
+
     @Test
     void isAvoidedLongerAfterMoreFailuresInARowAndNotAfterASuccess() {
-        load.noteFailure(0);
+        load.noteFailure(0, true);
         assertThat(load.avoided(299)).isTrue();
         assertThat(load.avoided(300)).isFalse();
-        load.noteFailure(1_000);
+        load.noteFailure(1_000, true);
         assertThat(load.avoided(1_599)).isTrue();
         load.noteSuccess();
-        load.noteFailure(5_000);
+        load.noteFailure(5_000, true);
         assertThat(load.avoided(5_300)).isFalse();
     }
 }
