--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/WaitingLine.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/WaitingLine.java
@@ -80,19 +80,6 @@
         return givenUp;
     }
 
-    /**
-     * Returns the tokens of the prompts that go before a new request.
-     *
-     * @param urgency The urgency of the new request.
-     * @return The tokens.
-     */
-    public long tokensBefore(int urgency) {
-        return entries.stream()
-                .filter(entry -> entry.urgency() <= urgency)
-                .mapToLong(Entry::tokens)
-                .sum();
-    }
-
     /**
      * Tells whether a request goes before an earlier one.
      *
@@ -113,12 +100,11 @@
      *
      * @param item The request.
      * @param urgency The urgency; 0 is the most urgent.
-     * @param tokens The prompt tokens to be read.
      * @param onTimeMillis The monotonic time until which it can start and still be on time.
      * @param giveUpMillis The monotonic time from which it can't end within its time.
      * @param <T> The type of the request.
      */
-    public record Entry<T>(T item, int urgency, long tokens, long onTimeMillis, long giveUpMillis) {
+    public record Entry<T>(T item, int urgency, long onTimeMillis, long giveUpMillis) {
 
         /**
          * Tells whether the request can still be on time.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/configuration/Pool.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/configuration/Pool.java
@@ -6,11 +6,10 @@
  * A named set of backend servers that serve the same requests.
  *
  * @param name The name of the pool.
- * @param maximumConnections The connections that one backend server takes from all hosts together.
  * @param engine The limits of its engines; empty for a plain service.
  * @param fleet How backend servers may be ordered; empty if they can't be.
  */
-public record Pool(String name, int maximumConnections, Optional<EngineLimits> engine, Optional<FleetLimits> fleet) {
+public record Pool(String name, Optional<EngineLimits> engine, Optional<FleetLimits> fleet) {
 
     /**
      * Returns the memory of one of its engines.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/configuration/Route.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/configuration/Route.java
@@ -15,7 +15,6 @@
  * @param pools The pools that share the requests; at least one.
  * @param maximumAttempts The highest number of backend servers that one request may be sent to.
  * @param open Whether requests need no key.
- * @param maximumGapMillis The longest pause between events of a stream that is on time, in milliseconds.
  */
 public record Route(
         String name,
@@ -27,8 +26,7 @@
         int priority,
         List<WeightedPool> pools,
         int maximumAttempts,
-        boolean open,
-        long maximumGapMillis) {
+        boolean open) {
 
     /** Copies the list. */
     public Route {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/DutyKeeper.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/DutyKeeper.java
@@ -6,6 +6,8 @@
 /**
  * Keeps this host in the group that deals the duties, and tells whether it holds them.
  *
+ * <p>Only hosts that read the shared log for their data centre stand by, and those that hold the duties.
+ *
  * <p>Used by one thread.
  */
 public final class DutyKeeper {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicRelay.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicRelay.java
@@ -64,6 +64,9 @@
     /** The questions without an answer by number. */
     private final Map<Long, Promise<TopicAnswer>> open = new HashMap<>();
 
+    /** Notes when the log can't be read. */
+    private final DependencyWatch reads;
+
     /** Notes when no good answer comes. */
     private final DependencyWatch answers;
 
@@ -90,6 +93,7 @@
         this.tools = tools;
         this.peers = peers;
         this.channel = channel;
+        this.reads = new DependencyWatch("reads of the log", tools.events());
         this.answers = new DependencyWatch("answers of other hosts", tools.events());
         channel.onMessage(HostMessage._Fields.QUESTION, (message, sender) -> answer(message.getQuestion(), sender));
         channel.onMessage(HostMessage._Fields.ANSWER, (message, sender) -> take(message.getAnswer()));
@@ -157,12 +161,14 @@
         boolean asked = sent.monotonicMillis() - askedMillis < ASKED_MILLIS;
         return tools.log()
                 .read(topic, from, asked ? (long) (waitMillis * ASKED_WAIT_PART) : waitMillis)
+                .onSuccess(slice -> reads.reached(tools.time().monotonicMillis()))
                 .map(slice -> remember(topic, from, new TopicReading(slice.records(), slice.next(), sent, false, true)))
                 .recover(failure -> {
                     if (failure instanceof SharedLogException known && known.kind() == Kind.TRIMMED) {
                         return Future.failedFuture(failure);
                     }
                     failedMillis = tools.time().monotonicMillis();
+                    reads.failed(failedMillis, topic + ": " + failure.getMessage());
                     return reader(false)
                             .map(other -> ask(other, topic, from, maximumAgeMillis)
                                     .recover(unanswered -> Future.failedFuture(failure)))
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -271,8 +271,7 @@
         long readMillis = (long) (tokens / BackendChooser.READ_TOKENS_PER_MILLI);
         tools.lines()
                 .of(request.pool().name())
-                .add(new Entry<>(
-                        this, request.urgency(), tokens, request.onTimeMillis() - readMillis, request.giveUpMillis()));
+                .add(new Entry<>(this, request.urgency(), request.onTimeMillis() - readMillis, request.giveUpMillis()));
     }
 
     /**
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/ProxyFixtures.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/ProxyFixtures.java
@@ -23,10 +23,10 @@
 
     /** A pool of engines. */
     public static final Pool ENGINES =
-            new Pool("engines", 300, Optional.of(new EngineLimits(64, 500_000)), Optional.empty());
+            new Pool("engines", Optional.of(new EngineLimits(64, 500_000)), Optional.empty());
 
     /** A pool of a plain service. */
-    public static final Pool LEDGER = new Pool("ledger", 100, Optional.empty(), Optional.empty());
+    public static final Pool LEDGER = new Pool("ledger", Optional.empty(), Optional.empty());
 
     private ProxyFixtures() {}
 
@@ -53,8 +53,7 @@
                 1,
                 List.of(new WeightedPool("engines", 1)),
                 attempts,
-                open,
-                400);
+                open);
     }
 
     public static ProxyConfiguration configuration(long version, Route... routes) {
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/configuration/ProxyConfigurationTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/configuration/ProxyConfigurationTest.java
@@ -55,8 +55,7 @@
                 0,
                 List.of(new WeightedPool("old", 90), new WeightedPool("new", 10), new WeightedPool("none", 0)),
                 1,
-                true,
-                0);
+                true);
         int[] counts = new int[2];
         for (int hash = 0; hash < 1_000; hash++) {
             counts[split.poolFor(hash).equals("old") ? 0 : 1]++;
