--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -179,7 +179,7 @@
         ProxySettings.Times times = settings.times();
         ControlTools tools = new ControlTools(vertx, time, sources.log(), board, events);
         String incarnation = Program.incarnation(settings.host(), time.wallMillis());
-        HostNetwork network = HostNetwork.of(tools, settings);
+        HostNetwork network = HostNetwork.of(tools, settings, sources.hostTopic());
         new ConfigurationFollower(
                         tools,
                         network.relay(),
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxySources.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxySources.java
@@ -14,6 +14,7 @@
  * @param configurationTopic The topic with the configuration.
  * @param configurationKey The key under which the configuration is kept.
  * @param configurations Reads configurations.
+ * @param hostTopic The topic in which hosts write where they take messages.
  * @param backendTopic The topic with the entries of backend servers.
  * @param backends Reads entries of backend servers.
  * @param duties Takes what one host does for all.
@@ -24,6 +25,7 @@
         String configurationTopic,
         String configurationKey,
         RecordReader<ProxyConfiguration> configurations,
+        String hostTopic,
         String backendTopic,
         RecordReader<Backend> backends,
         DutyReceiver duties,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerLink.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerLink.java
@@ -30,9 +30,6 @@
  */
 public final class PeerLink {
 
-    /** The topic with the addresses of hosts. */
-    private static final String TOPIC = "keyed.hosts";
-
     /** The pause between reports in milliseconds. */
     private static final long PAUSE_MILLIS = 200;
 
@@ -117,8 +114,8 @@
         byte[] value = MessageCodec.write(
                 new HostAddress(settings.peers().host(), settings.peers().port(), startedAtMillis));
         tools.log()
-                .put(TOPIC, settings.host(), value)
-                .compose(offset -> tools.log().newest(TOPIC))
+                .put(network.topic(), settings.host(), value)
+                .compose(offset -> tools.log().newest(network.topic()))
                 .onSuccess(newest -> {
                     watch.reached(tools.time().monotonicMillis());
                     newest.values().forEach(this::takeAddress);
@@ -143,7 +140,7 @@
             HostAddress read = MessageCodec.read(value, new HostAddress());
             peers.announce(tools.time().monotonicMillis(), name, new NetworkAddress(read.getAddress(), read.getPort()));
         } catch (TException exception) {
-            tools.events().emit(new ControlEvents.RecordUnreadable(TOPIC, name, exception.getMessage()));
+            tools.events().emit(new ControlEvents.RecordUnreadable(network.topic(), name, exception.getMessage()));
         }
     }
 
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/duty/FleetPlanTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/duty/FleetPlanTest.java
@@ -88,13 +88,7 @@
 
     @Test
     void regularOnesReplaceOnlyWhatTheDemandNeedsWhereCheapOnesAreDry() {
-        settled(regular(8), 0);
-        List<Backend> reclaimed = with(regular(1), cheap(0, 3, 3));
-        decide(9_000, LIMITS, with(regular(1), cheap(4, 3, 3)), 4);
-        decide(20_000, LIMITS, reclaimed, 4);
-        for (String dataCentre : List.of("a", "b", "c")) {
-            plan.turnedAway(20_100, new BackendOrder("engines", dataCentre, Supply.CHEAP, 4));
-        }
+        List<Backend> reclaimed = reclaimedWhileAllAreDry();
         List<BackendOrder> orders = decide(20_500, LIMITS, reclaimed, 4);
         assertThat(orders.stream()
                         .filter(order -> order.supply() == Supply.REGULAR)
@@ -105,13 +99,7 @@
 
     @Test
     void aDataCentreWithNoneToGiveKeepsThoseThatAreThere() {
-        settled(regular(8), 0);
-        List<Backend> reclaimed = with(regular(1), cheap(0, 3, 3));
-        decide(9_000, LIMITS, with(regular(1), cheap(4, 3, 3)), 4);
-        decide(20_000, LIMITS, reclaimed, 4);
-        for (String dataCentre : List.of("a", "b", "c")) {
-            plan.turnedAway(20_100, new BackendOrder("engines", dataCentre, Supply.CHEAP, 4));
-        }
+        List<Backend> reclaimed = reclaimedWhileAllAreDry();
         assertThat(decide(20_500, LIMITS, reclaimed, 4))
                 .noneMatch(order -> order.supply() == Supply.CHEAP && order.number() < 3);
     }
@@ -141,6 +129,17 @@
         assertThat(decide(5_700, LIMITS, regular(8), 0)).isEqualTo(first);
     }
 
+    private List<Backend> reclaimedWhileAllAreDry() {
+        settled(regular(8), 0);
+        decide(9_000, LIMITS, with(regular(1), cheap(4, 3, 3)), 4);
+        List<Backend> reclaimed = with(regular(1), cheap(0, 3, 3));
+        decide(20_000, LIMITS, reclaimed, 4);
+        for (String dataCentre : List.of("a", "b", "c")) {
+            plan.turnedAway(20_100, new BackendOrder("engines", dataCentre, Supply.CHEAP, 4));
+        }
+        return reclaimed;
+    }
+
     private List<BackendOrder> decide(long nowMillis, FleetLimits limits, List<Backend> present, double needed) {
         plan.observe(nowMillis, limits, present, needed);
         return plan.decide(nowMillis, limits, present);
