--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/duty/FleetPlanTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/duty/FleetPlanTest.java
@@ -88,8 +88,7 @@
 
     @Test
     void regularOnesReplaceOnlyWhatTheDemandNeedsWhereCheapOnesAreDry() {
-        List<Backend> reclaimed = reclaimedWhileAllAreDry();
-        List<BackendOrder> orders = decide(20_500, LIMITS, reclaimed, 4);
+        List<BackendOrder> orders = ordersForAReclaimWhileAllAreDry();
         assertThat(orders.stream()
                         .filter(order -> order.supply() == Supply.REGULAR)
                         .mapToInt(BackendOrder::number)
@@ -99,8 +98,7 @@
 
     @Test
     void aDataCentreWithNoneToGiveKeepsThoseThatAreThere() {
-        List<Backend> reclaimed = reclaimedWhileAllAreDry();
-        assertThat(decide(20_500, LIMITS, reclaimed, 4))
+        assertThat(ordersForAReclaimWhileAllAreDry())
                 .noneMatch(order -> order.supply() == Supply.CHEAP && order.number() < 3);
     }
 
@@ -129,15 +127,16 @@
         assertThat(decide(5_700, LIMITS, regular(8), 0)).isEqualTo(first);
     }
 
-    private List<Backend> reclaimedWhileAllAreDry() {
+    private List<BackendOrder> ordersForAReclaimWhileAllAreDry() {
         settled(regular(8), 0);
         decide(9_000, LIMITS, with(regular(1), cheap(4, 3, 3)), 4);
         List<Backend> reclaimed = with(regular(1), cheap(0, 3, 3));
-        decide(20_000, LIMITS, reclaimed, 4);
+        List<BackendOrder> orders = new ArrayList<>(decide(20_000, LIMITS, reclaimed, 4));
         for (String dataCentre : List.of("a", "b", "c")) {
             plan.turnedAway(20_100, new BackendOrder("engines", dataCentre, Supply.CHEAP, 4));
         }
-        return reclaimed;
+        orders.addAll(decide(20_500, LIMITS, reclaimed, 4));
+        return orders;
     }
 
     private List<BackendOrder> decide(long nowMillis, FleetLimits limits, List<Backend> present, double needed) {
