--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/BackendFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/BackendFollower.java
@@ -26,6 +26,12 @@
     /** The keys whose unreadable entries are remembered, so that each is logged once. */
     private static final int REMEMBERED_UNREADABLE = 200;
 
+    /** The part of the bound for leaving backend servers that a pause between reads takes. */
+    private static final double PAUSE_PART = 0.33;
+
+    /** The part of the bound for leaving backend servers that what another host read may be old. */
+    private static final double RELAYED_AGE_PART = 0.6;
+
     /** The tools. */
     private final ControlTools tools;
 
@@ -35,12 +41,6 @@
     /** Reads entries. */
     private final RecordReader<Backend> reader;
 
-    /** The part of the bound for leaving backend servers that a pause between reads takes. */
-    private static final double PAUSE_PART = 0.33;
-
-    /** The part of the bound for leaving backend servers that what another host read may be old. */
-    private static final double RELAYED_AGE_PART = 0.6;
-
     /** Reads through other hosts where that is possible. */
     private final TopicRelay relay;
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ConfigurationFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ConfigurationFollower.java
@@ -16,6 +16,12 @@
  */
 public final class ConfigurationFollower implements TopicFollower.Listener {
 
+    /** The part of the bound for configurations that a read waits for a change; a confirmation is at most twice as old. */
+    private static final double WAIT_PART = 0.4;
+
+    /** The part of the bound for configurations that what another host read may be old. */
+    private static final double RELAYED_AGE_PART = 0.7;
+
     /** The tools. */
     private final ControlTools tools;
 
@@ -25,12 +31,6 @@
     /** The key under which the configuration is kept. */
     private final String key;
 
-    /** The part of the bound for configurations that a read waits for a change; a confirmation is at most twice as old. */
-    private static final double WAIT_PART = 0.4;
-
-    /** The part of the bound for configurations that what another host read may be old. */
-    private static final double RELAYED_AGE_PART = 0.7;
-
     /** Reads through other hosts where that is possible. */
     private final TopicRelay relay;
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerLink.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerLink.java
@@ -54,9 +54,6 @@
     /** The work of this host, as the request path last published it. */
     private final AtomicReference<Map<String, Work>> ownWork;
 
-    /** The other hosts. */
-    private final PeerDirectory peers;
-
     /** What connects this host with the others. */
     private final HostNetwork network;
 
@@ -88,7 +85,6 @@
         this.tools = tools;
         this.settings = settings;
         this.network = network;
-        this.peers = network.peers();
         this.startedAtMillis = startedAtMillis;
         this.crashes = crashes;
         this.placements = placements;
@@ -138,7 +134,11 @@
         }
         try {
             HostAddress read = MessageCodec.read(value, new HostAddress());
-            peers.announce(tools.time().monotonicMillis(), name, new NetworkAddress(read.getAddress(), read.getPort()));
+            network.peers()
+                    .announce(
+                            tools.time().monotonicMillis(),
+                            name,
+                            new NetworkAddress(read.getAddress(), read.getPort()));
         } catch (TException exception) {
             tools.events().emit(new ControlEvents.RecordUnreadable(network.topic(), name, exception.getMessage()));
         }
@@ -147,8 +147,8 @@
     /** Sends a report to each other host and publishes what they said. */
     private void report() {
         long now = tools.time().monotonicMillis();
-        network.channel().send(HostMessage.report(message(now)), peers.addresses(now));
-        tools.board().publish(peers.loads(now));
+        network.channel().send(HostMessage.report(message(now)), network.peers().addresses(now));
+        tools.board().publish(network.peers().loads(now));
     }
 
     /**
@@ -189,7 +189,7 @@
      * @param sender The address it came from.
      */
     private void take(HostReport report, NetworkAddress sender) {
-        if (!peers.take(tools.time().monotonicMillis(), report, sender)) {
+        if (!network.peers().take(tools.time().monotonicMillis(), report, sender)) {
             return;
         }
         Map<Long, Integer> counts = new HashMap<>();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
@@ -76,8 +76,7 @@
                     .onFailure(this::failed);
             return;
         }
-        Confirmation sent =
-                new Confirmation(tools.time().monotonicMillis(), tools.time().wallMillis());
+        Confirmation sent = Confirmation.now(tools.time());
         tools.log()
                 .newest(topic)
                 .onSuccess(newest -> {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicRelay.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicRelay.java
@@ -157,7 +157,7 @@
      * @return The records.
      */
     private Future<TopicReading> readLog(String topic, long from, long waitMillis, long maximumAgeMillis) {
-        Confirmation sent = present();
+        Confirmation sent = Confirmation.now(tools.time());
         boolean asked = sent.monotonicMillis() - askedMillis < ASKED_MILLIS;
         return tools.log()
                 .read(topic, from, asked ? (long) (waitMillis * ASKED_WAIT_PART) : waitMillis)
@@ -186,7 +186,7 @@
      * @return The records.
      */
     private Future<TopicReading> ask(NetworkAddress other, String topic, long from, long maximumAgeMillis) {
-        Confirmation sent = present();
+        Confirmation sent = Confirmation.now(tools.time());
         return send(other, topic, from, TRIES)
                 .compose(answer -> {
                     if (!answer.isKnown()) {
@@ -268,7 +268,7 @@
      * @param sender The address of the host.
      */
     private void answer(TopicQuestion question, NetworkAddress sender) {
-        Confirmation now = present();
+        Confirmation now = Confirmation.now(tools.time());
         askedMillis = now.monotonicMillis();
         Known known = topics.getOrDefault(question.getTopic(), new Known());
         OptionalLong age = known.confirmation.ageMillis(now.monotonicMillis(), now.wallMillis());
@@ -293,15 +293,6 @@
         }
     }
 
-    /**
-     * Returns the present time by both clocks.
-     *
-     * @return The time.
-     */
-    private Confirmation present() {
-        return new Confirmation(tools.time().monotonicMillis(), tools.time().wallMillis());
-    }
-
     /** What is known of a topic. */
     private static final class Known {
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageDesk.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageDesk.java
@@ -229,10 +229,7 @@
      */
     private void takeCounted(byte[] record) {
         try {
-            UsageBatch batch = MessageCodec.read(record, new UsageBatch());
-            batch.getCounts()
-                    .forEach(counted ->
-                            ledger.counted(counted.getWindow(), counted.getIncarnation(), counted.getByCustomer()));
+            UsageShipper.counts(MessageCodec.read(record, new UsageBatch())).forEach(ledger::counted);
         } catch (TException exception) {
             tools.events().emit(new ControlEvents.RecordUnreadable(UsageShipper.TOPIC, "", exception.getMessage()));
         }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageShipper.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageShipper.java
@@ -140,9 +140,21 @@
      * @param batch The counts.
      */
     private void gather(UsageBatch batch) {
+        counts(batch).forEach(gathering::take);
+    }
+
+    /**
+     * Reads counts.
+     *
+     * @param batch The message.
+     * @return The counts.
+     */
+    static List<UsageCount> counts(UsageBatch batch) {
+        List<UsageCount> counts = new ArrayList<>();
         batch.getCounts()
-                .forEach(counted -> gathering.take(
+                .forEach(counted -> counts.add(
                         new UsageCount(counted.getIncarnation(), counted.getWindow(), counted.getByCustomer())));
+        return counts;
     }
 
     /**
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/duty/DutyLease.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/duty/DutyLease.java
@@ -1,6 +1,7 @@
 package org.cranberrygauge.proxy.duty;
 
 import java.util.OptionalLong;
+import org.cranberrygauge.proxy.store.Confirmation;
 import org.cranberrygauge.proxy.store.SharedLog.GroupShare;
 
 /**
@@ -14,9 +15,6 @@
  */
 public final class DutyLease {
 
-    /** The difference between the clocks above which the host may have been suspended, in milliseconds. */
-    private static final long CLOCK_TOLERANCE_MILLIS = 300;
-
     /** The time between an act before the duties were lost and one after they came back, in milliseconds. */
     private final long leaseMillis;
 
@@ -38,11 +36,8 @@
     /** The monotonic time of the last act before the duties were lost, or of the start. */
     private long earlierActMillis;
 
-    /** The monotonic time at which the last successful join was sent. */
-    private long joinedMillis;
-
-    /** The time of day at which the last successful join was sent. */
-    private long joinedWallMillis;
+    /** The time at which the last successful join was sent. */
+    private Confirmation joined = Confirmation.NONE;
 
     /**
      * Creates a lease.
@@ -71,8 +66,7 @@
         }
         held = share.holdsFirst();
         generation = share.generation();
-        joinedMillis = sentMillis;
-        joinedWallMillis = sentWallMillis;
+        joined = new Confirmation(sentMillis, sentWallMillis);
     }
 
     /**
@@ -125,8 +119,7 @@
      * @return Whether it is recent.
      */
     private boolean isValid(long nowMillis, long nowWallMillis) {
-        long age = nowMillis - joinedMillis;
-        long wallAge = nowWallMillis - joinedWallMillis;
-        return age < validMillis && wallAge - age < CLOCK_TOLERANCE_MILLIS;
+        OptionalLong age = joined.ageMillis(nowMillis, nowWallMillis);
+        return age.isPresent() && age.getAsLong() < validMillis;
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/duty/FleetPlan.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/duty/FleetPlan.java
@@ -40,6 +40,9 @@
     /** The part of the fleet below which the demand is low. */
     private static final double LOW_PART = 0.6;
 
+    /** The time in which the backend servers that are there register, in milliseconds. */
+    private static final long REGISTRATION_MILLIS = 4_500;
+
     /** The pool. */
     private final String pool;
 
@@ -49,9 +52,6 @@
     /** The last order for each kind and data centre. */
     private final Map<String, Stated> stated = new HashMap<>();
 
-    /** The time in which the backend servers that are there register, in milliseconds. */
-    private static final long REGISTRATION_MILLIS = 4_500;
-
     /** The monotonic time at which a backend server was first seen, or -1 before. */
     private long seenSinceMillis = -1;
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/duty/UsageLedger.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/duty/UsageLedger.java
@@ -22,16 +22,14 @@
     private final TreeMap<Long, Map<String, Long>> decided = new TreeMap<>();
 
     /**
-     * Takes the counts of a host.
+     * Takes the counts of a window at a start of a host.
      *
-     * @param window The window.
-     * @param incarnation The start of the host.
-     * @param byCustomer The requests that began in the window so far.
+     * @param count The counts.
      */
-    public void counted(long window, String incarnation, Map<String, Long> byCustomer) {
-        Map<String, Long> counts = counted.computeIfAbsent(window, number -> new HashMap<>())
-                .computeIfAbsent(incarnation, name -> new HashMap<>());
-        byCustomer.forEach((customer, count) -> counts.merge(customer, count, Math::max));
+    public void counted(UsageCount count) {
+        Map<String, Long> counts = counted.computeIfAbsent(count.window(), number -> new HashMap<>())
+                .computeIfAbsent(count.incarnation(), name -> new HashMap<>());
+        count.byCustomer().forEach((customer, number) -> counts.merge(customer, number, Math::max));
         while (counted.size() > REMEMBERED_WINDOWS) {
             counted.pollFirstEntry();
         }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/store/Confirmation.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/store/Confirmation.java
@@ -1,6 +1,7 @@
 package org.cranberrygauge.proxy.store;
 
 import java.util.OptionalLong;
+import org.cranberrygauge.runtime.time.TimeSource;
 
 /**
  * The time at which a read was sent that showed what is known to be the newest, by two clocks.
@@ -19,6 +20,16 @@
     /** The confirmation of what was never read. */
     public static final Confirmation NONE = new Confirmation(Long.MIN_VALUE / 4, Long.MIN_VALUE / 4);
 
+    /**
+     * Returns the confirmation of a read that is sent now.
+     *
+     * @param time The clocks.
+     * @return The confirmation.
+     */
+    public static Confirmation now(TimeSource time) {
+        return new Confirmation(time.monotonicMillis(), time.wallMillis());
+    }
+
     /**
      * Tells how long ago the read was sent.
      *
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/duty/UsageLedgerTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/duty/UsageLedgerTest.java
@@ -11,11 +11,11 @@
 
     @Test
     void copiesAndLateRecordsDoNoHarm() {
-        ledger.counted(7, "host-1/1", Map.of("a", 5L));
-        ledger.counted(7, "host-1/1", Map.of("a", 3L));
-        ledger.counted(7, "host-1/1", Map.of("a", 5L));
-        ledger.counted(7, "host-1/2", Map.of("a", 1L));
-        ledger.counted(7, "host-2/1", Map.of("a", 2L, "b", 4L));
+        ledger.counted(new UsageCount("host-1/1", 7, Map.of("a", 5L)));
+        ledger.counted(new UsageCount("host-1/1", 7, Map.of("a", 3L)));
+        ledger.counted(new UsageCount("host-1/1", 7, Map.of("a", 5L)));
+        ledger.counted(new UsageCount("host-1/2", 7, Map.of("a", 1L)));
+        ledger.counted(new UsageCount("host-2/1", 7, Map.of("a", 2L, "b", 4L)));
         assertThat(ledger.total(7)).isEqualTo(Map.of("a", 8L, "b", 4L));
     }
 
@@ -30,7 +30,7 @@
     @Test
     void knowsTheFirstWindow() {
         assertThat(ledger.firstWindow()).isEqualTo(Long.MAX_VALUE);
-        ledger.counted(9, "host-1/1", Map.of("a", 5L));
+        ledger.counted(new UsageCount("host-1/1", 9, Map.of("a", 5L)));
         ledger.decided(8, Map.of());
         assertThat(ledger.firstWindow()).isEqualTo(8);
     }
