--- a/cranberrygauge-protocol/src/main/thrift/proxy.thrift
+++ b/cranberrygauge-protocol/src/main/thrift/proxy.thrift
@@ -30,24 +30,55 @@
   4: required map<string, BackendWork> work
   5: required list<CrashCount> crashes
   6: required list<PartPlaced> placed
-  7: required bool takesRequests
-  8: required i64 sentAtWallMillis
+  7: required string dataCentre
+  8: required bool readsLog
 }
 
-// Where a host takes reports.
-struct HostAddress {
-  1: required string address
-  2: required i32 port
-  3: required i64 startedAtMillis
+// Asks a host that reads the shared log for the records of a topic from an offset on.
+struct TopicQuestion {
+  1: required i64 number
+  2: required string topic
+  3: required i64 fromOffset
 }
 
-// The requests that began in one window at one start of a host, up to the time of the record.
+// The records that were asked for, and how long ago the read was sent after which there were no others. If not all of them
+// are in the answer, the next question asks for the rest.
+struct TopicAnswer {
+  1: required i64 number
+  2: required bool known
+  3: required bool complete
+  4: required i64 ageMillis
+  5: required list<binary> records
+}
+
+// The requests that began in one window at one start of a host so far.
 struct UsageCounted {
   1: required string incarnation
   2: required i64 window
   3: required map<string, i64> byCustomer
 }
 
+// Counts of several hosts and windows, as one host hands them to another and as they are kept in the shared log.
+struct UsageBatch {
+  1: required list<UsageCounted> counts
+}
+
+// What one host sends to another in a datagram.
+union HostMessage {
+  1: HostReport report
+  2: TopicQuestion question
+  3: TopicAnswer answer
+  4: UsageBatch usage
+}
+
+// Where a host takes reports.
+struct HostAddress {
+  1: required string address
+  2: required i32 port
+  3: required i64 startedAtMillis
+}
+
+
 // The figures of a window, fixed before they are reported.
 struct UsageDecided {
   1: required i64 window
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -15,6 +15,7 @@
 import org.cranberrygauge.proxy.control.ControlTools;
 import org.cranberrygauge.proxy.control.DutyKeeper;
 import org.cranberrygauge.proxy.control.FleetDesk;
+import org.cranberrygauge.proxy.control.HostNetwork;
 import org.cranberrygauge.proxy.control.PeerLink;
 import org.cranberrygauge.proxy.control.UsageDesk;
 import org.cranberrygauge.proxy.control.UsageShipper;
@@ -49,12 +50,6 @@
     /** The part of the bound for withdrawn keys that is left unused, in milliseconds. */
     private static final long KEY_MARGIN_MILLIS = 250;
 
-    /** The part of the bound for configurations that a read waits for a change. */
-    private static final double CONFIGURATION_WAIT_PART = 0.4;
-
-    /** The part of the bound for leaving backend servers that a pause between reads may take. */
-    private static final int LEAVING_PAUSE_PARTS = 3;
-
     /** The pause between publications of this host's work, in milliseconds. */
     private static final long PUBLISH_MILLIS = 100;
 
@@ -184,25 +179,25 @@
         ProxySettings.Times times = settings.times();
         ControlTools tools = new ControlTools(vertx, time, sources.log(), board, events);
         String incarnation = Program.incarnation(settings.host(), time.wallMillis());
+        HostNetwork network = HostNetwork.of(tools, settings);
         new ConfigurationFollower(
                         tools,
+                        network.relay(),
                         sources.configurationTopic(),
                         sources.configurationKey(),
                         sources.configurations(),
-                        (long) (times.configurationMillis() * CONFIGURATION_WAIT_PART))
+                        times.configurationMillis())
                 .start();
-        new BackendFollower(
-                        tools, sources.backendTopic(), sources.backends(), times.leavingMillis() / LEAVING_PAUSE_PARTS)
+        new BackendFollower(tools, network.relay(), sources.backendTopic(), sources.backends(), times.leavingMillis())
                 .start();
-        duty = new DutyKeeper(tools, incarnation, times.leaseMillis());
-        duty.run();
+        duty = new DutyKeeper(tools, network.relay(), incarnation, times.leaseMillis());
+        duty.start();
         ControlTools usageTools = new ControlTools(vertx, usageTime, sources.log(), board, events);
-        shipper = new UsageShipper(usageTools, usage, incarnation, times.usageWindowMillis());
+        shipper = new UsageShipper(usageTools, network, usage, incarnation);
         shipper.start();
         new UsageDesk(usageTools, duty, sources.duties(), times.usageWindowMillis()).start();
         new FleetDesk(tools, duty, sources.duties(), ownWork).start();
-        return new PeerLink(tools, settings.host(), settings.peers(), time.wallMillis(), crashes, placements, ownWork)
-                .start();
+        return new PeerLink(tools, settings, network, time.wallMillis(), crashes, placements, ownWork).start();
     }
 
     /**
@@ -261,7 +256,7 @@
         metrics.requests(board.active().get(), waiting);
         metrics.beliefs(
                 view.configuration().map(known -> known.version()).orElse(-1L),
-                time.monotonicMillis() - view.confirmedMillis(),
+                view.loggedAgeMillis(time.monotonicMillis()),
                 board.backends().all().size(),
                 board.peers().hosts(),
                 ready());
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/configuration/ConfigurationView.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/configuration/ConfigurationView.java
@@ -1,40 +1,54 @@
 package org.cranberrygauge.proxy.configuration;
 
 import java.util.Optional;
+import java.util.OptionalLong;
+import org.cranberrygauge.proxy.store.Confirmation;
 
 /**
  * The newest configuration known to a host and when it was last confirmed to be the newest.
  *
- * <p>The times are those at which the confirming read was sent, so that the age is never understated.
+ * <p>The time is that at which the confirming read was sent, so that the age is never understated.
  *
  * @param configuration The configuration; empty until one is known.
- * @param confirmedMillis The monotonic time of the confirming read in milliseconds.
- * @param confirmedWallMillis The time of day of the confirming read in milliseconds of the epoch.
+ * @param confirmation The time of the confirming read.
  */
-public record ConfigurationView(
-        Optional<ProxyConfiguration> configuration, long confirmedMillis, long confirmedWallMillis) {
-
-    /** The difference between the clocks above which the host may have been suspended, in milliseconds. */
-    private static final long CLOCK_TOLERANCE_MILLIS = 300;
+public record ConfigurationView(Optional<ProxyConfiguration> configuration, Confirmation confirmation) {
 
     /** A view without a configuration. */
-    public static final ConfigurationView NONE = new ConfigurationView(Optional.empty(), 0, 0);
+    public static final ConfigurationView NONE = new ConfigurationView(Optional.empty(), Confirmation.NONE);
 
     /**
-     * Returns a view that a later read confirmed.
+     * Returns a view that another read confirmed.
      *
-     * @param sentMillis The monotonic time at which the read was sent, in milliseconds.
-     * @param sentWallMillis The time of day at which the read was sent, in milliseconds of the epoch.
+     * @param read The time of the read.
+     * @return The view with the later of the two confirmations.
+     */
+    public ConfigurationView withConfirmation(Confirmation read) {
+        return new ConfigurationView(configuration, confirmation.later(read));
+    }
+
+    /**
+     * Returns a view with another configuration.
+     *
+     * @param newer The configuration.
      * @return The view.
      */
-    public ConfigurationView withConfirmation(long sentMillis, long sentWallMillis) {
-        return new ConfigurationView(configuration, sentMillis, sentWallMillis);
+    public ConfigurationView withConfiguration(ProxyConfiguration newer) {
+        return new ConfigurationView(Optional.of(newer), confirmation);
     }
 
     /**
-     * Tells whether the configuration is known to have been the newest a short time ago.
+     * Returns the time since the confirming read was sent, as it is logged.
      *
-     * <p>The monotonic clock stands still while a host is suspended; a time of day that ran ahead of it tells so.
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @return The age in milliseconds, or -1 without a configuration.
+     */
+    public long loggedAgeMillis(long nowMillis) {
+        return configuration.isEmpty() ? -1 : nowMillis - confirmation.monotonicMillis();
+    }
+
+    /**
+     * Tells whether the configuration is known to have been the newest a short time ago.
      *
      * @param nowMillis The present monotonic time in milliseconds.
      * @param nowWallMillis The present time of day in milliseconds of the epoch.
@@ -45,8 +59,7 @@
         if (configuration.isEmpty()) {
             return false;
         }
-        long age = nowMillis - confirmedMillis;
-        long wallAge = nowWallMillis - confirmedWallMillis;
-        return age < maximumAgeMillis && wallAge - age < CLOCK_TOLERANCE_MILLIS;
+        OptionalLong age = confirmation.ageMillis(nowMillis, nowWallMillis);
+        return age.isPresent() && age.getAsLong() < maximumAgeMillis;
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/BackendFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/BackendFollower.java
@@ -7,6 +7,8 @@
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.backend.BackendCatalogue;
 import org.cranberrygauge.proxy.backend.BackendRegister;
+import org.cranberrygauge.proxy.control.TopicFollower.Pace;
+import org.cranberrygauge.proxy.store.Confirmation;
 import org.cranberrygauge.proxy.store.KeyedRecord;
 import org.cranberrygauge.proxy.store.RecordReader;
 import org.cranberrygauge.proxy.store.UnreadableRecordException;
@@ -33,8 +35,17 @@
     /** Reads entries. */
     private final RecordReader<Backend> reader;
 
-    /** The pause between reads in milliseconds. */
-    private final long pauseMillis;
+    /** The part of the bound for leaving backend servers that a pause between reads takes. */
+    private static final double PAUSE_PART = 0.33;
+
+    /** The part of the bound for leaving backend servers that what another host read may be old. */
+    private static final double RELAYED_AGE_PART = 0.6;
+
+    /** Reads through other hosts where that is possible. */
+    private final TopicRelay relay;
+
+    /** The time within which a leaving backend server must get no more requests, in milliseconds. */
+    private final long boundMillis;
 
     /** The entries. */
     private final BackendRegister register = new BackendRegister();
@@ -49,20 +60,24 @@
      * Creates a follower.
      *
      * @param tools The tools.
+     * @param relay Reads through other hosts where that is possible.
      * @param topic The topic.
      * @param reader Reads entries.
-     * @param pauseMillis The pause between reads in milliseconds.
+     * @param boundMillis The time within which a leaving backend server must get no more requests, in milliseconds.
      */
-    public BackendFollower(ControlTools tools, String topic, RecordReader<Backend> reader, long pauseMillis) {
+    public BackendFollower(
+            ControlTools tools, TopicRelay relay, String topic, RecordReader<Backend> reader, long boundMillis) {
+        this.relay = relay;
         this.tools = tools;
         this.topic = topic;
         this.reader = reader;
-        this.pauseMillis = pauseMillis;
+        this.boundMillis = boundMillis;
     }
 
     /** Starts to follow. */
     public void start() {
-        new TopicFollower(tools, topic, WAIT_MILLIS, pauseMillis, this).run();
+        Pace pace = new Pace(WAIT_MILLIS, (long) (boundMillis * PAUSE_PART), (long) (boundMillis * RELAYED_AGE_PART));
+        new TopicFollower(tools, relay, topic, pace, this).run();
     }
 
     @Override
@@ -97,7 +112,7 @@
     }
 
     @Override
-    public void confirmed(long sentMillis, long sentWallMillis) {
+    public void confirmed(Confirmation read) {
         long now = tools.time().monotonicMillis();
         register.reached(now);
         publish(now);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ConfigurationFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ConfigurationFollower.java
@@ -1,9 +1,10 @@
 package org.cranberrygauge.proxy.control;
 
 import java.util.Map;
-import java.util.Optional;
 import org.cranberrygauge.proxy.configuration.ConfigurationView;
 import org.cranberrygauge.proxy.configuration.ProxyConfiguration;
+import org.cranberrygauge.proxy.control.TopicFollower.Pace;
+import org.cranberrygauge.proxy.store.Confirmation;
 import org.cranberrygauge.proxy.store.KeyedRecord;
 import org.cranberrygauge.proxy.store.RecordReader;
 import org.cranberrygauge.proxy.store.UnreadableRecordException;
@@ -24,8 +25,17 @@
     /** The key under which the configuration is kept. */
     private final String key;
 
-    /** The longest time that a read waits for a change, in milliseconds; a confirmation is at most twice as old. */
-    private final long waitMillis;
+    /** The part of the bound for configurations that a read waits for a change; a confirmation is at most twice as old. */
+    private static final double WAIT_PART = 0.4;
+
+    /** The part of the bound for configurations that what another host read may be old. */
+    private static final double RELAYED_AGE_PART = 0.7;
+
+    /** Reads through other hosts where that is possible. */
+    private final TopicRelay relay;
+
+    /** The time within which a configuration must be in force, in milliseconds. */
+    private final long boundMillis;
 
     /** Reads configurations. */
     private final RecordReader<ProxyConfiguration> reader;
@@ -34,23 +44,31 @@
      * Creates a follower.
      *
      * @param tools The tools.
+     * @param relay Reads through other hosts where that is possible.
      * @param topic The topic.
      * @param key The key under which the configuration is kept.
      * @param reader Reads configurations.
-     * @param waitMillis The longest time that a read waits for a change, in milliseconds.
+     * @param boundMillis The time within which a configuration must be in force, in milliseconds.
      */
     public ConfigurationFollower(
-            ControlTools tools, String topic, String key, RecordReader<ProxyConfiguration> reader, long waitMillis) {
+            ControlTools tools,
+            TopicRelay relay,
+            String topic,
+            String key,
+            RecordReader<ProxyConfiguration> reader,
+            long boundMillis) {
+        this.relay = relay;
         this.tools = tools;
         this.topic = topic;
         this.key = key;
         this.reader = reader;
-        this.waitMillis = waitMillis;
+        this.boundMillis = boundMillis;
     }
 
     /** Starts to follow. */
     public void start() {
-        new TopicFollower(tools, topic, waitMillis, 0, this).run();
+        Pace pace = new Pace((long) (boundMillis * WAIT_PART), 0, (long) (boundMillis * RELAYED_AGE_PART));
+        new TopicFollower(tools, relay, topic, pace, this).run();
     }
 
     @Override
@@ -68,8 +86,8 @@
     }
 
     @Override
-    public void confirmed(long sentMillis, long sentWallMillis) {
-        tools.board().publish(tools.board().configuration().withConfirmation(sentMillis, sentWallMillis));
+    public void confirmed(Confirmation read) {
+        tools.board().publish(tools.board().configuration().withConfirmation(read));
     }
 
     /**
@@ -86,9 +104,7 @@
             if (read.version() <= present) {
                 return;
             }
-            tools.board()
-                    .publish(new ConfigurationView(
-                            Optional.of(read), view.confirmedMillis(), view.confirmedWallMillis()));
+            tools.board().publish(view.withConfiguration(read));
             tools.events().emit(new ControlEvents.ConfigurationInForce(read.version(), offset));
         } catch (UnreadableRecordException exception) {
             tools.events().emit(new ControlEvents.RecordUnreadable(topic, key, exception.getMessage()));
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/DutyKeeper.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/DutyKeeper.java
@@ -19,9 +19,18 @@
     /** The time that is left unused before the membership lapses, in milliseconds. */
     private static final long MARGIN_MILLIS = 400;
 
+    /** The pause before the first join, in which the other hosts become known, in milliseconds. */
+    private static final long FIRST_MILLIS = 1_000;
+
+    /** The time for which a host stays in the group after it last read the log for its data centre, in milliseconds. */
+    private static final long STANDBY_MILLIS = 30_000;
+
     /** The tools. */
     private final ControlTools tools;
 
+    /** Tells which host reads the log; only such hosts stand by for the duties. */
+    private final TopicRelay relay;
+
     /** The name of this start of the host. */
     private final String member;
 
@@ -37,6 +46,9 @@
     /** The token that was last logged, or -1 if the duties were not held. */
     private long loggedToken = -1;
 
+    /** The monotonic time up to which this host stands by. */
+    private long standbyUntilMillis = Long.MIN_VALUE;
+
     /** Whether the host has left the group. */
     private boolean left;
 
@@ -44,23 +56,38 @@
      * Creates a keeper.
      *
      * @param tools The tools.
+     * @param relay Tells which host reads the log.
      * @param member The name of this start of the host.
      * @param leaseMillis The time after which an earlier holder has surely stopped, in milliseconds.
      */
-    public DutyKeeper(ControlTools tools, String member, long leaseMillis) {
+    public DutyKeeper(ControlTools tools, TopicRelay relay, String member, long leaseMillis) {
         this.tools = tools;
+        this.relay = relay;
         this.member = member;
         this.lifetimeMillis = leaseMillis;
         this.lease = new DutyLease(tools.time().monotonicMillis(), leaseMillis, leaseMillis - MARGIN_MILLIS);
         this.watch = new DependencyWatch("duty group", tools.events());
     }
 
-    /** Joins again and again. */
-    public void run() {
+    /** Starts to join again and again. */
+    public void start() {
+        tools.vertx().setTimer(FIRST_MILLIS, fired -> run());
+    }
+
+    /** Joins, or stays in the group, if this host stands by. */
+    private void run() {
         if (left) {
             return;
         }
         long sentMillis = tools.time().monotonicMillis();
+        if (relay.reader().isEmpty()) {
+            standbyUntilMillis = sentMillis + STANDBY_MILLIS;
+        }
+        if (sentMillis >= standbyUntilMillis && token().isEmpty()) {
+            logChange();
+            tools.vertx().setTimer(PAUSE_MILLIS, fired -> run());
+            return;
+        }
         long sentWallMillis = tools.time().wallMillis();
         tools.log()
                 .join(GROUP, member, GROUP, lifetimeMillis, lease.generation())
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/HostNetwork.java
@@ -0,0 +1,26 @@
+package org.cranberrygauge.proxy.control;
+
+import org.cranberrygauge.proxy.ProxySettings;
+
+/**
+ * What connects this host with the others.
+ *
+ * @param peers The other hosts.
+ * @param channel Carries the messages.
+ * @param relay Reads topics through other hosts.
+ */
+public record HostNetwork(PeerDirectory peers, HostChannel channel, TopicRelay relay) {
+
+    /**
+     * Creates what connects a host with the others.
+     *
+     * @param tools The tools.
+     * @param settings The settings of the host.
+     * @return What connects it.
+     */
+    public static HostNetwork of(ControlTools tools, ProxySettings settings) {
+        PeerDirectory peers = new PeerDirectory(settings.host(), settings.dataCentre());
+        HostChannel channel = new HostChannel(tools, settings.peers());
+        return new HostNetwork(peers, channel, new TopicRelay(tools, peers, channel));
+    }
+}
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
@@ -1,9 +1,12 @@
 package org.cranberrygauge.proxy.control;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.protocol.generated.BackendWork;
 import org.cranberrygauge.protocol.generated.HostReport;
@@ -15,7 +18,7 @@
  *
  * <p>Invariants: a report counts only while it is recent; of two starts of a host only the later counts. Used by one thread.
  */
-final class PeerDirectory {
+public final class PeerDirectory {
 
     /** The age up to which the work in a report counts, in milliseconds. */
     private static final long WORK_MILLIS = 1_500;
@@ -26,9 +29,29 @@
     /** The time after which a silent host gets no more reports, in milliseconds. */
     private static final long FORGOTTEN_MILLIS = 60_000;
 
-    /** The hosts by name. */
+    /** The age of the last report up to which a host is asked what it read, in milliseconds. */
+    private static final long READER_MILLIS = 1_000;
+
+    /** The name of this host. */
+    private final String host;
+
+    /** The data centre of this host. */
+    private final String dataCentre;
+
+    /** The other hosts by name. */
     private final Map<String, Peer> peers = new HashMap<>();
 
+    /**
+     * Creates a directory.
+     *
+     * @param host The name of this host.
+     * @param dataCentre The data centre of this host.
+     */
+    public PeerDirectory(String host, String dataCentre) {
+        this.host = host;
+        this.dataCentre = dataCentre;
+    }
+
     /**
      * Takes the address of a host.
      *
@@ -39,7 +62,7 @@
     void announce(long nowMillis, String host, NetworkAddress address) {
         Peer known = peers.get(host);
         if (known == null) {
-            peers.put(host, new Peer(address, 0, 0, Map.of(), false, nowMillis, Long.MIN_VALUE / 2));
+            peers.put(host, new Peer(address, 0, 0, Map.of(), "", false, nowMillis, Long.MIN_VALUE / 2));
         }
     }
 
@@ -65,7 +88,8 @@
                         report.getStartedAtMillis(),
                         report.getSequence(),
                         work,
-                        report.isTakesRequests(),
+                        report.getDataCentre(),
+                        report.isReadsLog(),
                         nowMillis,
                         nowMillis));
         return true;
@@ -104,6 +128,40 @@
         return new PeerLoads(total, hosts);
     }
 
+    /**
+     * Returns the host that reads the shared log for this one: the first by name of the data centre, or of all hosts if none of
+     * the data centre can read.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param ownReads Whether this host can read.
+     * @return The address of the host, or empty if this host reads by itself.
+     */
+    Optional<NetworkAddress> reader(long nowMillis, boolean ownReads) {
+        Optional<String> near = firstReader(nowMillis, dataCentre::equals);
+        if (ownReads) {
+            return near.filter(name -> name.compareTo(host) < 0)
+                    .map(name -> peers.get(name).address());
+        }
+        return near.or(() -> firstReader(nowMillis, any -> true))
+                .map(name -> peers.get(name).address());
+    }
+
+    /**
+     * Returns the first other host that reads the shared log.
+     *
+     * @param nowMillis The present monotonic time in milliseconds.
+     * @param wanted The data centres that count.
+     * @return Its name.
+     */
+    private Optional<String> firstReader(long nowMillis, Predicate<String> wanted) {
+        return peers.entrySet().stream()
+                .filter(entry -> entry.getValue().readsLog()
+                        && wanted.test(entry.getValue().dataCentre()))
+                .filter(entry -> nowMillis - entry.getValue().heardMillis() < READER_MILLIS)
+                .map(Map.Entry::getKey)
+                .min(Comparator.naturalOrder());
+    }
+
     /**
      * Tells whether a report is older than what is known.
      *
@@ -135,7 +193,8 @@
      * @param startedAtMillis The time of its start in milliseconds of the epoch.
      * @param sequence The number of its last report.
      * @param work Its work by incarnation of the backend server.
-     * @param takesRequests Whether it takes requests.
+     * @param dataCentre Its data centre; unknown before its first report.
+     * @param readsLog Whether it may read the shared log for others.
      * @param knownMillis The monotonic time at which it was last heard or announced.
      * @param heardMillis The monotonic time of its last report.
      */
@@ -144,7 +203,8 @@
             long startedAtMillis,
             long sequence,
             Map<String, Work> work,
-            boolean takesRequests,
+            String dataCentre,
+            boolean readsLog,
             long knownMillis,
             long heardMillis) {}
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerLink.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerLink.java
@@ -1,9 +1,6 @@
 package org.cranberrygauge.proxy.control;
 
 import io.vertx.core.Future;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.datagram.DatagramPacket;
-import io.vertx.core.datagram.DatagramSocket;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -14,8 +11,10 @@
 import org.cranberrygauge.protocol.generated.BackendWork;
 import org.cranberrygauge.protocol.generated.CrashCount;
 import org.cranberrygauge.protocol.generated.HostAddress;
+import org.cranberrygauge.protocol.generated.HostMessage;
 import org.cranberrygauge.protocol.generated.HostReport;
 import org.cranberrygauge.protocol.generated.PartPlaced;
+import org.cranberrygauge.proxy.ProxySettings;
 import org.cranberrygauge.proxy.retry.CrashRegister;
 import org.cranberrygauge.proxy.routing.PeerLoads.Work;
 import org.cranberrygauge.proxy.routing.PlacedPart;
@@ -43,11 +42,8 @@
     /** The tools. */
     private final ControlTools tools;
 
-    /** The name of this host. */
-    private final String host;
-
-    /** The address at which this host takes reports. */
-    private final NetworkAddress address;
+    /** The settings of this host. */
+    private final ProxySettings settings;
 
     /** The time of the start of this process in milliseconds of the epoch. */
     private final long startedAtMillis;
@@ -62,14 +58,14 @@
     private final AtomicReference<Map<String, Work>> ownWork;
 
     /** The other hosts. */
-    private final PeerDirectory peers = new PeerDirectory();
+    private final PeerDirectory peers;
+
+    /** What connects this host with the others. */
+    private final HostNetwork network;
 
     /** Notes when hosts can't be found. */
     private final DependencyWatch watch;
 
-    /** The socket. */
-    private DatagramSocket socket;
-
     /** The number of the last report. */
     private long sequence;
 
@@ -77,8 +73,8 @@
      * Creates a link.
      *
      * @param tools The tools.
-     * @param host The name of this host.
-     * @param address The address at which this host takes reports.
+     * @param settings The settings of this host.
+     * @param network What connects this host with the others.
      * @param startedAtMillis The time of the start of this process in milliseconds of the epoch.
      * @param crashes The requests that crash backend servers.
      * @param placements Tells other hosts which engine reads which prompt part.
@@ -86,15 +82,16 @@
      */
     public PeerLink(
             ControlTools tools,
-            String host,
-            NetworkAddress address,
+            ProxySettings settings,
+            HostNetwork network,
             long startedAtMillis,
             CrashRegister crashes,
             PlacementExchange placements,
             AtomicReference<Map<String, Work>> ownWork) {
         this.tools = tools;
-        this.host = host;
-        this.address = address;
+        this.settings = settings;
+        this.network = network;
+        this.peers = network.peers();
         this.startedAtMillis = startedAtMillis;
         this.crashes = crashes;
         this.placements = placements;
@@ -108,21 +105,19 @@
      * @return The end of the start.
      */
     public Future<Void> start() {
-        socket = tools.vertx().createDatagramSocket();
-        return socket.handler(this::receive)
-                .listen(address.port(), address.host())
-                .onSuccess(bound -> {
-                    announce();
-                    tools.vertx().setPeriodic(PAUSE_MILLIS, fired -> report());
-                })
-                .mapEmpty();
+        network.channel().onMessage(HostMessage._Fields.REPORT, (message, sender) -> take(message.getReport(), sender));
+        return network.channel().start().onSuccess(bound -> {
+            announce();
+            tools.vertx().setPeriodic(PAUSE_MILLIS, fired -> report());
+        });
     }
 
     /** Writes this host's address and reads those of the others. */
     private void announce() {
-        byte[] value = MessageCodec.write(new HostAddress(address.host(), address.port(), startedAtMillis));
+        byte[] value = MessageCodec.write(
+                new HostAddress(settings.peers().host(), settings.peers().port(), startedAtMillis));
         tools.log()
-                .put(TOPIC, host, value)
+                .put(TOPIC, settings.host(), value)
                 .compose(offset -> tools.log().newest(TOPIC))
                 .onSuccess(newest -> {
                     watch.reached(tools.time().monotonicMillis());
@@ -141,7 +136,7 @@
      * @param value The bytes.
      */
     private void takeAddress(String name, byte[] value) {
-        if (name.equals(host)) {
+        if (name.equals(settings.host())) {
             return;
         }
         try {
@@ -155,10 +150,7 @@
     /** Sends a report to each other host and publishes what they said. */
     private void report() {
         long now = tools.time().monotonicMillis();
-        Buffer bytes = Buffer.buffer(MessageCodec.write(message(now)));
-        for (NetworkAddress peer : peers.addresses(now)) {
-            socket.send(bytes, peer.port(), peer.host());
-        }
+        network.channel().send(HostMessage.report(message(now)), peers.addresses(now));
         tools.board().publish(peers.loads(now));
     }
 
@@ -183,37 +175,31 @@
                         placed.incarnation(), placed.part().id(), placed.part().tokens())));
         sequence++;
         return new HostReport(
-                host,
+                settings.host(),
                 startedAtMillis,
                 sequence,
                 work,
                 counts,
                 parts,
-                !tools.board().draining(),
-                tools.time().wallMillis());
+                settings.dataCentre(),
+                network.relay().readsLog());
     }
 
     /**
      * Takes a report.
      *
-     * @param packet The datagram.
+     * @param report The report.
+     * @param sender The address it came from.
      */
-    private void receive(DatagramPacket packet) {
-        try {
-            HostReport report = MessageCodec.read(packet.data().getBytes(), new HostReport());
-            NetworkAddress sender =
-                    new NetworkAddress(packet.sender().host(), packet.sender().port());
-            if (!peers.take(tools.time().monotonicMillis(), report, sender)) {
-                return;
-            }
-            Map<Long, Integer> counts = new HashMap<>();
-            report.getCrashes().forEach(count -> counts.put(count.getFingerprint(), count.getCrashes()));
-            crashes.takeOthers(report.getHost(), counts);
-            report.getPlaced()
-                    .forEach(placed -> placements.heard(new PlacedPart(
-                            placed.getIncarnation(), new PromptPart(placed.getPart(), placed.getTokens()))));
-        } catch (TException exception) {
-            tools.events().emit(new ControlEvents.RecordUnreadable("datagram", "", exception.getMessage()));
+    private void take(HostReport report, NetworkAddress sender) {
+        if (!peers.take(tools.time().monotonicMillis(), report, sender)) {
+            return;
         }
+        Map<Long, Integer> counts = new HashMap<>();
+        report.getCrashes().forEach(count -> counts.put(count.getFingerprint(), count.getCrashes()));
+        crashes.takeOthers(report.getHost(), counts);
+        report.getPlaced()
+                .forEach(placed -> placements.heard(
+                        new PlacedPart(placed.getIncarnation(), new PromptPart(placed.getPart(), placed.getTokens()))));
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
@@ -1,8 +1,9 @@
 package org.cranberrygauge.proxy.control;
 
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import org.cranberrygauge.proxy.store.Confirmation;
 import org.cranberrygauge.proxy.store.KeyedRecord;
-import org.cranberrygauge.proxy.store.SharedLog.LogSlice;
 import org.cranberrygauge.proxy.store.SharedLogException;
 import org.cranberrygauge.proxy.store.SharedLogException.Kind;
 
@@ -19,17 +20,23 @@
     /** The longest pause after failed reads, in milliseconds. */
     private static final long LONGEST_RETRY_MILLIS = 800;
 
+    /** The shortest pause after a read of another host, in milliseconds. */
+    private static final long RELAYED_PAUSE_MILLIS = 250;
+
+    /** The time over which the pauses after reads of other hosts are spread, in milliseconds. */
+    private static final long RELAYED_SPREAD_MILLIS = 100;
+
     /** The tools. */
     private final ControlTools tools;
 
     /** The topic. */
     private final String topic;
 
-    /** The longest time that a read waits for a record, in milliseconds. */
-    private final long waitMillis;
+    /** How often the topic is read. */
+    private final Pace pace;
 
-    /** The pause between reads in milliseconds. */
-    private final long pauseMillis;
+    /** Reads through other hosts where that is possible. */
+    private final TopicRelay relay;
 
     /** Takes what is read. */
     private final Listener listener;
@@ -47,40 +54,36 @@
      * Creates a follower.
      *
      * @param tools The tools.
+     * @param relay Reads through other hosts where that is possible.
      * @param topic The topic.
-     * @param waitMillis The longest time that a read waits for a record, in milliseconds.
-     * @param pauseMillis The pause between reads in milliseconds.
+     * @param pace How often the topic is read.
      * @param listener Takes what is read.
      */
-    TopicFollower(ControlTools tools, String topic, long waitMillis, long pauseMillis, Listener listener) {
+    TopicFollower(ControlTools tools, TopicRelay relay, String topic, Pace pace, Listener listener) {
         this.tools = tools;
+        this.relay = relay;
         this.topic = topic;
-        this.waitMillis = waitMillis;
-        this.pauseMillis = pauseMillis;
+        this.pace = pace;
         this.listener = listener;
         this.watch = new DependencyWatch("log topic " + topic, tools.events());
     }
 
     /** Reads on. */
     void run() {
-        long sentMillis = tools.time().monotonicMillis();
-        long sentWallMillis = tools.time().wallMillis();
-        if (next < 0) {
-            tools.log()
-                    .newest(topic)
-                    .onSuccess(newest -> {
-                        next = newest.end();
-                        listener.all(newest.values());
-                        succeeded(sentMillis, sentWallMillis);
-                    })
+        if (next >= 0) {
+            relay.read(topic, next, pace.waitMillis(), pace.maximumAgeMillis())
+                    .onSuccess(this::take)
                     .onFailure(this::failed);
             return;
         }
+        Confirmation sent =
+                new Confirmation(tools.time().monotonicMillis(), tools.time().wallMillis());
         tools.log()
-                .read(topic, next, waitMillis)
-                .onSuccess(slice -> {
-                    take(slice);
-                    succeeded(sentMillis, sentWallMillis);
+                .newest(topic)
+                .onSuccess(newest -> {
+                    next = newest.end();
+                    listener.all(newest.values());
+                    succeeded(sent, pace.pauseMillis());
                 })
                 .onFailure(this::failed);
     }
@@ -88,29 +91,45 @@
     /**
      * Takes records.
      *
-     * @param slice The records.
+     * @param reading What was read.
      */
-    private void take(LogSlice slice) {
+    private void take(TopicReading reading) {
         long offset = next;
-        for (byte[] record : slice.records()) {
+        for (byte[] record : reading.records()) {
             long at = offset;
             KeyedRecord.parse(record).ifPresent(keyed -> listener.one(keyed, at));
             offset++;
         }
-        next = slice.next();
+        next = reading.next();
+        succeeded(reading.confirmation(), pauseMillis(reading));
+    }
+
+    /**
+     * Returns the pause before the next read; hosts that ask the same one don't do so all at once.
+     *
+     * @param reading What was read.
+     * @return The pause in milliseconds.
+     */
+    private long pauseMillis(TopicReading reading) {
+        if (!reading.relayed()) {
+            return pace.pauseMillis();
+        }
+        if (!reading.complete()) {
+            return 0;
+        }
+        return RELAYED_PAUSE_MILLIS + ThreadLocalRandom.current().nextLong(RELAYED_SPREAD_MILLIS);
     }
 
     /**
      * Goes on after a successful read.
      *
-     * @param sentMillis The monotonic time at which the read was sent.
-     * @param sentWallMillis The time of day at which the read was sent.
+     * @param read The time of the read.
+     * @param pauseMillis The pause before the next read, in milliseconds.
      */
-    private void succeeded(long sentMillis, long sentWallMillis) {
-        long now = tools.time().monotonicMillis();
-        watch.reached(now);
+    private void succeeded(Confirmation read, long pauseMillis) {
+        watch.reached(tools.time().monotonicMillis());
         retryMillis = FIRST_RETRY_MILLIS;
-        listener.confirmed(sentMillis, sentWallMillis);
+        listener.confirmed(read);
         if (pauseMillis == 0) {
             run();
         } else {
@@ -133,6 +152,15 @@
         retryMillis = Math.min(LONGEST_RETRY_MILLIS, retryMillis * 2);
     }
 
+    /**
+     * How often a topic is read.
+     *
+     * @param waitMillis The longest time that a read of the log waits for a record, in milliseconds.
+     * @param pauseMillis The pause between reads of the log, in milliseconds.
+     * @param maximumAgeMillis The highest age of what another host read, in milliseconds.
+     */
+    record Pace(long waitMillis, long pauseMillis, long maximumAgeMillis) {}
+
     /** Takes what a follower reads. */
     interface Listener {
 
@@ -154,10 +182,9 @@
         /**
          * Hears that everything up to a time is known.
          *
-         * @param sentMillis The monotonic time at which the read was sent, in milliseconds.
-         * @param sentWallMillis The time of day at which the read was sent, in milliseconds of the epoch.
+         * @param read The time at which the read was sent.
          */
-        void confirmed(long sentMillis, long sentWallMillis);
+        void confirmed(Confirmation read);
 
         /** Hears that a read failed. */
         default void failed() {}
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageDesk.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageDesk.java
@@ -5,7 +5,7 @@
 import java.util.OptionalLong;
 import java.util.TreeSet;
 import org.apache.thrift.TException;
-import org.cranberrygauge.protocol.generated.UsageCounted;
+import org.cranberrygauge.protocol.generated.UsageBatch;
 import org.cranberrygauge.protocol.generated.UsageDecided;
 import org.cranberrygauge.proxy.duty.DutyReceiver;
 import org.cranberrygauge.proxy.duty.DutyReceiver.DutyAnswer;
@@ -229,8 +229,10 @@
      */
     private void takeCounted(byte[] record) {
         try {
-            UsageCounted counted = MessageCodec.read(record, new UsageCounted());
-            ledger.counted(counted.getWindow(), counted.getIncarnation(), counted.getByCustomer());
+            UsageBatch batch = MessageCodec.read(record, new UsageBatch());
+            batch.getCounts()
+                    .forEach(counted ->
+                            ledger.counted(counted.getWindow(), counted.getIncarnation(), counted.getByCustomer()));
         } catch (TException exception) {
             tools.events().emit(new ControlEvents.RecordUnreadable(UsageShipper.TOPIC, "", exception.getMessage()));
         }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageShipper.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageShipper.java
@@ -3,90 +3,157 @@
 import io.vertx.core.Future;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
+import org.cranberrygauge.model.backend.NetworkAddress;
+import org.cranberrygauge.protocol.generated.HostMessage;
+import org.cranberrygauge.protocol.generated.UsageBatch;
 import org.cranberrygauge.protocol.generated.UsageCounted;
+import org.cranberrygauge.proxy.duty.UsageCount;
 import org.cranberrygauge.proxy.duty.UsageCounter;
+import org.cranberrygauge.proxy.duty.UsageGathering;
 
 /**
- * Writes what this host counted into the shared log.
+ * Brings the usage counts of this host into the shared log: through the host that reads for the data centre, or by itself.
  *
- * <p>Used by one thread.
+ * <p>Counts are cumulative and those of the newest windows are handed over again and again, so that neither a lost datagram
+ * nor the end of the other host loses any. Used by one thread, but for the counter.
  */
 public final class UsageShipper {
 
-    /** The topic with the counts of all hosts. */
+    /** The topic with the counts. */
     static final String TOPIC = "usage-counted";
 
-    /** The pause between looks at the clock in milliseconds. */
-    private static final long TICK_MILLIS = 250;
+    /** The pause between writes, or between datagrams to the host that writes, in milliseconds. */
+    private static final long PAUSE_MILLIS = 1_000;
 
-    /** The writes in each window. */
-    private static final int WRITES_PER_WINDOW = 2;
+    /** The windows that are handed over each time. */
+    private static final int HANDED_WINDOWS = 3;
 
-    /** The time after the end of a window at which its last counts are written, in milliseconds. */
-    private static final long AFTER_END_MILLIS = 600;
+    /** The hosts that get the counts of one that can't write them. */
+    private static final int SUBSTITUTES = 3;
 
     /** The tools. */
     private final ControlTools tools;
 
-    /** The counts. */
+    /** What connects this host with the others. */
+    private final HostNetwork network;
+
+    /** The counts of this host. */
     private final UsageCounter counter;
 
     /** The name of this start of the host. */
     private final String incarnation;
 
-    /** The pause between writes in milliseconds. */
-    private final long pauseMillis;
+    /** The counts that this host writes. */
+    private final UsageGathering gathering = new UsageGathering();
 
     /** Notes when counts can't be written. */
     private final DependencyWatch watch;
 
-    /** The number of the last write period. */
-    private long period = -1;
-
     /**
      * Creates a shipper.
      *
      * @param tools The tools.
-     * @param counter The counts.
+     * @param network What connects this host with the others.
+     * @param counter The counts of this host.
      * @param incarnation The name of this start of the host.
-     * @param windowMillis The length of a window in milliseconds.
      */
-    public UsageShipper(ControlTools tools, UsageCounter counter, String incarnation, long windowMillis) {
+    public UsageShipper(ControlTools tools, HostNetwork network, UsageCounter counter, String incarnation) {
         this.tools = tools;
+        this.network = network;
         this.counter = counter;
         this.incarnation = incarnation;
-        this.pauseMillis = windowMillis / WRITES_PER_WINDOW;
         this.watch = new DependencyWatch("usage counts", tools.events());
+        network.channel().onMessage(HostMessage._Fields.USAGE, (message, sender) -> gather(message.getUsage()));
     }
 
     /** Starts to write. */
     public void start() {
-        tools.vertx().setPeriodic(TICK_MILLIS, fired -> {
-            long present = Math.floorDiv(tools.time().wallMillis() - AFTER_END_MILLIS, pauseMillis);
-            if (present != period) {
-                period = present;
-                ship();
-            }
-        });
+        tools.vertx().setPeriodic(PAUSE_MILLIS, fired -> tick());
+    }
+
+    /** Hands the counts over or writes them. */
+    private void tick() {
+        Optional<NetworkAddress> writer = network.relay().reader();
+        if (writer.isEmpty()) {
+            ship();
+            return;
+        }
+        network.channel().send(HostMessage.usage(batch(own())), List.of(writer.get()));
+        write();
     }
 
     /**
-     * Writes the counts that changed.
+     * Writes the counts of this host and those that others handed over.
      *
-     * @return The end of the writes.
+     * @return The end of the write.
      */
     public Future<Void> ship() {
-        Map<Long, Map<String, Long>> changed = counter.takeChanged();
-        List<Future<Long>> writes = new ArrayList<>();
-        changed.forEach((window, counts) -> writes.add(tools.log()
-                .append(TOPIC, MessageCodec.write(new UsageCounted(incarnation, window, counts)), OptionalLong.empty())
+        own().forEach(gathering::take);
+        return write();
+    }
+
+    /**
+     * Returns the newest counts of this host.
+     *
+     * @return The counts.
+     */
+    private List<UsageCount> own() {
+        List<UsageCount> own = new ArrayList<>();
+        counter.newest(HANDED_WINDOWS)
+                .forEach((window, counts) -> own.add(new UsageCount(incarnation, window, counts)));
+        return own;
+    }
+
+    /**
+     * Writes the gathered counts that rose.
+     *
+     * @return The end of the write.
+     */
+    private Future<Void> write() {
+        List<UsageCount> changed = gathering.takeChanged();
+        if (changed.isEmpty()) {
+            return Future.succeededFuture();
+        }
+        return tools.log()
+                .append(TOPIC, MessageCodec.write(batch(changed)), OptionalLong.empty())
                 .onSuccess(offset -> watch.reached(tools.time().monotonicMillis()))
                 .onFailure(failure -> {
                     watch.failed(tools.time().monotonicMillis(), String.valueOf(failure.getMessage()));
-                    counter.giveBack(List.of(window));
-                })));
-        return Future.join(writes).mapEmpty();
+                    gathering.giveBack(changed);
+                    handOver();
+                })
+                .mapEmpty();
+    }
+
+    /** Gives the counts of this host to some others, so that they outlive it while the log can't be reached. */
+    private void handOver() {
+        List<NetworkAddress> others = network.peers().addresses(tools.time().monotonicMillis());
+        network.channel()
+                .send(HostMessage.usage(batch(own())), others.subList(0, Math.min(SUBSTITUTES, others.size())));
+    }
+
+    /**
+     * Takes counts that another host hands over.
+     *
+     * @param batch The counts.
+     */
+    private void gather(UsageBatch batch) {
+        batch.getCounts()
+                .forEach(counted -> gathering.take(
+                        new UsageCount(counted.getIncarnation(), counted.getWindow(), counted.getByCustomer())));
+    }
+
+    /**
+     * Writes counts down.
+     *
+     * @param counts The counts.
+     * @return The message.
+     */
+    private static UsageBatch batch(List<UsageCount> counts) {
+        List<UsageCounted> written = new ArrayList<>();
+        counts.forEach(count -> written.add(new UsageCounted(count.incarnation(), count.window(), count.byCustomer())));
+        return new UsageBatch(written);
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/duty/FleetPlan.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/duty/FleetPlan.java
@@ -25,6 +25,9 @@
     /** The regular backend servers that always stay. */
     private static final int REGULAR_FLOOR = 1;
 
+    /** The regular and cheap backend servers together for each one that the demand needs, where cheap ones can't be had. */
+    private static final double NEEDED_FACTOR = 1.3;
+
     /** The time for which a data centre that had no cheap backend server to give is left out, in milliseconds. */
     private static final long DRY_MILLIS = 6_000;
 
@@ -52,6 +55,9 @@
     /** The monotonic time at which a backend server was first seen, or -1 before. */
     private long seenSinceMillis = -1;
 
+    /** The number that the demand needs. */
+    private double needed;
+
     /** The number wished for in all, or 0 before the list of backend servers is complete. */
     private int size;
 
@@ -74,9 +80,10 @@
      * @param nowMillis The present monotonic time in milliseconds.
      * @param limits How backend servers may be ordered.
      * @param present The backend servers that take new work.
-     * @param needed The number that the present demand needs.
+     * @param demand The number that the present demand needs.
      */
-    public void observe(long nowMillis, FleetLimits limits, List<Backend> present, double needed) {
+    public void observe(long nowMillis, FleetLimits limits, List<Backend> present, double demand) {
+        needed = demand;
         if (present.isEmpty()) {
             return;
         }
@@ -87,7 +94,7 @@
             return;
         }
         int dataCentres = limits.dataCentrePrices().size();
-        resize(nowMillis, present.size(), needed, limits.maximum() * dataCentres);
+        resize(nowMillis, present.size(), limits.maximum() * dataCentres);
     }
 
     /** Forgets the orders of an earlier term of this host, since others may have ordered after them. */
@@ -111,7 +118,7 @@
         dataCentres.sort(Comparator.comparing(name -> limits.dataCentrePrices().get(name)));
         Map<String, Integer> cheap = count(present, Supply.CHEAP);
         Map<String, Integer> regular = count(present, Supply.REGULAR);
-        Map<String, Integer> cheapWish = cheapWish(nowMillis, limits, dataCentres);
+        Map<String, Integer> cheapWish = cheapWish(nowMillis, limits, dataCentres, cheap);
         int regularWish = regularWish(nowMillis, limits, cheap, cheapWish, total(regular));
         Map<String, Integer> regularWishes = regularWishes(limits, dataCentres, cheapWish, regular, regularWish);
         List<BackendOrder> orders = new ArrayList<>();
@@ -149,10 +156,9 @@
      *
      * @param nowMillis The present monotonic time in milliseconds.
      * @param present The number that takes new work.
-     * @param needed The number that the demand needs.
      * @param maximum The highest number.
      */
-    private void resize(long nowMillis, int present, double needed, int maximum) {
+    private void resize(long nowMillis, int present, int maximum) {
         if (size == 0) {
             size = (int) Math.ceil(present * START_FACTOR);
             lowSinceMillis = nowMillis;
@@ -170,19 +176,28 @@
     }
 
     /**
-     * Spreads the cheap ones over the data centres.
+     * Spreads the cheap ones over the data centres; one that has none to give keeps those that are there.
      *
      * @param nowMillis The present monotonic time in milliseconds.
      * @param limits The limits.
      * @param dataCentres The data centres, cheapest first.
+     * @param cheap The cheap ones that are there.
      * @return The numbers by data centre.
      */
-    private Map<String, Integer> cheapWish(long nowMillis, FleetLimits limits, List<String> dataCentres) {
-        List<String> open = new ArrayList<>(dataCentres);
-        open.removeIf(name -> nowMillis < dryUntilMillis.getOrDefault(name, Long.MIN_VALUE));
+    private Map<String, Integer> cheapWish(
+            long nowMillis, FleetLimits limits, List<String> dataCentres, Map<String, Integer> cheap) {
         Map<String, Integer> wish = new HashMap<>();
+        List<String> open = new ArrayList<>();
+        for (String dataCentre : dataCentres) {
+            if (nowMillis >= dryUntilMillis.getOrDefault(dataCentre, Long.MIN_VALUE)) {
+                open.add(dataCentre);
+            } else {
+                wish.put(dataCentre, cheap.getOrDefault(dataCentre, 0));
+            }
+        }
         int most = limits.maximum() - REGULAR_FLOOR;
-        for (int index = 0; index < size && !open.isEmpty(); index++) {
+        int spread = size - total(wish);
+        for (int index = 0; index < spread && !open.isEmpty(); index++) {
             String dataCentre = open.get(index % open.size());
             wish.merge(dataCentre, 1, (left, right) -> Math.min(most, left + right));
         }
@@ -191,7 +206,7 @@
 
     /**
      * Decides the number of regular ones: those that are there stay until the cheap ones are ready, and more are ordered only
-     * for cheap ones that don't come.
+     * for cheap ones that don't come, as far as the demand needs them.
      *
      * @param nowMillis The present monotonic time in milliseconds.
      * @param limits The limits.
@@ -215,7 +230,8 @@
             coming += soon ? Math.max(0, absent) : 0;
         }
         int kept = Math.min(regular, missing);
-        return Math.max(REGULAR_FLOOR, Math.max(kept, missing - coming));
+        int lacking = (int) Math.ceil(needed * NEEDED_FACTOR) - total(cheap);
+        return Math.max(REGULAR_FLOOR, Math.max(kept, Math.min(missing, lacking) - coming));
     }
 
     /**
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/duty/UsageCounter.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/duty/UsageCounter.java
@@ -21,9 +21,6 @@
     /** The counts by window and customer. */
     private final TreeMap<Long, Map<String, Long>> windows = new TreeMap<>();
 
-    /** The windows whose counts changed since they were last taken. */
-    private final Map<Long, Boolean> changed = new HashMap<>();
-
     /**
      * Creates a counter.
      *
@@ -52,34 +49,25 @@
     public synchronized void count(long wallMillis, String customer) {
         long window = windowAt(wallMillis);
         windows.computeIfAbsent(window, number -> new HashMap<>()).merge(customer, 1L, Long::sum);
-        changed.put(window, true);
         while (windows.size() > REMEMBERED_WINDOWS) {
-            changed.remove(windows.pollFirstEntry().getKey());
+            windows.pollFirstEntry();
         }
     }
 
     /**
-     * Takes the windows whose counts changed.
+     * Returns the counts of the newest windows.
      *
+     * @param number The number of windows.
      * @return The counts by window and customer.
      */
-    public synchronized Map<Long, Map<String, Long>> takeChanged() {
-        Map<Long, Map<String, Long>> taken = new TreeMap<>();
-        changed.keySet().forEach(window -> taken.put(window, Map.copyOf(windows.get(window))));
-        changed.clear();
-        return taken;
-    }
-
-    /**
-     * Marks windows as changed again, since they could not be written.
-     *
-     * @param written The windows.
-     */
-    public synchronized void giveBack(Iterable<Long> written) {
-        for (Long window : written) {
-            if (windows.containsKey(window)) {
-                changed.put(window, true);
+    public synchronized Map<Long, Map<String, Long>> newest(int number) {
+        Map<Long, Map<String, Long>> newest = new TreeMap<>();
+        for (Map.Entry<Long, Map<String, Long>> entry : windows.descendingMap().entrySet()) {
+            if (newest.size() == number) {
+                break;
             }
+            newest.put(entry.getKey(), Map.copyOf(entry.getValue()));
         }
+        return newest;
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
@@ -32,9 +32,15 @@
     /** The name of requests without an identifier, and of routes that don't exist. */
     private static final String NONE = "-";
 
+    /** The pause between looks whether a request that came early can be taken, in milliseconds. */
+    private static final long LOOK_MILLIS = 10;
+
     /** The tools. */
     private final ExchangeTools tools;
 
+    /** Decides whether a request waits since the process has just started. */
+    private final StartHold hold = new StartHold();
+
     /** Decides which requests are taken. */
     private final RequestGate gate;
 
@@ -52,6 +58,39 @@
     @Override
     public void handle(HttpServerRequest request) {
         long now = tools.time().monotonicMillis();
+        if (hold.holds(now, now, tools.board())) {
+            request.pause();
+            holdOn(request, now);
+            return;
+        }
+        take(request, now);
+    }
+
+    /**
+     * Takes a request up once the process knows enough, or has waited long enough.
+     *
+     * @param request The request, whose body is paused.
+     * @param arrivedMillis The monotonic time at which it arrived.
+     */
+    private void holdOn(HttpServerRequest request, long arrivedMillis) {
+        if (request.response().closed()) {
+            return;
+        }
+        if (hold.holds(tools.time().monotonicMillis(), arrivedMillis, tools.board())) {
+            tools.vertx().setTimer(LOOK_MILLIS, fired -> holdOn(request, arrivedMillis));
+            return;
+        }
+        take(request, arrivedMillis);
+        request.resume();
+    }
+
+    /**
+     * Takes a request.
+     *
+     * @param request The request.
+     * @param now The monotonic time at which it arrived.
+     */
+    private void take(HttpServerRequest request, long now) {
         CallerReply reply = new CallerReply(request, tools.board()::draining);
         CallerHead head = tools.dialect().readCaller(request.headers());
         ConfigurationView view = tools.board().configuration();
@@ -165,7 +204,7 @@
                         reason.name(),
                         reason.status(),
                         view.configuration().map(known -> known.version()).orElse(-1L),
-                        now - view.confirmedMillis()));
+                        view.loggedAgeMillis(now)));
     }
 
     /**
--- /dev/null
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicRelayTest.java
@@ -0,0 +1,294 @@
+package org.cranberrygauge.proxy.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.apache.thrift.TException;
+import org.cranberrygauge.model.backend.NetworkAddress;
+import org.cranberrygauge.protocol.generated.HostMessage;
+import org.cranberrygauge.protocol.generated.HostReport;
+import org.cranberrygauge.proxy.exchange.ProxyBoard;
+import org.cranberrygauge.proxy.store.Confirmation;
+import org.cranberrygauge.proxy.store.SharedLog;
+import org.cranberrygauge.proxy.store.SharedLogException;
+import org.cranberrygauge.runtime.event.EventLog;
+import org.cranberrygauge.runtime.time.TimeSource;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Answers who reads the log, and how old what is passed on counts, with two hosts of one data centre. */
+class TopicRelayTest {
+
+    private static final String TOPIC = "records";
+
+    private static final long WALL = 1_000_000;
+
+    private static final long ANSWER_LIMIT_SECONDS = 10;
+
+    private final Vertx vertx = Vertx.vertx();
+
+    private final Clock clock = new Clock();
+
+    private final Network network = new Network();
+
+    private final Log firstLog = new Log();
+
+    private final Log secondLog = new Log();
+
+    private final TopicRelay first = host("host-1", firstLog, "host-2");
+
+    private final TopicRelay second = host("host-2", secondLog, "host-1");
+
+    @AfterEach
+    void close() {
+        vertx.close();
+    }
+
+    @Test
+    void theFirstHostReadsAndTheOtherAsksIt() throws Exception {
+        firstLog.records = List.of(new byte[] {1}, new byte[] {2});
+        read(first, 5);
+        TopicReading reading = read(second, 6);
+        assertThat(reading.relayed()).isTrue();
+        assertThat(reading.records()).containsExactly(new byte[] {2});
+        assertThat(reading.next()).isEqualTo(7);
+        assertThat(secondLog.reads).isZero();
+    }
+
+    @Test
+    void whatIsPassedOnIsAsOldAsTheRead() throws Exception {
+        read(first, 5);
+        clock.advance(400);
+        TopicReading reading = read(second, 5);
+        assertThat(reading.relayed()).isTrue();
+        assertThat(reading.confirmation().monotonicMillis()).isEqualTo(clock.now - 400);
+    }
+
+    @Test
+    void anAnswerThatWasHeldUpCountsFromTheQuestion() throws Exception {
+        read(first, 5);
+        network.heldUp = () -> clock.advance(3_000);
+        long asked = clock.now;
+        assertThat(read(second, 5).confirmation().monotonicMillis()).isLessThanOrEqualTo(asked);
+    }
+
+    @Test
+    void aHostReadsByItselfWhereTheAnswerIsTooOldOrMissing() throws Exception {
+        read(first, 5);
+        clock.advance(900);
+        network.report("host-1", second);
+        assertThat(read(second, 5).relayed()).isFalse();
+        network.broken = true;
+        clock.advance(100);
+        assertThat(read(second, 5).relayed()).isFalse();
+        assertThat(secondLog.reads).isEqualTo(2);
+    }
+
+    @Test
+    void manyRecordsComeInSeveralAnswersOfWhichTheLastConfirms() throws Exception {
+        firstLog.records = List.of(new byte[3_000], new byte[3_000]);
+        read(first, 5);
+        TopicReading part = read(second, 5);
+        assertThat(part.complete()).isFalse();
+        assertThat(part.next()).isEqualTo(6);
+        assertThat(part.confirmation()).isEqualTo(Confirmation.NONE);
+        TopicReading rest = read(second, part.next());
+        assertThat(rest.complete()).isTrue();
+        assertThat(rest.next()).isEqualTo(7);
+        assertThat(secondLog.reads).isZero();
+    }
+
+    @Test
+    void aQuestionIsAskedAgainWhenADatagramIsLost() throws Exception {
+        read(first, 5);
+        network.lost = 1;
+        assertThat(read(second, 5).relayed()).isTrue();
+    }
+
+    @Test
+    void aHostReadsByItselfWhatTheOtherNoLongerHas() throws Exception {
+        read(first, 5);
+        assertThat(read(second, 3).relayed()).isFalse();
+    }
+
+    @Test
+    void aHostWhoseClockStoodStillPassesNothingOn() throws Exception {
+        read(first, 5);
+        clock.wall += 5_000;
+        assertThat(read(second, 5).relayed()).isFalse();
+    }
+
+    @Test
+    void aHostThatTheLogTurnsAwayAsksTheOther() throws Exception {
+        read(second, 5);
+        firstLog.failure = new SharedLogException(SharedLogException.Kind.TURNED_AWAY, "turned away");
+        assertThat(read(first, 5).relayed()).isTrue();
+        assertThat(first.readsLog()).isFalse();
+        assertThat(second.readsLog()).isTrue();
+    }
+
+    @Test
+    void aReadFailsWhereNoHostCanRead() {
+        firstLog.failure = new SharedLogException(SharedLogException.Kind.TURNED_AWAY, "turned away");
+        assertThatThrownBy(() -> read(first, 5))
+                .isInstanceOf(ExecutionException.class)
+                .hasCause(firstLog.failure);
+    }
+
+    private TopicReading read(TopicRelay relay, long from) throws Exception {
+        return relay.read(TOPIC, from, 1_000, 800)
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(ANSWER_LIMIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private TopicRelay host(String name, Log log, String other) {
+        PeerDirectory peers = new PeerDirectory(name, "east");
+        peers.take(clock.now, report(other, 1), network.address(other));
+        network.directories.put(name, peers);
+        ControlTools tools = new ControlTools(vertx, clock, log, new ProxyBoard(), EventLog.NoOp.INSTANCE);
+        return new TopicRelay(tools, peers, network.carrier(name));
+    }
+
+    private static HostReport report(String host, long sequence) {
+        return new HostReport(host, 1, sequence, Map.of(), List.of(), List.of(), "east", true);
+    }
+
+    /** A clock that is set by hand. */
+    private static final class Clock implements TimeSource {
+
+        private long now = 10_000;
+
+        private long wall = WALL;
+
+        void advance(long millis) {
+            now += millis;
+            wall += millis;
+        }
+
+        @Override
+        public long monotonicMillis() {
+            return now;
+        }
+
+        @Override
+        public long wallMillis() {
+            return wall;
+        }
+    }
+
+    /** Hands messages over at once, unless it is broken. */
+    private final class Network {
+
+        private final Map<NetworkAddress, Map<HostMessage._Fields, BiConsumer<HostMessage, NetworkAddress>>> takers =
+                new HashMap<>();
+
+        private final Map<String, PeerDirectory> directories = new HashMap<>();
+
+        private Runnable heldUp = () -> {};
+
+        private boolean broken;
+
+        private int lost;
+
+        NetworkAddress address(String host) {
+            return new NetworkAddress(host, 1);
+        }
+
+        void report(String host, TopicRelay to) {
+            assertThat(to).isSameAs(second);
+            directories.get("host-2").take(clock.now, TopicRelayTest.report(host, clock.now), address(host));
+        }
+
+        MessageCarrier carrier(String host) {
+            Map<HostMessage._Fields, BiConsumer<HostMessage, NetworkAddress>> own =
+                    new EnumMap<>(HostMessage._Fields.class);
+            takers.put(address(host), own);
+            return new MessageCarrier() {
+
+                @Override
+                public void onMessage(HostMessage._Fields kind, BiConsumer<HostMessage, NetworkAddress> taker) {
+                    own.put(kind, taker);
+                }
+
+                @Override
+                public void send(HostMessage message, Collection<NetworkAddress> receivers) {
+                    if (broken || lost > 0) {
+                        lost--;
+                        return;
+                    }
+                    if (message.getSetField() == HostMessage._Fields.ANSWER) {
+                        heldUp.run();
+                    }
+                    receivers.forEach(receiver ->
+                            takers.get(receiver).get(message.getSetField()).accept(copy(message), address(host)));
+                }
+            };
+        }
+    }
+
+    private static HostMessage copy(HostMessage message) {
+        try {
+            return MessageCodec.read(MessageCodec.write(message), new HostMessage());
+        } catch (TException exception) {
+            throw new AssertionError(exception);
+        }
+    }
+
+    /** A log with fixed records, or one that fails. */
+    private static final class Log implements SharedLog {
+
+        private List<byte[]> records = List.of();
+
+        private SharedLogException failure;
+
+        private int reads;
+
+        @Override
+        public Future<LogSlice> read(String topic, long from, long waitMillis) {
+            reads++;
+            if (failure != null) {
+                return Future.failedFuture(failure);
+            }
+            long next = from + records.size();
+            return Future.succeededFuture(new LogSlice(next, next, records));
+        }
+
+        @Override
+        public Future<Long> append(String topic, byte[] record, OptionalLong expectedEnd) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Future<Long> put(String topic, String key, byte[] value) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Future<KeyedValues> newest(String topic) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Future<GroupShare> join(
+                String group, String member, String topic, long lifetimeMillis, long generation) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Future<Void> leave(String group, String member) {
+            throw new UnsupportedOperationException();
+        }
+    }
+}
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/duty/FleetPlanTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/duty/FleetPlanTest.java
@@ -86,6 +86,36 @@
         assertThat(cheapTotal(decide(27_000, LIMITS, present, 1), 13)).isLessThan(13);
     }
 
+    @Test
+    void regularOnesReplaceOnlyWhatTheDemandNeedsWhereCheapOnesAreDry() {
+        settled(regular(8), 0);
+        List<Backend> reclaimed = with(regular(1), cheap(0, 3, 3));
+        decide(9_000, LIMITS, with(regular(1), cheap(4, 3, 3)), 4);
+        decide(20_000, LIMITS, reclaimed, 4);
+        for (String dataCentre : List.of("a", "b", "c")) {
+            plan.turnedAway(20_100, new BackendOrder("engines", dataCentre, Supply.CHEAP, 4));
+        }
+        List<BackendOrder> orders = decide(20_500, LIMITS, reclaimed, 4);
+        assertThat(orders.stream()
+                        .filter(order -> order.supply() == Supply.REGULAR)
+                        .mapToInt(BackendOrder::number)
+                        .sum())
+                .isLessThanOrEqualTo(1);
+    }
+
+    @Test
+    void aDataCentreWithNoneToGiveKeepsThoseThatAreThere() {
+        settled(regular(8), 0);
+        List<Backend> reclaimed = with(regular(1), cheap(0, 3, 3));
+        decide(9_000, LIMITS, with(regular(1), cheap(4, 3, 3)), 4);
+        decide(20_000, LIMITS, reclaimed, 4);
+        for (String dataCentre : List.of("a", "b", "c")) {
+            plan.turnedAway(20_100, new BackendOrder("engines", dataCentre, Supply.CHEAP, 4));
+        }
+        assertThat(decide(20_500, LIMITS, reclaimed, 4))
+                .noneMatch(order -> order.supply() == Supply.CHEAP && order.number() < 3);
+    }
+
     @Test
     void aSuccessorReplacesALostDataCentreAtOnce() {
         List<Backend> before = with(regular(1), cheap(4, 3, 3));
