Learn how fast the engines of a pool are from the requests sent to them

Cause: routing, waiting and sizing used the speed of one engine (38 prompt tokens a ms, 45,000 tokens an engine, 24 short requests). Change: EngineProfileEstimator (decision.engine) fits the time to the first event over the uncached tokens before it and the time for which tokens are held; the chooser, the wait queue and the fleet's size use the profile. Short requests of an engine are counted against half of its slots, which the configuration names.

--- /dev/null
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/engine/package-info.java
@@ -0,0 +1,2 @@
+/** What requests show of the speed of engines. */
+package org.cranberrygauge.decision.engine;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -33,6 +33,7 @@
 import org.cranberrygauge.proxy.leader.UsageCounter;
 import org.cranberrygauge.proxy.retry.CrashTracker;
 import org.cranberrygauge.proxy.routing.BackendChooser;
+import org.cranberrygauge.proxy.routing.EngineProfiles;
 import org.cranberrygauge.proxy.routing.LoadTable;
 import org.cranberrygauge.proxy.routing.PeerLoads.Work;
 import org.cranberrygauge.proxy.routing.PlacementExchange;
@@ -182,6 +183,7 @@
             AtomicReference<Map<String, Work>> ownWork, CrashTracker crashes, UsageCounter usage) {
         ProxySettings.Times times = settings.times();
         LoadTable loads = new LoadTable();
+        EngineProfiles profiles = new EngineProfiles();
         PoolWaitQueues queues = new PoolWaitQueues();
         ExchangeMetrics metrics = new ExchangeMetrics(registry);
         HostMetrics hostMetrics = new HostMetrics(registry);
@@ -191,8 +193,9 @@
                 blackboard,
                 new BackendClient(vertx),
                 dependencies.codec(),
-                new BackendChooser(settings.dataCentre(), loads, new SplittableRandom()),
+                new BackendChooser(settings.dataCentre(), loads, profiles, new SplittableRandom()),
                 loads,
+                profiles,
                 placements,
                 queues,
                 new PoolRetryBudgets(times.retryWindowMillis(), times.retryRatio(), times.retryAllowance()),
@@ -206,6 +209,7 @@
         vertx.setPeriodic(PUBLISH_INTERVAL_MILLIS, fired -> {
             placements.applyTo(loads);
             ownWork.set(loads.work());
+            blackboard.publish(profiles.snapshot());
             loads.removeUnlisted(blackboard.backends());
             publishMetrics(hostMetrics, queues.size());
         });
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/FleetController.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/FleetController.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.cranberrygauge.proxy.backend.Backend;
+import org.cranberrygauge.proxy.configuration.EngineLimits;
 import org.cranberrygauge.proxy.configuration.FleetLimits;
 import org.cranberrygauge.proxy.configuration.Pool;
 import org.cranberrygauge.proxy.configuration.ProxyConfiguration;
@@ -23,11 +24,8 @@
     /** The interval between evaluations. */
     private static final long TICK_MILLIS = 500;
 
-    /** The target for the tokens of running requests on one engine. */
-    private static final double TOKENS_PER_ENGINE = 45_000;
-
-    /** The target for the requests with short prompts on one engine. */
-    private static final double SHORT_REQUESTS_PER_ENGINE = 24;
+    /** The fraction of an engine's slots that requests with short prompts may use. */
+    private static final double SHORT_REQUEST_SLOT_FRACTION = 0.5;
 
     /** The smoothing weight of a new measurement below the current estimate. */
     private static final double DECREASE_WEIGHT = 0.05;
@@ -91,7 +89,7 @@
         long now = context.time().monotonicMillis();
         List<Backend> ready = context.blackboard().backends().ready(pool.name());
         FleetPlan plan = plans.computeIfAbsent(pool.name(), FleetPlan::new);
-        plan.observe(now, limits, ready, demand(pool.name(), ready));
+        plan.observe(now, limits, ready, demand(pool, ready));
         token.ifPresent(
                 fencingToken -> plan.decide(now, limits, ready).forEach(order -> send(plan, order, fencingToken)));
     }
@@ -119,7 +117,7 @@
     }
 
     /** Estimates the number of engines that the current load requires. */
-    private double demand(String pool, List<Backend> ready) {
+    private double demand(Pool pool, List<Backend> ready) {
         double tokens = 0;
         double shortRequests = 0;
         for (Backend backend : ready) {
@@ -129,10 +127,13 @@
             tokens += work.heldTokens();
             shortRequests += work.shortRunning();
         }
-        double current = tokens / TOKENS_PER_ENGINE + shortRequests / SHORT_REQUESTS_PER_ENGINE;
-        double previous = demand.getOrDefault(pool, current);
+        double sustainableTokens =
+                context.blackboard().engineProfile(pool.name()).sustainableTokens();
+        double shortRequestsPerEngine = pool.engine().map(EngineLimits::slots).orElse(1) * SHORT_REQUEST_SLOT_FRACTION;
+        double current = tokens / sustainableTokens + shortRequests / shortRequestsPerEngine;
+        double previous = demand.getOrDefault(pool.name(), current);
         double smoothed = previous + (current - previous) * (current > previous ? INCREASE_WEIGHT : DECREASE_WEIGHT);
-        demand.put(pool, smoothed);
+        demand.put(pool.name(), smoothed);
         return smoothed;
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -13,7 +13,6 @@
 import org.cranberrygauge.proxy.retry.AttemptOutcome;
 import org.cranberrygauge.proxy.retry.NextStep;
 import org.cranberrygauge.proxy.retry.RetryPolicy;
-import org.cranberrygauge.proxy.routing.BackendChooser;
 import org.cranberrygauge.proxy.routing.BackendChooser.Choice;
 import org.cranberrygauge.proxy.routing.BackendLoad.Placement;
 
@@ -115,6 +114,7 @@
     public void onStreamEnd(int status, MultiMap headers) {
         beginStream(status, headers);
         context.load(request.pool(), attempt.backend()).recordSuccess();
+        context.profiles().recordEnd(request.pool().name(), placement, now() - attemptStartMillis);
         response.endStream();
         finish("served", status);
     }
@@ -232,7 +232,7 @@
         waiting = true;
         long tokens = context.load(request.pool(), choice.backend())
                 .uncachedTokens(request.callerHeaders().prompt());
-        long prefillMillis = (long) (tokens / BackendChooser.PREFILL_TOKENS_PER_MILLI);
+        long prefillMillis = (long) context.profiles().of(request.pool().name()).prefillMillis(tokens);
         context.queues()
                 .of(request.pool().name())
                 .add(new Entry<>(
@@ -276,7 +276,9 @@
         recorder.recordChoice(choice);
         tried.add(backend.incarnation());
         placement = context.load(request.pool(), backend)
-                .place(request.callerHeaders().prompt());
+                .place(
+                        request.callerHeaders().prompt(),
+                        context.blackboard().peers().at(backend.incarnation()));
         context.placements()
                 .record(now, backend.incarnation(), request.callerHeaders().prompt());
         attempt = new BackendAttempt(context.codec(), request, backend, this);
@@ -293,6 +295,7 @@
             return;
         }
         history = history.withStart();
+        context.profiles().recordFirstEvent(request.pool().name(), placement, now() - attemptStartMillis);
         recorder.recordFirstEvent(now());
         MultiMap forwarded = MultiMap.caseInsensitiveMultiMap();
         context.codec().copyResponse(headers, forwarded);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
@@ -7,6 +7,7 @@
 import org.cranberrygauge.proxy.retry.CrashTracker;
 import org.cranberrygauge.proxy.routing.BackendChooser;
 import org.cranberrygauge.proxy.routing.BackendLoad;
+import org.cranberrygauge.proxy.routing.EngineProfiles;
 import org.cranberrygauge.proxy.routing.LoadTable;
 import org.cranberrygauge.proxy.routing.PlacementExchange;
 import org.cranberrygauge.runtime.event.EventLog;
@@ -16,6 +17,7 @@
  * What all exchanges use.
  *
  * @param loads The load caused by this host's own requests.
+ * @param profiles The speed of engines, as this host's own requests show it.
  * @param queues The requests that wait until an engine has capacity.
  * @param usage Counts the requests that started running.
  * @param usageTime The clocks by which usage is counted.
@@ -28,6 +30,7 @@
         HeaderCodec codec,
         BackendChooser chooser,
         LoadTable loads,
+        EngineProfiles profiles,
         PlacementExchange placements,
         PoolWaitQueues queues,
         PoolRetryBudgets budgets,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
@@ -1,7 +1,9 @@
 package org.cranberrygauge.proxy.exchange;
 
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import org.cranberrygauge.decision.engine.EngineProfile;
 import org.cranberrygauge.proxy.backend.BackendSnapshot;
 import org.cranberrygauge.proxy.configuration.ConfigurationView;
 import org.cranberrygauge.proxy.routing.PeerLoads;
@@ -19,6 +21,9 @@
     /** The load caused by the other hosts. */
     private final AtomicReference<PeerLoads> peers = new AtomicReference<>(PeerLoads.NO_PEERS);
 
+    /** The speed of engines by pool, as this host's own requests show it. */
+    private final AtomicReference<Map<String, EngineProfile>> engineProfiles = new AtomicReference<>(Map.of());
+
     /** The number of requests in progress. */
     private final AtomicInteger active = new AtomicInteger();
 
@@ -53,6 +58,15 @@
         peers.set(loads);
     }
 
+    /** Returns the speed of a pool's engines. */
+    public EngineProfile engineProfile(String pool) {
+        return engineProfiles.get().getOrDefault(pool, EngineProfile.INITIAL);
+    }
+
+    public void publish(Map<String, EngineProfile> profiles) {
+        engineProfiles.set(profiles);
+    }
+
     /** Returns the live counter of requests in progress. */
     public AtomicInteger active() {
         return active;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
+import org.cranberrygauge.decision.engine.EngineProfile;
 import org.cranberrygauge.decision.topology.RendezvousHash;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.configuration.Pool;
@@ -21,23 +22,20 @@
  */
 public final class BackendChooser {
 
-    /** The prompt tokens that an engine processes in a millisecond. */
-    public static final double PREFILL_TOKENS_PER_MILLI = 38;
-
     /** The duration of a decode step of an idle engine; a step produces one token for each request. */
     private static final double DECODE_STEP_MILLIS = 5;
 
     /** The time that each running request adds to a decode step. */
     private static final double DECODE_STEP_MILLIS_PER_REQUEST = 0.15;
 
-    /** The time that prefill adds to a decode step of an engine that always has prompts to process. */
-    private static final double PREFILL_STEP_MILLIS = 108;
+    /** The prompt tokens that an engine processes at most in one step. */
+    private static final double PREFILL_CHUNK_TOKENS = 4_096;
 
-    /** The prompt tokens of running requests at which an engine spends half of its time on prefill. */
-    private static final double HALF_PREFILL_TOKENS = 30_000;
+    /** The tokens of running requests at which an engine spends half of its time on prefill, of those it sustains. */
+    private static final double HALF_PREFILL_FRACTION = 0.67;
 
-    /** The prompt tokens of running requests above which an engine gets no more long prompts. */
-    private static final double SATURATION_TOKENS = 90_000;
+    /** The tokens of running requests above which an engine gets no more long prompts, of those it sustains. */
+    private static final double SATURATION_FACTOR = 2;
 
     /** The weight in the cost of the time between the tokens of a request. */
     private static final double DECODE_WEIGHT = 0.1;
@@ -94,11 +92,14 @@
     /** The load caused by this host's own requests. */
     private final LoadTable loads;
 
+    private final EngineProfiles profiles;
+
     private final RandomGenerator random;
 
-    public BackendChooser(String dataCentre, LoadTable loads, RandomGenerator random) {
+    public BackendChooser(String dataCentre, LoadTable loads, EngineProfiles profiles, RandomGenerator random) {
         this.dataCentre = dataCentre;
         this.loads = loads;
+        this.profiles = profiles;
         this.random = random;
     }
 
@@ -144,7 +145,9 @@
         }
         BackendLoad load = load(pool, backend);
         Work work = load.work().plus(peers.at(backend.incarnation()));
-        return work.heldTokens() > 0 && work.heldTokens() + load.uncachedTokens(prompt) > SATURATION_TOKENS;
+        return work.heldTokens() > 0
+                && work.heldTokens() + load.uncachedTokens(prompt)
+                        > profiles.of(pool.name()).sustainableTokens() * SATURATION_FACTOR;
     }
 
     /** Ranks the engines of a partition for a prompt; empty if the prompt shares no prefix. */
@@ -178,17 +181,18 @@
         BackendLoad load = load(pool, backend);
         Work work = load.work().plus(peers.at(backend.incarnation()));
         double uncached = load.uncachedTokens(prompt) * (affinityRank == 0 ? FIRST_AFFINITY_FACTOR : 1);
-        double prefillShare = work.heldTokens() / (work.heldTokens() + HALF_PREFILL_TOKENS);
+        EngineProfile profile = profiles.of(pool.name());
+        double prefillShare =
+                work.heldTokens() / (work.heldTokens() + profile.sustainableTokens() * HALF_PREFILL_FRACTION);
         double step = DECODE_STEP_MILLIS
                 + DECODE_STEP_MILLIS_PER_REQUEST * work.running()
-                + PREFILL_STEP_MILLIS * prefillShare;
-        double cost = (work.unreadTokens() + uncached) / PREFILL_TOKENS_PER_MILLI;
+                + profile.prefillMillis(PREFILL_CHUNK_TOKENS) * prefillShare;
+        double cost = profile.prefillMillis(work.unreadTokens() + uncached);
         cost += prompt.outputTokens() * step * DECODE_WEIGHT;
-        cost += load.uncachedSharedTokens(prompt)
-                / PREFILL_TOKENS_PER_MILLI
+        cost += profile.prefillMillis(load.uncachedSharedTokens(prompt))
                 * Math.min(MAXIMUM_AFFINITY_RANK, affinityRank);
         if (!EnginePartition.isShort(prompt)) {
-            cost += work.shortRunning() * uncached / PREFILL_TOKENS_PER_MILLI * PREFILL_INTERFERENCE_WEIGHT;
+            cost += work.shortRunning() * profile.prefillMillis(uncached) * PREFILL_INTERFERENCE_WEIGHT;
         }
         cost += Math.max(0, work.running() + 1 - backend.slots()) * QUEUE_MILLIS_PER_REQUEST;
         if (work.heldTokens() + uncached + prompt.outputTokens() > pool.memoryTokens() * USABLE_CACHE_FRACTION) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendLoad.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendLoad.java
@@ -59,9 +59,14 @@
         cached = new CachedParts((long) (memory * CACHE_FRACTION));
     }
 
-    /** Adds a request that is about to be sent. The caller ends the returned placement when the request ends. */
-    public Placement place(Prompt prompt) {
+    /**
+     * Adds a request that is about to be sent. The caller ends the returned placement when the request ends.
+     *
+     * @param peers The load caused by the other hosts at this backend server.
+     */
+    public Placement place(Prompt prompt, Work peers) {
         long unread = uncachedTokens(prompt);
+        long ahead = unreadTokens + peers.unreadTokens();
         long held = unread + prompt.outputTokens();
         running++;
         unreadTokens += unread;
@@ -69,7 +74,7 @@
         boolean isShort = EnginePartition.isShort(prompt);
         shortRunning += isShort ? 1 : 0;
         cached.add(prompt.parts());
-        return new Placement(this, unread, held, isShort);
+        return new Placement(this, unread, ahead + unread, held, isShort);
     }
 
     /** Returns the tokens of a prompt that the engine would have to process. */
@@ -136,19 +141,32 @@
 
         private long unread;
 
+        private final long tokensToFirstEvent;
+
         private final long held;
 
         private final boolean isShort;
 
         private boolean ended;
 
-        private Placement(BackendLoad load, long unread, long held, boolean isShort) {
+        private Placement(BackendLoad load, long unread, long tokensToFirstEvent, long held, boolean isShort) {
             this.load = load;
             this.unread = unread;
+            this.tokensToFirstEvent = tokensToFirstEvent;
             this.held = held;
             this.isShort = isShort;
         }
 
+        /** Returns the uncached prompt tokens of the request and of those that were sent to the engine before it. */
+        long tokensToFirstEvent() {
+            return tokensToFirstEvent;
+        }
+
+        /** Returns the KV-cache tokens that the request occupies. */
+        long heldTokens() {
+            return held;
+        }
+
         /** Releases the prefill work once the first event has arrived. Idempotent. */
         public void started() {
             load.unreadTokens -= unread;
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/EngineProfiles.java
@@ -0,0 +1,47 @@
+package org.cranberrygauge.proxy.routing;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.cranberrygauge.decision.engine.EngineProfile;
+import org.cranberrygauge.decision.engine.EngineProfileEstimator;
+import org.cranberrygauge.proxy.routing.BackendLoad.Placement;
+
+/** Learns the profiles of engines by pool, from this host's own requests. Not thread-safe. */
+public final class EngineProfiles {
+
+    private final Map<String, EngineProfileEstimator> estimators = new HashMap<>();
+
+    public EngineProfile of(String pool) {
+        EngineProfileEstimator estimator = estimators.get(pool);
+        return estimator == null ? EngineProfile.INITIAL : estimator.profile();
+    }
+
+    /**
+     * Records the first event of a request.
+     *
+     * @param millis The time since the request was sent in milliseconds.
+     */
+    public void recordFirstEvent(String pool, Placement placement, long millis) {
+        estimator(pool).recordFirstEvent(placement.tokensToFirstEvent(), millis);
+    }
+
+    /**
+     * Records the end of a stream that is complete.
+     *
+     * @param millis The time since the request was sent in milliseconds.
+     */
+    public void recordEnd(String pool, Placement placement, long millis) {
+        estimator(pool).recordEnd(placement.heldTokens(), millis);
+    }
+
+    /** Returns the current profiles of the pools to which requests were sent. */
+    public Map<String, EngineProfile> snapshot() {
+        Map<String, EngineProfile> profiles = new HashMap<>();
+        estimators.forEach((pool, estimator) -> profiles.put(pool, estimator.profile()));
+        return Map.copyOf(profiles);
+    }
+
+    private EngineProfileEstimator estimator(String pool) {
+        return estimators.computeIfAbsent(pool, name -> new EngineProfileEstimator());
+    }
+}
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendChooserTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendChooserTest.java
@@ -23,13 +23,15 @@
 
     private final LoadTable loads = new LoadTable();
 
-    private final BackendChooser chooser = new BackendChooser("east-a", loads, new SplittableRandom(1));
+    private final BackendChooser chooser =
+            new BackendChooser("east-a", loads, new EngineProfiles(), new SplittableRandom(1));
 
     private final List<Backend> engines = engines(8);
 
     @Test
     void hostsSendADocumentToTheSameEngineWithoutCoordination() {
-        BackendChooser other = new BackendChooser("east-a", new LoadTable(), new SplittableRandom(2));
+        BackendChooser other =
+                new BackendChooser("east-a", new LoadTable(), new EngineProfiles(), new SplittableRandom(2));
         for (int document = 0; document < 30; document++) {
             Prompt prompt = ProxyFixtures.longPrompt("document-" + document);
             assertThat(choose(chooser, prompt, PeerLoads.NO_PEERS).backend())
@@ -42,7 +44,7 @@
         Prompt prompt = ProxyFixtures.longPrompt("document");
         Backend preferred = choose(chooser, prompt, PeerLoads.NO_PEERS).backend();
         PeerLoads busy = new PeerLoads(Map.of(preferred.incarnation(), new Work(6, 10_000, 20_000, 0)), 4);
-        loads.of(preferred.incarnation(), MEMORY).place(prompt).end();
+        loads.of(preferred.incarnation(), MEMORY).place(prompt, Work.NONE).end();
         assertThat(choose(chooser, prompt, busy).backend()).isEqualTo(preferred);
     }
 
@@ -50,7 +52,7 @@
     void aDocumentSpreadsOnceItsEngineIsOverloaded() {
         Prompt prompt = ProxyFixtures.longPrompt("document");
         Backend preferred = choose(chooser, prompt, PeerLoads.NO_PEERS).backend();
-        loads.of(preferred.incarnation(), MEMORY).place(prompt).end();
+        loads.of(preferred.incarnation(), MEMORY).place(prompt, Work.NONE).end();
         PeerLoads overloaded = new PeerLoads(Map.of(preferred.incarnation(), new Work(40, 200_000, 400_000, 0)), 4);
         assertThat(choose(chooser, prompt, overloaded).backend()).isNotEqualTo(preferred);
     }
@@ -101,7 +103,7 @@
         Set<Backend> used = new HashSet<>();
         for (int number = 0; number < 40; number++) {
             Backend chosen = choose(chooser, prompt, PeerLoads.NO_PEERS).backend();
-            loads.of(chosen.incarnation(), MEMORY).place(prompt);
+            loads.of(chosen.incarnation(), MEMORY).place(prompt, Work.NONE);
             used.add(chosen);
         }
         assertThat(used).hasSizeBetween(2, 4);
@@ -117,7 +119,8 @@
         PeerLoads peers = new PeerLoads(work, 32);
         Map<Backend, Integer> chosen = new HashMap<>();
         for (int host = 0; host < 32; host++) {
-            BackendChooser other = new BackendChooser("east-a", new LoadTable(), new SplittableRandom(host));
+            BackendChooser other =
+                    new BackendChooser("east-a", new LoadTable(), new EngineProfiles(), new SplittableRandom(host));
             chosen.merge(
                     other.choose(
                                     1_000,
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendLoadTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendLoadTest.java
@@ -14,7 +14,7 @@
 
     @Test
     void releasesTheLoadOfARequestExactlyOnce() {
-        Placement placement = load.place(ProxyFixtures.longPrompt("d"));
+        Placement placement = load.place(ProxyFixtures.longPrompt("d"), Work.NONE);
         assertThat(load.work()).isEqualTo(new Work(1, 17_000, 17_120, 0));
         placement.started();
         placement.started();
@@ -26,7 +26,9 @@
 
     @Test
     void countsOnlyUncachedTokensOfAPromptWithACachedPrefix() {
-        load.place(new Prompt(17_000, 0, List.of(new PromptPart("d", 13_300), new PromptPart("x", 3_700))))
+        load.place(
+                        new Prompt(17_000, 0, List.of(new PromptPart("d", 13_300), new PromptPart("x", 3_700))),
+                        Work.NONE)
                 .end();
         Prompt next = new Prompt(17_000, 0, List.of(new PromptPart("d", 13_300), new PromptPart("y", 3_700)));
         assertThat(load.uncachedTokens(next)).isEqualTo(3_700);
