--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendLoadTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendLoadTest.java
@@ -26,9 +26,7 @@
 
     @Test
     void countsOnlyUncachedTokensOfAPromptWithACachedPrefix() {
-        load.place(
-                        new Prompt(17_000, 0, List.of(new PromptPart("d", 13_300), new PromptPart("x", 3_700))),
-                        Work.NONE)
+        load.place(new Prompt(17_000, 0, List.of(new PromptPart("d", 13_300), new PromptPart("x", 3_700))), Work.NONE)
                 .end();
         Prompt next = new Prompt(17_000, 0, List.of(new PromptPart("d", 13_300), new PromptPart("y", 3_700)));
         assertThat(load.uncachedTokens(next)).isEqualTo(3_700);
