Size the fleet by arriving prompts, and reserve engines for short prompts by the mix

Each host now reports how many engines its arriving prompts keep busy (optional field of the host report). The fraction now follows the mix (PrefillMix), so that an engine for short prompts does half of the prefill of one for long prompts.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
@@ -84,10 +84,21 @@
      * @param dataCentre The data centre that they run in.
      * @param supply Whether regular or cheap, reclaimable servers were ordered.
      * @param number The total number ordered.
+     * @param demand The number of servers that the current load requires, of the whole pool.
+     * @param size The target size of the whole pool.
+     * @param tokensPerMilli The learned speed of an engine in prompt tokens per millisecond.
      * @param fencingToken The fencing token that was sent.
      * @param outcome The outcome of the call.
      */
     public record BackendsOrdered(
-            String pool, String dataCentre, String supply, int number, long fencingToken, String outcome)
+            String pool,
+            String dataCentre,
+            String supply,
+            int number,
+            double demand,
+            int size,
+            double tokensPerMilli,
+            long fencingToken,
+            String outcome)
             implements Event {}
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/FleetController.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/FleetController.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicReference;
+import org.cranberrygauge.decision.engine.EngineDemand;
+import org.cranberrygauge.decision.engine.EngineEstimate;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.configuration.EngineLimits;
 import org.cranberrygauge.proxy.configuration.FleetLimits;
@@ -24,15 +26,6 @@
     /** The interval between evaluations. */
     private static final long TICK_MILLIS = 500;
 
-    /** The fraction of an engine's slots that requests with short prompts may use. */
-    private static final double SHORT_REQUEST_SLOT_FRACTION = 0.5;
-
-    /** The smoothing weight of a new measurement below the current estimate. */
-    private static final double DECREASE_WEIGHT = 0.05;
-
-    /** The smoothing weight of a new measurement above the current estimate, higher so that the fleet grows quickly. */
-    private static final double INCREASE_WEIGHT = 0.3;
-
     private final ControllerContext context;
 
     private final LeaderElection election;
@@ -47,8 +40,7 @@
     /** The fencing token at the last evaluation; empty if this host was not the leader. */
     private OptionalLong lastToken = OptionalLong.empty();
 
-    /** The smoothed demand by pool, in engines. */
-    private final Map<String, Double> demand = new HashMap<>();
+    private final Map<String, EngineDemand> demands = new HashMap<>();
 
     /** @param ownWork The load caused by this host, as the request path publishes it. */
     public FleetController(
@@ -89,7 +81,7 @@
         long now = context.time().monotonicMillis();
         List<Backend> ready = context.blackboard().backends().ready(pool.name());
         FleetPlan plan = plans.computeIfAbsent(pool.name(), FleetPlan::new);
-        plan.observe(now, limits, ready, demand(pool, ready));
+        plan.observe(now, limits, ready, measureDemand(pool, ready));
         token.ifPresent(
                 fencingToken -> plan.decide(now, limits, ready).forEach(order -> send(plan, order, fencingToken)));
     }
@@ -106,6 +98,9 @@
                         order.dataCentre(),
                         order.supply().name(),
                         order.number(),
+                        rounded(demand(order.pool()).engines()),
+                        plan.size(),
+                        rounded(engines(order.pool()).profile().tokensPerMilli()),
                         token,
                         outcome.name()));
         switch (outcome) {
@@ -116,24 +111,35 @@
         }
     }
 
-    /** Estimates the number of engines that the current load requires. */
-    private double demand(Pool pool, List<Backend> ready) {
-        double tokens = 0;
+    private EngineEstimate engines(String pool) {
+        return context.blackboard().engines().getOrDefault(pool, EngineEstimate.INITIAL);
+    }
+
+    /** Rounds to one decimal place, for the event log. */
+    private static double rounded(double value) {
+        return Math.round(value * 10) / 10.0;
+    }
+
+    private EngineDemand demand(String pool) {
+        return demands.computeIfAbsent(pool, name -> new EngineDemand());
+    }
+
+    /** Updates the demand of a pool and returns the number of engines that it requires. */
+    private double measureDemand(Pool pool, List<Backend> ready) {
         double shortRequests = 0;
         for (Backend backend : ready) {
             Work work = ownWork.get()
                     .getOrDefault(backend.incarnation(), Work.NONE)
                     .plus(context.blackboard().peers().at(backend.incarnation()));
-            tokens += work.heldTokens();
             shortRequests += work.shortRunning();
         }
-        double sustainableTokens =
-                context.blackboard().engineProfile(pool.name()).sustainableTokens();
-        double shortRequestsPerEngine = pool.engine().map(EngineLimits::slots).orElse(1) * SHORT_REQUEST_SLOT_FRACTION;
-        double current = tokens / sustainableTokens + shortRequests / shortRequestsPerEngine;
-        double previous = demand.getOrDefault(pool.name(), current);
-        double smoothed = previous + (current - previous) * (current > previous ? INCREASE_WEIGHT : DECREASE_WEIGHT);
-        demand.put(pool.name(), smoothed);
-        return smoothed;
+        double prefillEngines = engines(pool.name()).prefillDemand()
+                + context.blackboard().peers().prefillDemand().getOrDefault(pool.name(), 0.0);
+        EngineDemand demand = demand(pool.name());
+        demand.update(
+                prefillEngines,
+                shortRequests,
+                pool.engine().map(EngineLimits::slots).orElse(1));
+        return demand.engines();
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -15,6 +15,7 @@
 import org.cranberrygauge.proxy.retry.RetryPolicy;
 import org.cranberrygauge.proxy.routing.BackendChooser.Choice;
 import org.cranberrygauge.proxy.routing.BackendLoad.Placement;
+import org.cranberrygauge.proxy.routing.Prompt;
 
 /**
  * The lifecycle of one request, from admission to the final response.
@@ -275,6 +276,7 @@
         Backend backend = choice.backend();
         recorder.recordChoice(choice);
         tried.add(backend.incarnation());
+        recordPrefill(now, backend);
         placement = context.load(request.pool(), backend)
                 .place(
                         request.callerHeaders().prompt(),
@@ -287,6 +289,14 @@
         attempt.start(context.client(), request.deadlineMillis() - now, lastEventId);
     }
 
+    private void recordPrefill(long now, Backend backend) {
+        if (request.pool().engine().isPresent()) {
+            Prompt prompt = request.callerHeaders().prompt();
+            long uncachedTokens = context.load(request.pool(), backend).uncachedTokens(prompt);
+            context.profiles().recordSent(now, request.pool().name(), prompt, uncachedTokens);
+        }
+    }
+
     /** Records the first events, and writes the headers of the response unless that is done. */
     private void beginStream(int status, MultiMap headers) {
         placement.started();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/leader/FleetPlan.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/leader/FleetPlan.java
@@ -91,6 +91,11 @@
         resize(nowMillis, present.size(), limits.maximum() * dataCentres);
     }
 
+    /** Returns the target size of the fleet; 0 until the list of backend servers is complete. */
+    public int size() {
+        return size;
+    }
+
     /** Discards the orders of an earlier term of this host, since another leader may have ordered in between. */
     public void beginTerm() {
         lastOrders.clear();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
@@ -158,7 +158,8 @@
 
     /** Returns the cost function for engines. */
     private ToDoubleFunction<Backend> engineCosts(Pool pool, List<Backend> ready, Prompt prompt, PeerLoads peers) {
-        List<Backend> partition = EnginePartition.split(ready).of(prompt);
+        List<Backend> partition = EnginePartition.split(ready, profiles.shortEngineFraction(pool.name()))
+                .of(prompt);
         List<Backend> affinityRanking = affinityRanking(partition, prompt);
         return backend -> {
             int affinityRank = affinityRanking.indexOf(backend);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/EnginePartition.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/EnginePartition.java
@@ -8,8 +8,8 @@
  * Partitions the engines of a pool into those for short prompts and those for long ones.
  *
  * <p>The prefill of a long prompt delays the tokens of all requests on the same engine, so that interactive chats are
- * kept away from it. All hosts compute the same partition without coordination, and an engine that is added or removed
- * moves few others. Immutable.
+ * kept away from it. All hosts rank the engines alike without coordination: their partitions differ only as far as the
+ * traffic that they see does, and an engine that is added or removed moves few others. Immutable.
  *
  * @param shortPrompts The engines for short prompts; all engines if there are too few to partition.
  * @param longPrompts The engines for long prompts; all engines if there are too few to partition.
@@ -22,9 +22,6 @@
     /** The number of engines from which a pool is partitioned. */
     private static final int MINIMUM_ENGINES = 3;
 
-    /** The fraction of the engines that is reserved for short prompts. */
-    private static final double SHORT_PROMPT_FRACTION = 0.15;
-
     /** The rendezvous-hashing key by which engines are ranked; it must be the same on all hosts. */
     private static final String RANKING_KEY = "short prompts";
 
@@ -33,12 +30,17 @@
         longPrompts = List.copyOf(longPrompts);
     }
 
-    /** Partitions the engines that accept new requests. */
-    public static EnginePartition split(List<Backend> ready) {
+    /**
+     * Partitions the engines that accept new requests, with at least one engine on each side.
+     *
+     * @param shortFraction The fraction of the engines that is reserved for short prompts, from 0 to 1.
+     */
+    public static EnginePartition split(List<Backend> ready, double shortFraction) {
         if (ready.size() < MINIMUM_ENGINES) {
             return new EnginePartition(ready, ready);
         }
-        int shortCount = (int) Math.ceil(ready.size() * SHORT_PROMPT_FRACTION);
+        int shortCount = (int) Math.ceil(ready.size() * shortFraction);
+        shortCount = Math.max(1, Math.min(ready.size() - 1, shortCount));
         List<Backend> ranked = RendezvousHash.ranked(RANKING_KEY, ready, Backend::incarnation);
         return new EnginePartition(ranked.subList(0, shortCount), ranked.subList(shortCount, ranked.size()));
     }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/EnginePartitionTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/EnginePartitionTest.java
@@ -15,7 +15,7 @@
 
     @Test
     void someEnginesAreForShortPromptsAndNoneIsForBothKinds() {
-        EnginePartition partition = EnginePartition.split(engines(8));
+        EnginePartition partition = EnginePartition.split(engines(8), 0.15);
         assertThat(partition.shortPrompts()).hasSize(2);
         assertThat(partition.longPrompts()).hasSize(6).doesNotContainAnyElementsOf(partition.shortPrompts());
     }
@@ -23,23 +23,23 @@
     @Test
     void thePartitionDoesNotDependOnTheOrderOfEngines() {
         List<Backend> engines = engines(10);
-        EnginePartition partition = EnginePartition.split(engines);
+        EnginePartition partition = EnginePartition.split(engines, 0.15);
         Collections.shuffle(engines, new Random(3));
-        assertThat(EnginePartition.split(engines)).isEqualTo(partition);
+        assertThat(EnginePartition.split(engines, 0.15)).isEqualTo(partition);
     }
 
     @Test
     void removingAnEngineMovesFewOthers() {
         List<Backend> engines = engines(12);
-        List<Backend> before = EnginePartition.split(engines).shortPrompts();
-        engines.remove(EnginePartition.split(engines).longPrompts().get(0));
-        List<Backend> after = EnginePartition.split(engines).shortPrompts();
+        List<Backend> before = EnginePartition.split(engines, 0.15).shortPrompts();
+        engines.remove(EnginePartition.split(engines, 0.15).longPrompts().get(0));
+        List<Backend> after = EnginePartition.split(engines, 0.15).shortPrompts();
         assertThat(after).containsAll(before);
     }
 
     @Test
     void twoEnginesServeAllPrompts() {
-        EnginePartition partition = EnginePartition.split(engines(2));
+        EnginePartition partition = EnginePartition.split(engines(2), 0.15);
         assertThat(partition.shortPrompts()).isEqualTo(partition.longPrompts());
     }
 
