--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/engine/EngineDemand.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/engine/EngineDemand.java
@@ -22,12 +22,13 @@
     /**
      * Adds a measurement.
      *
-     * @param prefillEngines The number of engines that arriving prompts keep busy.
+     * @param heldTokens The KV-cache tokens that all running requests occupy.
      * @param shortRequests The number of running requests with short prompts.
      * @param slots The number of requests that an engine runs at once.
      */
-    public void update(double prefillEngines, double shortRequests, int slots) {
-        double current = prefillEngines + shortRequests / (slots * SHORT_REQUEST_SLOT_FRACTION);
+    public void update(EngineProfile profile, double heldTokens, double shortRequests, int slots) {
+        double current =
+                heldTokens / profile.sustainableTokens() + shortRequests / (slots * SHORT_REQUEST_SLOT_FRACTION);
         double weight = current > engines ? INCREASE_WEIGHT : DECREASE_WEIGHT;
         engines = measured ? engines + (current - engines) * weight : current;
         measured = true;
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/engine/EngineProfile.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/engine/EngineProfile.java
@@ -29,15 +29,6 @@
         return overheadMillis + prefillMillis(tokens);
     }
 
-    /**
-     * Returns the number of engines that process prompts as fast as they arrive.
-     *
-     * @param arrivingTokensPerMilli The prompt tokens that arrive in a millisecond.
-     */
-    public double enginesFor(double arrivingTokensPerMilli) {
-        return arrivingTokensPerMilli / (tokensPerMilli * PREFILL_TIME_FRACTION);
-    }
-
     /**
      * Returns the tokens that the running requests of one engine may hold. By Little's law, the tokens held are those
      * that arrive in a millisecond times the milliseconds for which each is held.
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/engine/PrefillMix.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/engine/PrefillMix.java
@@ -20,6 +20,9 @@
      */
     private static final double SHORT_ENGINE_LOAD_FRACTION = 0.5;
 
+    /** The fraction that is reserved at least, since a burst of long prompts must not take the engines of chats. */
+    private static final double MINIMUM_SHORT_FRACTION = 0.15;
+
     private double shortTokens = INITIAL_SHORT_TOKENS;
 
     private double longTokens = INITIAL_LONG_TOKENS;
@@ -36,6 +39,6 @@
 
     /** Returns the fraction of the engines, from 0 to 1, that requests with short prompts need for themselves. */
     public double shortEngineFraction() {
-        return shortTokens / (shortTokens + longTokens * SHORT_ENGINE_LOAD_FRACTION);
+        return Math.max(MINIMUM_SHORT_FRACTION, shortTokens / (shortTokens + longTokens * SHORT_ENGINE_LOAD_FRACTION));
     }
 }
--- a/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/engine/PrefillMixTest.java
+++ b/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/engine/PrefillMixTest.java
@@ -21,6 +21,12 @@
         assertThat(mix.shortEngineFraction()).isCloseTo(0.4, within(0.02));
     }
 
+    @Test
+    void aBurstOfLongPromptsLeavesTheChatsTheirEngines() {
+        record(100, 50_000);
+        assertThat(mix.shortEngineFraction()).isEqualTo(0.15);
+    }
+
     @Test
     void followsASwingFromLongToShortPrompts() {
         record(1_000, 20_000);
--- a/cranberrygauge-protocol/src/main/thrift/proxy.thrift
+++ b/cranberrygauge-protocol/src/main/thrift/proxy.thrift
@@ -32,8 +32,6 @@
   6: required list<PartPlaced> placed
   7: required string dataCentre
   8: required bool readsLog
-  // The number of engines by pool that the prompts of the host's requests keep busy.
-  9: optional map<string, double> prefillDemand
 }
 
 // Requests the records of a topic, starting at an offset, from a host that reads the shared log.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -209,7 +209,7 @@
         vertx.setPeriodic(PUBLISH_INTERVAL_MILLIS, fired -> {
             placements.applyTo(loads);
             ownWork.set(loads.work());
-            blackboard.publish(profiles.snapshot(time.monotonicMillis()));
+            blackboard.publish(profiles.snapshot());
             loads.removeUnlisted(blackboard.backends());
             publishMetrics(hostMetrics, queues.size());
         });
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/FleetController.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/FleetController.java
@@ -6,7 +6,6 @@
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.cranberrygauge.decision.engine.EngineDemand;
-import org.cranberrygauge.decision.engine.EngineEstimate;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.configuration.EngineLimits;
 import org.cranberrygauge.proxy.configuration.FleetLimits;
@@ -100,7 +99,7 @@
                         order.number(),
                         rounded(demand(order.pool()).engines()),
                         plan.size(),
-                        rounded(engines(order.pool()).profile().tokensPerMilli()),
+                        rounded(context.blackboard().engineProfile(order.pool()).tokensPerMilli()),
                         token,
                         outcome.name()));
         switch (outcome) {
@@ -111,10 +110,6 @@
         }
     }
 
-    private EngineEstimate engines(String pool) {
-        return context.blackboard().engines().getOrDefault(pool, EngineEstimate.INITIAL);
-    }
-
     /** Rounds to one decimal place, for the event log. */
     private static double rounded(double value) {
         return Math.round(value * 10) / 10.0;
@@ -126,19 +121,16 @@
 
     /** Updates the demand of a pool and returns the number of engines that it requires. */
     private double measureDemand(Pool pool, List<Backend> ready) {
-        double shortRequests = 0;
+        Work total = Work.NONE;
         for (Backend backend : ready) {
-            Work work = ownWork.get()
-                    .getOrDefault(backend.incarnation(), Work.NONE)
+            total = total.plus(ownWork.get().getOrDefault(backend.incarnation(), Work.NONE))
                     .plus(context.blackboard().peers().at(backend.incarnation()));
-            shortRequests += work.shortRunning();
         }
-        double prefillEngines = engines(pool.name()).prefillDemand()
-                + context.blackboard().peers().prefillDemand().getOrDefault(pool.name(), 0.0);
         EngineDemand demand = demand(pool.name());
         demand.update(
-                prefillEngines,
-                shortRequests,
+                context.blackboard().engineProfile(pool.name()),
+                total.heldTokens(),
+                total.shortRunning(),
                 pool.engine().map(EngineLimits::slots).orElse(1));
         return demand.engines();
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
@@ -53,7 +53,7 @@
     void addHost(long nowMillis, String name, NetworkAddress address) {
         Peer current = peers.get(name);
         if (current == null) {
-            peers.put(name, new Peer(address, 0, 0, Map.of(), Map.of(), "", false, nowMillis, Long.MIN_VALUE / 2));
+            peers.put(name, new Peer(address, 0, 0, Map.of(), "", false, nowMillis, Long.MIN_VALUE / 2));
         }
     }
 
@@ -78,7 +78,6 @@
                         report.getStartedAtMillis(),
                         report.getSequence(),
                         work,
-                        report.isSetPrefillDemand() ? Map.copyOf(report.getPrefillDemand()) : Map.of(),
                         report.getDataCentre(),
                         report.isReadsLog(),
                         nowMillis,
@@ -105,7 +104,6 @@
      */
     PeerLoads loads(long nowMillis) {
         Map<String, Work> total = new HashMap<>();
-        Map<String, Double> prefillDemand = new HashMap<>();
         int hosts = 1;
         for (Peer peer : peers.values()) {
             if (nowMillis - peer.lastSeenMillis() < BUDGET_MEMBERSHIP_MILLIS) {
@@ -113,10 +111,9 @@
             }
             if (nowMillis - peer.lastReportMillis() < WORK_VALIDITY_MILLIS) {
                 peer.work().forEach((incarnation, work) -> total.merge(incarnation, work, Work::plus));
-                peer.prefillDemand().forEach((pool, demand) -> prefillDemand.merge(pool, demand, Double::sum));
             }
         }
-        return new PeerLoads(total, prefillDemand, hosts);
+        return new PeerLoads(total, hosts);
     }
 
     /**
@@ -168,7 +165,6 @@
      * @param startedAtMillis The time of its start in milliseconds since the epoch.
      * @param sequence The sequence number of its last report.
      * @param work Its load by incarnation of the backend server.
-     * @param prefillDemand The engines that its requests' prompts keep busy, by pool.
      * @param dataCentre Its data centre; empty before its first report.
      * @param readsLog Whether it can read the shared log for others.
      * @param lastSeenMillis The monotonic time of its last report or, before the first, of its discovery.
@@ -179,7 +175,6 @@
             long startedAtMillis,
             long sequence,
             Map<String, Work> work,
-            Map<String, Double> prefillDemand,
             String dataCentre,
             boolean readsLog,
             long lastSeenMillis,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
@@ -144,7 +144,7 @@
                 .forEach(placed -> parts.add(new PartPlaced(
                         placed.incarnation(), placed.part().id(), placed.part().tokens())));
         sequence++;
-        HostReport report = new HostReport(
+        return new HostReport(
                 settings.host(),
                 startedAtMillis,
                 sequence,
@@ -153,10 +153,6 @@
                 parts,
                 settings.dataCentre(),
                 network.relay().readsLog());
-        context.blackboard()
-                .engines()
-                .forEach((pool, estimate) -> report.putToPrefillDemand(pool, estimate.prefillDemand()));
-        return report;
     }
 
     /** Applies the report of another host. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -276,7 +276,7 @@
         Backend backend = choice.backend();
         recorder.recordChoice(choice);
         tried.add(backend.incarnation());
-        recordPrefill(now, backend);
+        recordPrefill(backend);
         placement = context.load(request.pool(), backend)
                 .place(
                         request.callerHeaders().prompt(),
@@ -289,11 +289,11 @@
         attempt.start(context.client(), request.deadlineMillis() - now, lastEventId);
     }
 
-    private void recordPrefill(long now, Backend backend) {
+    private void recordPrefill(Backend backend) {
         if (request.pool().engine().isPresent()) {
             Prompt prompt = request.callerHeaders().prompt();
             long uncachedTokens = context.load(request.pool(), backend).uncachedTokens(prompt);
-            context.profiles().recordSent(now, request.pool().name(), prompt, uncachedTokens);
+            context.profiles().recordSent(request.pool().name(), prompt, uncachedTokens);
         }
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
@@ -3,7 +3,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
-import org.cranberrygauge.decision.engine.EngineEstimate;
+import org.cranberrygauge.decision.engine.EngineProfile;
 import org.cranberrygauge.proxy.backend.BackendSnapshot;
 import org.cranberrygauge.proxy.configuration.ConfigurationView;
 import org.cranberrygauge.proxy.routing.PeerLoads;
@@ -21,8 +21,8 @@
     /** The load caused by the other hosts. */
     private final AtomicReference<PeerLoads> peers = new AtomicReference<>(PeerLoads.NO_PEERS);
 
-    /** What this host's own requests show of engines, by pool. */
-    private final AtomicReference<Map<String, EngineEstimate>> engines = new AtomicReference<>(Map.of());
+    /** The speed of engines by pool, as this host's own requests show it. */
+    private final AtomicReference<Map<String, EngineProfile>> engineProfiles = new AtomicReference<>(Map.of());
 
     /** The number of requests in progress. */
     private final AtomicInteger active = new AtomicInteger();
@@ -58,13 +58,13 @@
         peers.set(loads);
     }
 
-    /** Returns the estimates of engines by pool. */
-    public Map<String, EngineEstimate> engines() {
-        return engines.get();
+    /** Returns the speed of a pool's engines. */
+    public EngineProfile engineProfile(String pool) {
+        return engineProfiles.get().getOrDefault(pool, EngineProfile.INITIAL);
     }
 
-    public void publish(Map<String, EngineEstimate> estimates) {
-        engines.set(estimates);
+    public void publish(Map<String, EngineProfile> profiles) {
+        engineProfiles.set(profiles);
     }
 
     /** Returns the live counter of requests in progress. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/EngineProfiles.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/EngineProfiles.java
@@ -2,11 +2,9 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import org.cranberrygauge.decision.engine.EngineEstimate;
 import org.cranberrygauge.decision.engine.EngineProfile;
 import org.cranberrygauge.decision.engine.EngineProfileEstimator;
 import org.cranberrygauge.decision.engine.PrefillMix;
-import org.cranberrygauge.decision.engine.PrefillRate;
 import org.cranberrygauge.proxy.routing.BackendLoad.Placement;
 
 /** Learns the profiles of engines by pool, from this host's own requests. Not thread-safe. */
@@ -16,8 +14,6 @@
 
     private final Map<String, PrefillMix> mixes = new HashMap<>();
 
-    private final Map<String, PrefillRate> rates = new HashMap<>();
-
     public EngineProfile of(String pool) {
         EngineProfileEstimator estimator = estimators.get(pool);
         return estimator == null ? EngineProfile.INITIAL : estimator.profile();
@@ -28,14 +24,9 @@
         return mix(pool).shortEngineFraction();
     }
 
-    /**
-     * Records a request that is sent to an engine.
-     *
-     * @param nowMillis The current monotonic time in milliseconds.
-     */
-    public void recordSent(long nowMillis, String pool, Prompt prompt, long uncachedTokens) {
+    /** Records a request that is sent to an engine. */
+    public void recordSent(String pool, Prompt prompt, long uncachedTokens) {
         mix(pool).record(EnginePartition.isShort(prompt), uncachedTokens);
-        rates.computeIfAbsent(pool, name -> new PrefillRate()).record(nowMillis, uncachedTokens);
     }
 
     /**
@@ -56,18 +47,11 @@
         estimator(pool).recordEnd(placement.heldTokens(), millis);
     }
 
-    /**
-     * Returns the current estimates of the pools to which requests were sent.
-     *
-     * @param nowMillis The current monotonic time in milliseconds.
-     */
-    public Map<String, EngineEstimate> snapshot(long nowMillis) {
-        Map<String, EngineEstimate> estimates = new HashMap<>();
-        rates.forEach((pool, rate) -> {
-            EngineProfile profile = of(pool);
-            estimates.put(pool, new EngineEstimate(profile, profile.enginesFor(rate.tokensPerMilli(nowMillis))));
-        });
-        return Map.copyOf(estimates);
+    /** Returns the current profiles of the pools to which requests were sent. */
+    public Map<String, EngineProfile> snapshot() {
+        Map<String, EngineProfile> profiles = new HashMap<>();
+        estimators.forEach((pool, estimator) -> profiles.put(pool, estimator.profile()));
+        return Map.copyOf(profiles);
     }
 
     private PrefillMix mix(String pool) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/PeerLoads.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/PeerLoads.java
@@ -6,16 +6,14 @@
  * The load that the other hosts cause at backend servers, by their last reports. Immutable.
  *
  * @param byBackend The work by incarnation of the backend server.
- * @param prefillDemand The number of engines that the prompts of those hosts' requests keep busy, by pool.
  * @param hosts The number of hosts that accept requests, including this one.
  */
-public record PeerLoads(Map<String, Work> byBackend, Map<String, Double> prefillDemand, int hosts) {
+public record PeerLoads(Map<String, Work> byBackend, int hosts) {
 
-    public static final PeerLoads NO_PEERS = new PeerLoads(Map.of(), Map.of(), 1);
+    public static final PeerLoads NO_PEERS = new PeerLoads(Map.of(), 1);
 
     public PeerLoads {
         byBackend = Map.copyOf(byBackend);
-        prefillDemand = Map.copyOf(prefillDemand);
     }
 
     public Work at(String incarnation) {
