--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/engine/EngineProfile.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/engine/EngineProfile.java
@@ -12,6 +12,9 @@
     /** Assumed until requests show more. */
     public static final EngineProfile INITIAL = new EngineProfile(60, 37, 2_000);
 
+    /** The prompt tokens that an engine processes at most in one step, beside the tokens of its running requests. */
+    public static final int PREFILL_CHUNK_TOKENS = 4_096;
+
     /** The fraction of its time that an engine may spend on prefill without delaying the tokens of its requests. */
     private static final double PREFILL_TIME_FRACTION = 0.6;
 
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/engine/EngineProfileEstimator.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/engine/EngineProfileEstimator.java
@@ -11,7 +11,7 @@
     /** The weight that an observation keeps at each later one. */
     private static final double RETENTION = 0.99;
 
-    /** The number of requests, of each of the two lengths below, as which the initial profile counts. */
+    /** The weight of the initial profile: that of as many requests of each of the two lengths below. */
     private static final double INITIAL_WEIGHT = 8;
 
     private static final double SHORT_PREFILL_TOKENS = 1_000;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
@@ -28,13 +28,10 @@
     /** The time that each running request adds to a decode step. */
     private static final double DECODE_STEP_MILLIS_PER_REQUEST = 0.15;
 
-    /** The prompt tokens that an engine processes at most in one step. */
-    private static final double PREFILL_CHUNK_TOKENS = 4_096;
-
-    /** The tokens of running requests at which an engine spends half of its time on prefill, of those it sustains. */
+    /** The fraction of the sustainable tokens at which an engine spends half of its time on prefill. */
     private static final double HALF_PREFILL_FRACTION = 0.67;
 
-    /** The tokens of running requests above which an engine gets no more long prompts, of those it sustains. */
+    /** The multiple of the sustainable tokens above which an engine gets no more long prompts. */
     private static final double SATURATION_FACTOR = 2;
 
     /** The weight in the cost of the time between the tokens of a request. */
@@ -187,7 +184,7 @@
                 work.heldTokens() / (work.heldTokens() + profile.sustainableTokens() * HALF_PREFILL_FRACTION);
         double step = DECODE_STEP_MILLIS
                 + DECODE_STEP_MILLIS_PER_REQUEST * work.running()
-                + profile.prefillMillis(PREFILL_CHUNK_TOKENS) * prefillShare;
+                + profile.prefillMillis(EngineProfile.PREFILL_CHUNK_TOKENS) * prefillShare;
         double cost = profile.prefillMillis(work.unreadTokens() + uncached);
         cost += prompt.outputTokens() * step * DECODE_WEIGHT;
         cost += profile.prefillMillis(load.uncachedSharedTokens(prompt))
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/EnginePartition.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/EnginePartition.java
@@ -1,6 +1,7 @@
 package org.cranberrygauge.proxy.routing;
 
 import java.util.List;
+import org.cranberrygauge.decision.engine.EngineProfile;
 import org.cranberrygauge.decision.topology.RendezvousHash;
 import org.cranberrygauge.proxy.backend.Backend;
 
@@ -16,9 +17,6 @@
  */
 public record EnginePartition(List<Backend> shortPrompts, List<Backend> longPrompts) {
 
-    /** The maximum length of a short prompt; an engine processes as many tokens in one step. */
-    private static final long SHORT_PROMPT_TOKENS = 4_096;
-
     /** The number of engines from which a pool is partitioned. */
     private static final int MINIMUM_ENGINES = 3;
 
@@ -45,8 +43,9 @@
         return new EnginePartition(ranked.subList(0, shortCount), ranked.subList(shortCount, ranked.size()));
     }
 
+    /** Tells whether an engine processes a prompt in one step, even if none of it is cached. */
     public static boolean isShort(Prompt prompt) {
-        return prompt.inputTokens() <= SHORT_PROMPT_TOKENS;
+        return prompt.inputTokens() <= EngineProfile.PREFILL_CHUNK_TOKENS;
     }
 
     /** Returns the engines that are meant for a prompt of this length. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/EngineProfiles.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/EngineProfiles.java
@@ -14,6 +14,7 @@
 
     private final Map<String, PrefillMix> mixes = new HashMap<>();
 
+    /** Returns the profile of a pool, or the initial one before the first event of any of its requests. */
     public EngineProfile of(String pool) {
         EngineProfileEstimator estimator = estimators.get(pool);
         return estimator == null ? EngineProfile.INITIAL : estimator.profile();
