Log when a backend server changes the limit that it states

Change: platform/ decodes the limit of a response, StatedLimits keeps the newest statement of each incarnation, and one line backend_limit_changed is logged for each change. A malformed limit changes nothing. No request is decided by it yet.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicReference;
+import org.cranberrygauge.decision.limit.StatedLimits;
 import org.cranberrygauge.proxy.admission.RequestAdmission;
 import org.cranberrygauge.proxy.configuration.ConfigurationView;
 import org.cranberrygauge.proxy.control.BackendFollower;
@@ -123,6 +124,11 @@
                 && view.isFresh(time.monotonicMillis(), time.wallMillis(), maximumKeyAgeMillis());
     }
 
+    /** Returns the number of hosts that this one counts as members of the fleet, including itself. */
+    public int knownHosts() {
+        return blackboard.peers().hosts();
+    }
+
     /**
      * Stops the process: reports it as not ready, waits for the requests in progress, and releases leadership. Blocks
      * at most for the grace period.
@@ -196,6 +202,7 @@
                 new BackendChooser(settings.dataCentre(), loads, profiles, new SplittableRandom()),
                 loads,
                 profiles,
+                new StatedLimits(),
                 placements,
                 queues,
                 new PoolRetryBudgets(times.retryWindowMillis(), times.retryRatio(), times.retryAllowance()),
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
@@ -122,6 +122,7 @@
             failBroken("response names another request");
             return;
         }
+        listener.onHeaders(responseHeaders);
         if (responseHeaders.notRun()) {
             fail(AttemptOutcome.NOT_RUN, "status " + backendResponse.statusCode());
             return;
@@ -206,6 +207,9 @@
         /** Called when the request is about to be sent on an open connection; from then on it may run. */
         void onSent();
 
+        /** Called when the headers of a response to this request have arrived. */
+        void onHeaders(BackendResponseHeaders headers);
+
         /**
          * Called when complete events of a stream have arrived.
          *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -9,6 +9,7 @@
 import org.cranberrygauge.proxy.admission.WaitQueue.Entry;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.exchange.BackendAttempt.BufferedResponse;
+import org.cranberrygauge.proxy.exchange.HeaderCodec.BackendResponseHeaders;
 import org.cranberrygauge.proxy.retry.AttemptHistory;
 import org.cranberrygauge.proxy.retry.AttemptOutcome;
 import org.cranberrygauge.proxy.retry.NextStep;
@@ -96,6 +97,14 @@
         sent = true;
     }
 
+    @Override
+    public void onHeaders(BackendResponseHeaders headers) {
+        Backend backend = attempt.backend();
+        context.limits()
+                .observe(now(), backend.incarnation(), headers.rate())
+                .ifPresent(changed -> recorder.recordLimit(backend, changed));
+    }
+
     @Override
     public void onEvents(int status, MultiMap headers, Buffer events, Optional<String> lastId) {
         if (ended) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
@@ -1,6 +1,7 @@
 package org.cranberrygauge.proxy.exchange;
 
 import io.vertx.core.Vertx;
+import org.cranberrygauge.decision.limit.StatedLimits;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.configuration.Pool;
 import org.cranberrygauge.proxy.leader.UsageCounter;
@@ -18,6 +19,7 @@
  *
  * @param loads The load caused by this host's own requests.
  * @param profiles The speed of engines, as this host's own requests show it.
+ * @param limits The rates of requests that backend servers state to take.
  * @param queues The requests that wait until an engine has capacity.
  * @param usage Counts the requests that started running.
  * @param usageTime The clocks by which usage is counted.
@@ -31,6 +33,7 @@
         BackendChooser chooser,
         LoadTable loads,
         EngineProfiles profiles,
+        StatedLimits limits,
         PlacementExchange placements,
         PoolWaitQueues queues,
         PoolRetryBudgets budgets,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeRecorder.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeRecorder.java
@@ -1,5 +1,6 @@
 package org.cranberrygauge.proxy.exchange;
 
+import org.cranberrygauge.decision.limit.StatedLimits;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.retry.AttemptHistory;
 import org.cranberrygauge.proxy.retry.AttemptOutcome;
@@ -84,6 +85,13 @@
                         afterMillis));
     }
 
+    /** Records that a backend server has changed or withdrawn its limit. */
+    void recordLimit(Backend backend, StatedLimits.Statement statement) {
+        context.events()
+                .emit(new ExchangeEvents.BackendLimitChanged(
+                        backend.id(), statement.perSecond().orElse(ExchangeEvents.UNLIMITED), request.id()));
+    }
+
     /**
      * Records the end of the request.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HeaderCodec.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HeaderCodec.java
@@ -3,6 +3,7 @@
 import io.vertx.core.MultiMap;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.cranberrygauge.decision.limit.RateStatement;
 import org.cranberrygauge.proxy.routing.Prompt;
 
 /** Translates between HTTP headers and their meaning. Implementations are stateless and thread-safe. */
@@ -70,6 +71,7 @@
      * @param requestId The identifier of the request that it belongs to.
      * @param notRun Whether the backend server states that it did not run the request.
      * @param signature Whether the response carries the signature of a backend server.
+     * @param rate The rate of requests that the backend server takes.
      */
-    record BackendResponseHeaders(Optional<String> requestId, boolean notRun, boolean signature) {}
+    record BackendResponseHeaders(Optional<String> requestId, boolean notRun, boolean signature, RateStatement rate) {}
 }
