Hosts share the limit that a backend server states

Cause: a limit in an answer was passed on to the caller and read by nobody. Class: a promise to a backend server that all hosts give together was given by none, and no means was there to give it together (retries have a budget for each host alone). Change: for each server that states a limit one host, the same in all views, issues permits from a token bucket; a request to such a server uses up a permit, of first attempts, retries, queued requests and resumed streams alike (BackendGate, asked in Exchange before each choice). A host without one chooses another server, or waits in the queue. Limits and their ends are told in the reports that hosts exchange anyway. The issuer leaves the share of hosts that it knows but doesn't hear to them.

--- a/cranberrygauge-protocol/src/main/thrift/proxy.thrift
+++ b/cranberrygauge-protocol/src/main/thrift/proxy.thrift
@@ -22,6 +22,13 @@
   3: required i64 tokens
 }
 
+// What a backend server last stated about the requests that it takes from all hosts together; no rate: it takes any.
+struct RateStated {
+  1: required string incarnation
+  2: optional double perSecond
+  3: required i64 ageMillis
+}
+
 // The periodic status report of a host, sent to the others several times per second.
 struct HostReport {
   1: required string host
@@ -32,6 +39,7 @@
   6: required list<PartPlaced> placed
   7: required string dataCentre
   8: required bool readsLog
+  9: optional list<RateStated> rates
 }
 
 // Requests the records of a topic, starting at an offset, from a host that reads the shared log.
@@ -63,12 +71,27 @@
   1: required list<UsageCounted> counts
 }
 
+// Requests permits to send requests to a backend server that states a limit, from the host that issues them.
+struct PermitQuestion {
+  1: required i64 number
+  2: required string incarnation
+  3: required i32 count
+}
+
+// The number of permits that were issued.
+struct PermitAnswer {
+  1: required i64 number
+  2: required i32 issued
+}
+
 // The content of a datagram from one host to another.
 union HostMessage {
   1: HostReport report
   2: TopicQuestion question
   3: TopicAnswer answer
   4: UsageBatch usage
+  5: PermitQuestion permitQuestion
+  6: PermitAnswer permitAnswer
 }
 
 // The address at which a host receives reports.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -8,8 +8,10 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicReference;
+import org.cranberrygauge.decision.limit.HeldPermits;
 import org.cranberrygauge.decision.limit.StatedLimits;
 import org.cranberrygauge.proxy.admission.RequestAdmission;
+import org.cranberrygauge.proxy.backend.BackendGate;
 import org.cranberrygauge.proxy.configuration.ConfigurationView;
 import org.cranberrygauge.proxy.control.BackendFollower;
 import org.cranberrygauge.proxy.control.ConfigurationFollower;
@@ -18,6 +20,7 @@
 import org.cranberrygauge.proxy.control.HostNetwork;
 import org.cranberrygauge.proxy.control.LeaderElection;
 import org.cranberrygauge.proxy.control.PeerReportExchange;
+import org.cranberrygauge.proxy.control.PermitExchange;
 import org.cranberrygauge.proxy.control.UsageCountWriter;
 import org.cranberrygauge.proxy.control.UsageReportController;
 import org.cranberrygauge.proxy.exchange.BackendClient;
@@ -77,6 +80,16 @@
 
     private final PlacementExchange placements = new PlacementExchange();
 
+    /** The limits that backend servers state. */
+    private final StatedLimits limits = new StatedLimits();
+
+    private final HeldPermits permits = new HeldPermits();
+
+    private final PoolWaitQueues queues = new PoolWaitQueues();
+
+    /** Exists once the controllers have started. */
+    private PermitExchange permitExchange;
+
     /** The event loop of the controllers. */
     private final Context controlContext;
 
@@ -181,16 +194,36 @@
         new UsageReportController(usageContext, election, dependencies.controlPlane(), times.usageWindowMillis())
                 .start();
         new FleetController(context, election, dependencies.controlPlane(), ownWork).start();
-        return new PeerReportExchange(context, settings, network, time.wallMillis(), crashes, placements, ownWork)
+        permitExchange =
+                new PermitExchange(time, network.peers(), network.channel(), limits, permits, this::dispatchQueued);
+        return new PeerReportExchange(
+                        context,
+                        settings,
+                        network,
+                        time.wallMillis(),
+                        crashes,
+                        placements,
+                        limits,
+                        permitExchange,
+                        ownWork)
                 .start();
     }
 
+    /** Requests permits for a backend server on the event loop of the controllers. */
+    private void requestPermit(String incarnation) {
+        controlContext.runOnContext(run -> permitExchange.request(incarnation));
+    }
+
+    /** Sends the queued requests that can be sent by now, on the event loop of requests. */
+    private void dispatchQueued() {
+        requestContext.runOnContext(run -> queues.dispatch(time.monotonicMillis()));
+    }
+
     private Future<Void> startIngress(
             AtomicReference<Map<String, Work>> ownWork, CrashTracker crashes, UsageCounter usage) {
         ProxySettings.Times times = settings.times();
         LoadTable loads = new LoadTable();
         EngineProfiles profiles = new EngineProfiles();
-        PoolWaitQueues queues = new PoolWaitQueues();
         ExchangeMetrics metrics = new ExchangeMetrics(registry);
         HostMetrics hostMetrics = new HostMetrics(registry);
         ExchangeContext context = new ExchangeContext(
@@ -202,7 +235,8 @@
                 new BackendChooser(settings.dataCentre(), loads, profiles, new SplittableRandom()),
                 loads,
                 profiles,
-                new StatedLimits(),
+                limits,
+                new BackendGate(limits, permits, this::requestPermit),
                 placements,
                 queues,
                 new PoolRetryBudgets(times.retryWindowMillis(), times.retryRatio(), times.retryAllowance()),
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RejectReason.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RejectReason.java
@@ -27,6 +27,8 @@
     NO_BACKEND(503, 500),
     /** All backend servers that were tried reported that they are at capacity. */
     BACKENDS_FULL(503, 800),
+    /** All backend servers of the pool state a limit that other requests have used up. */
+    BACKENDS_LIMITED(503, 1_000),
     /** The request has crashed several backend servers. */
     CRASHES_BACKENDS(503, 30_000),
     /** The deadline passed and the request has certainly not run. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/WaitQueue.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/WaitQueue.java
@@ -1,12 +1,12 @@
 package org.cranberrygauge.proxy.admission;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Iterator;
 import java.util.List;
-import java.util.Optional;
 
 /**
- * The requests that are queued on this host until an engine has capacity for their prompts.
+ * The requests that are queued on this host until an engine has capacity for their prompts, or a permit arrives.
  *
  * <p>Order: by urgency; at equal urgency, requests that can still meet their target latency go before those that can't;
  * then by arrival. A request expires as soon as it can no longer finish before its deadline. Not thread-safe.
@@ -31,18 +31,15 @@
     }
 
     /**
-     * Returns the next request without removing it, or empty if the queue is empty.
+     * Returns the requests in the order in which they are to be sent, without removing them.
      *
      * @param nowMillis The current monotonic time in milliseconds.
      */
-    public Optional<T> peek(long nowMillis) {
-        Entry<T> best = null;
-        for (Entry<T> entry : entries) {
-            if (best == null || precedes(nowMillis, entry, best)) {
-                best = entry;
-            }
-        }
-        return Optional.ofNullable(best).map(Entry::item);
+    public List<T> inOrder(long nowMillis) {
+        List<Entry<T>> ordered = new ArrayList<>(entries);
+        ordered.sort(
+                Comparator.<Entry<T>>comparingInt(Entry::urgency).thenComparing(entry -> !entry.isOnTime(nowMillis)));
+        return ordered.stream().map(Entry::item).toList();
     }
 
     /**
@@ -63,13 +60,6 @@
         return expired;
     }
 
-    private boolean precedes(long nowMillis, Entry<T> later, Entry<T> earlier) {
-        if (later.urgency() != earlier.urgency()) {
-            return later.urgency() < earlier.urgency();
-        }
-        return later.isOnTime(nowMillis) && !earlier.isOnTime(nowMillis);
-    }
-
     /**
      * A queued request.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendSnapshot.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendSnapshot.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** The registered backend servers at one point in time. Immutable and thread-safe. */
 public final class BackendSnapshot {
@@ -41,6 +43,11 @@
         return all.values();
     }
 
+    /** Returns the incarnations of all backend servers, including those that drain. */
+    public Set<String> incarnations() {
+        return Collections.unmodifiableSet(all.keySet());
+    }
+
     /** Tells whether an incarnation of a backend server is still registered, draining or not. */
     public boolean lists(String incarnation) {
         return all.containsKey(incarnation);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.function.Predicate;
+import org.cranberrygauge.decision.topology.RendezvousHash;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.protocol.generated.BackendWork;
 import org.cranberrygauge.protocol.generated.HostReport;
@@ -30,8 +32,8 @@
     /** The time after which a silent host gets no more reports. */
     private static final long EVICTION_MILLIS = 60_000;
 
-    /** The maximum age of the last report of a host that is queried for reads. */
-    private static final long READER_VALIDITY_MILLIS = 1_000;
+    /** The maximum age of the last report of a host that is queried for reads or permits. */
+    private static final long HEARD_MILLIS = 1_000;
 
     private final String host;
 
@@ -104,16 +106,21 @@
      */
     PeerLoads loads(long nowMillis) {
         Map<String, Work> total = new HashMap<>();
-        int hosts = 1;
         for (Peer peer : peers.values()) {
-            if (nowMillis - peer.lastSeenMillis() < BUDGET_MEMBERSHIP_MILLIS) {
-                hosts++;
-            }
             if (nowMillis - peer.lastReportMillis() < WORK_VALIDITY_MILLIS) {
                 peer.work().forEach((incarnation, work) -> total.merge(incarnation, work, Work::plus));
             }
         }
-        return new PeerLoads(total, hosts);
+        return new PeerLoads(total, members(nowMillis));
+    }
+
+    /**
+     * Returns the number of hosts that share budgets, including this one.
+     *
+     * @param nowMillis The current monotonic time in milliseconds.
+     */
+    int members(long nowMillis) {
+        return 1 + count(peer -> nowMillis - peer.lastSeenMillis() < BUDGET_MEMBERSHIP_MILLIS);
     }
 
     /**
@@ -136,12 +143,51 @@
                 .map(name -> peers.get(name).address());
     }
 
+    /**
+     * Returns the host that issues the permits for a backend server: one of those heard recently, the same for all
+     * hosts that hear of the same ones.
+     *
+     * @param nowMillis The current monotonic time in milliseconds.
+     * @return The address of the host, or empty if it is this one.
+     */
+    Optional<NetworkAddress> issuer(long nowMillis, String incarnation) {
+        List<String> heard = new ArrayList<>(List.of(host));
+        peers.forEach((name, peer) -> {
+            if (isHeard(nowMillis, peer)) {
+                heard.add(name);
+            }
+        });
+        String first =
+                RendezvousHash.ranked(incarnation, heard, Function.identity()).get(0);
+        return first.equals(host)
+                ? Optional.empty()
+                : Optional.of(peers.get(first).address());
+    }
+
+    /**
+     * Returns the part of the known hosts that were heard recently, including this one, from 0 to 1. The others may
+     * have failed, or may be cut off from this host and still send requests.
+     *
+     * @param nowMillis The current monotonic time in milliseconds.
+     */
+    double heardShare(long nowMillis) {
+        return (1.0 + count(peer -> isHeard(nowMillis, peer))) / members(nowMillis);
+    }
+
+    private static boolean isHeard(long nowMillis, Peer peer) {
+        return nowMillis - peer.lastReportMillis() < HEARD_MILLIS;
+    }
+
+    private int count(Predicate<Peer> filter) {
+        return (int) peers.values().stream().filter(filter).count();
+    }
+
     /** Returns the name of the first other host that reads the shared log. */
     private Optional<String> firstReader(long nowMillis, Predicate<String> dataCentreFilter) {
         return peers.entrySet().stream()
                 .filter(entry -> entry.getValue().readsLog()
                         && dataCentreFilter.test(entry.getValue().dataCentre()))
-                .filter(entry -> nowMillis - entry.getValue().lastReportMillis() < READER_VALIDITY_MILLIS)
+                .filter(entry -> isHeard(nowMillis, entry.getValue()))
                 .map(Map.Entry::getKey)
                 .min(Comparator.naturalOrder());
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
@@ -5,8 +5,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.thrift.TException;
+import org.cranberrygauge.decision.limit.StatedLimits;
+import org.cranberrygauge.decision.limit.StatedLimits.Statement;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.protocol.generated.BackendWork;
 import org.cranberrygauge.protocol.generated.CrashCount;
@@ -15,6 +18,7 @@
 import org.cranberrygauge.protocol.generated.HostReport;
 import org.cranberrygauge.protocol.generated.PartPlaced;
 import org.cranberrygauge.proxy.ProxySettings;
+import org.cranberrygauge.proxy.backend.BackendLimitChanged;
 import org.cranberrygauge.proxy.retry.CrashTracker;
 import org.cranberrygauge.proxy.routing.PeerLoads.Work;
 import org.cranberrygauge.proxy.routing.PlacedPart;
@@ -47,6 +51,10 @@
 
     private final PlacementExchange placements;
 
+    private final StatedLimits limits;
+
+    private final PermitExchange permits;
+
     /** The load caused by this host, as the request path last published it. */
     private final AtomicReference<Map<String, Work>> ownWork;
 
@@ -68,6 +76,8 @@
             long startedAtMillis,
             CrashTracker crashes,
             PlacementExchange placements,
+            StatedLimits limits,
+            PermitExchange permits,
             AtomicReference<Map<String, Work>> ownWork) {
         this.context = context;
         this.settings = settings;
@@ -75,6 +85,8 @@
         this.startedAtMillis = startedAtMillis;
         this.crashes = crashes;
         this.placements = placements;
+        this.limits = limits;
+        this.permits = permits;
         this.ownWork = ownWork;
         this.monitor = new DependencyMonitor("host addresses", context.events());
     }
@@ -131,6 +143,8 @@
     }
 
     private HostReport buildReport(long now) {
+        Set<String> present = context.blackboard().backends().incarnations();
+        permits.retain(now, present);
         Map<String, BackendWork> work = new HashMap<>();
         ownWork.get()
                 .forEach((incarnation, own) -> work.put(
@@ -144,7 +158,7 @@
                 .forEach(placed -> parts.add(new PartPlaced(
                         placed.incarnation(), placed.part().id(), placed.part().tokens())));
         sequence++;
-        return new HostReport(
+        HostReport report = new HostReport(
                 settings.host(),
                 startedAtMillis,
                 sequence,
@@ -153,6 +167,19 @@
                 parts,
                 settings.dataCentre(),
                 network.relay().readsLog());
+        Map<String, Statement> stated = limits.current(now, present);
+        return stated.isEmpty() ? report : report.setRates(RateReports.write(now, stated));
+    }
+
+    /** Applies what another host learned of the limits of backend servers. */
+    private void mergeRates(HostReport report) {
+        if (!report.isSetRates()) {
+            return;
+        }
+        RateReports.read(context.time().monotonicMillis(), report.getRates())
+                .forEach((incarnation, statement) -> limits.merge(incarnation, statement)
+                        .ifPresent(changed ->
+                                context.events().emit(BackendLimitChanged.of(incarnation, changed, report.getHost()))));
     }
 
     /** Applies the report of another host. */
@@ -160,6 +187,7 @@
         if (!network.peers().update(context.time().monotonicMillis(), report, sender)) {
             return;
         }
+        mergeRates(report);
         Map<Long, Integer> counts = new HashMap<>();
         report.getCrashes().forEach(count -> counts.put(count.getFingerprint(), count.getCrashes()));
         crashes.replaceRemote(report.getHost(), counts);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.cranberrygauge.proxy.admission.RejectReason;
 import org.cranberrygauge.proxy.admission.WaitQueue.Entry;
 import org.cranberrygauge.proxy.backend.Backend;
@@ -39,6 +40,9 @@
 
     private AttemptHistory history = AttemptHistory.NONE;
 
+    /** The outcome of the last failed attempt; null before. */
+    private AttemptOutcome lastOutcome;
+
     private BackendAttempt attempt;
 
     /** The load that the attempt in progress causes. */
@@ -56,7 +60,7 @@
     /** Whether the attempt in progress has a connection, so that the request may run. */
     private boolean sent;
 
-    /** Whether the request is queued until an engine has capacity. */
+    /** Whether the request is queued until an engine has capacity or a permit arrives. */
     private boolean waiting;
 
     /** Whether the final response was given. */
@@ -155,6 +159,8 @@
         placement.end();
         recordFailure(backend, outcome, now);
         history = history.withOutcome(outcome);
+        lastOutcome = outcome;
+        sent = false;
         long remaining = request.deadlineMillis() - now;
         NextStep next = RetryPolicy.next(request.route(), history, outcome, remaining);
         boolean retry = next == NextStep.TRY_ANOTHER && mayRetry(outcome, now);
@@ -216,15 +222,16 @@
     }
 
     /**
-     * Sends the request to the next backend server, or queues it if that server is saturated.
+     * Sends the request to the next backend server, or queues it if that server is saturated or all servers that are
+     * left need a permit.
      *
      * @return Whether there is another backend server.
      */
     private boolean attemptNext() {
         long now = now();
-        Optional<Choice> choice = choose(now);
+        Optional<Choice> choice = chooseOpen(now);
         if (choice.isEmpty()) {
-            return false;
+            return choose(now, this::mayTry).map(this::enqueue).isPresent();
         }
         if (choice.get().saturated() && history.sent() == 0) {
             enqueue(choice.get());
@@ -234,11 +241,8 @@
         return true;
     }
 
-    /** Queues the request until an engine has capacity. */
-    private void enqueue(Choice choice) {
-        if (waiting) {
-            return;
-        }
+    /** Queues the request until an engine has capacity or a permit arrives, and returns its first choice. */
+    private Choice enqueue(Choice choice) {
         waiting = true;
         long tokens = context.load(request.pool(), choice.backend())
                 .uncachedTokens(request.callerHeaders().prompt());
@@ -247,42 +251,68 @@
                 .of(request.pool().name())
                 .add(new Entry<>(
                         this, request.urgency(), request.onTimeMillis() - prefillMillis, request.expiresAtMillis()));
+        return choice;
     }
 
-    /**
-     * Sends a queued request if an engine has capacity by now.
-     *
-     * @return Whether the request left the queue.
-     */
-    boolean tryDispatch() {
-        Optional<Choice> choice = choose(now());
-        if (choice.isEmpty() || choice.get().saturated()) {
-            return false;
+    /** Sends a queued request if an engine has capacity by now and no permit is missing. */
+    DispatchResult tryDispatch() {
+        long now = now();
+        Optional<Choice> choice = chooseOpen(now);
+        if (choice.isEmpty()) {
+            return choose(now, this::mayTry).isPresent() ? DispatchResult.NO_PERMIT : DispatchResult.NO_CAPACITY;
+        }
+        if (choice.get().saturated() && history.sent() == 0) {
+            return DispatchResult.NO_CAPACITY;
         }
         waiting = false;
-        send(now(), choice.get());
-        return true;
+        send(now, choice.get());
+        return DispatchResult.SENT;
     }
 
-    /** Rejects the request after it was removed from the queue as expired. */
+    /** Ends the request after it was removed from the queue as expired. */
     void expireInQueue() {
         waiting = false;
-        reject(RejectReason.BACKENDS_FULL);
+        if (lastOutcome != null) {
+            proceed(RetryPolicy.withoutRetry(history, lastOutcome), lastOutcome);
+            return;
+        }
+        boolean limited = chooseOpen(now()).isEmpty();
+        reject(limited ? RejectReason.BACKENDS_LIMITED : RejectReason.BACKENDS_FULL);
+    }
+
+    /** Chooses among the servers that need no permit or for which this host holds one; requests one if it lacks it. */
+    private Optional<Choice> chooseOpen(long now) {
+        Optional<Choice> preferred = choose(now, backend -> mayTry(backend) && isOpenOrMayRequest(now, backend));
+        if (preferred.isEmpty() || context.gate().isOpen(now, preferred.get().backend())) {
+            return preferred;
+        }
+        context.gate().requestPermit(now, preferred.get().backend());
+        return choose(now, backend -> mayTry(backend) && context.gate().isOpen(now, backend));
+    }
+
+    private boolean isOpenOrMayRequest(long now, Backend backend) {
+        return context.gate().isOpen(now, backend) || context.gate().mayRequestPermit(now, backend);
+    }
+
+    /** Tells whether the request was not sent to a server before. */
+    private boolean mayTry(Backend backend) {
+        return !tried.contains(backend.incarnation());
     }
 
-    private Optional<Choice> choose(long now) {
+    private Optional<Choice> choose(long now, Predicate<Backend> eligible) {
         return context.chooser()
                 .choose(
                         now,
                         request.pool(),
                         context.blackboard().backends().ready(request.pool().name()),
-                        tried,
+                        eligible,
                         request.callerHeaders().prompt(),
                         context.blackboard().peers());
     }
 
     private void send(long now, Choice choice) {
         Backend backend = choice.backend();
+        context.gate().pass(now, backend);
         recorder.recordChoice(choice);
         tried.add(backend.incarnation());
         recordPrefill(backend);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import org.cranberrygauge.decision.limit.StatedLimits;
 import org.cranberrygauge.proxy.backend.Backend;
+import org.cranberrygauge.proxy.backend.BackendGate;
 import org.cranberrygauge.proxy.configuration.Pool;
 import org.cranberrygauge.proxy.leader.UsageCounter;
 import org.cranberrygauge.proxy.retry.CrashTracker;
@@ -20,7 +21,8 @@
  * @param loads The load caused by this host's own requests.
  * @param profiles The speed of engines, as this host's own requests show it.
  * @param limits The rates of requests that backend servers state to take.
- * @param queues The requests that wait until an engine has capacity.
+ * @param gate Tells whether a request may be sent to a backend server now.
+ * @param queues The requests that wait until an engine has capacity or a permit arrives.
  * @param usage Counts the requests that started running.
  * @param usageTime The clocks by which usage is counted.
  */
@@ -34,6 +36,7 @@
         LoadTable loads,
         EngineProfiles profiles,
         StatedLimits limits,
+        BackendGate gate,
         PlacementExchange placements,
         PoolWaitQueues queues,
         PoolRetryBudgets budgets,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeEvents.java
@@ -5,9 +5,6 @@
 /** The events of requests. */
 public final class ExchangeEvents {
 
-    /** The logged limit of a backend server that takes any rate. */
-    static final double UNLIMITED = -1;
-
     private ExchangeEvents() {}
 
     /**
@@ -47,15 +44,6 @@
             long afterMillis)
             implements Event {}
 
-    /**
-     * A response of a backend server stated another rate of requests than the one before.
-     *
-     * @param backend The identifier of the backend server.
-     * @param perSecond The requests per second that it takes from all hosts together; -1 if it takes any rate.
-     * @param request The identifier of the request that it responded to.
-     */
-    public record BackendLimitChanged(String backend, double perSecond, String request) implements Event {}
-
     /**
      * A request that was admitted has ended.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeRecorder.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeRecorder.java
@@ -1,7 +1,8 @@
 package org.cranberrygauge.proxy.exchange;
 
-import org.cranberrygauge.decision.limit.StatedLimits;
+import org.cranberrygauge.decision.limit.StatedLimits.Statement;
 import org.cranberrygauge.proxy.backend.Backend;
+import org.cranberrygauge.proxy.backend.BackendLimitChanged;
 import org.cranberrygauge.proxy.retry.AttemptHistory;
 import org.cranberrygauge.proxy.retry.AttemptOutcome;
 import org.cranberrygauge.proxy.retry.NextStep;
@@ -86,10 +87,8 @@
     }
 
     /** Records that a backend server has changed or withdrawn its limit. */
-    void recordLimit(Backend backend, StatedLimits.Statement statement) {
-        context.events()
-                .emit(new ExchangeEvents.BackendLimitChanged(
-                        backend.id(), statement.perSecond().orElse(ExchangeEvents.UNLIMITED), request.id()));
+    void recordLimit(Backend backend, Statement statement) {
+        context.events().emit(BackendLimitChanged.of(backend.incarnation(), statement, request.id()));
     }
 
     /**
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/PoolWaitQueues.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/PoolWaitQueues.java
@@ -2,12 +2,14 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
 import org.cranberrygauge.proxy.admission.WaitQueue;
 
-/** The requests that wait until an engine has capacity, by pool. Not thread-safe. */
+/** The requests that wait until an engine has capacity or a permit arrives, by pool. Not thread-safe. */
 public final class PoolWaitQueues {
 
+    /** The number of requests without a permit after which no further ones are checked, since each check takes time. */
+    private static final int MAXIMUM_WITHOUT_PERMIT = 8;
+
     private final Map<String, WaitQueue<Exchange>> queues = new HashMap<>();
 
     WaitQueue<Exchange> of(String pool) {
@@ -15,17 +17,29 @@
     }
 
     /**
-     * Sends the requests for which an engine has capacity by now, and rejects the expired ones.
+     * Sends the requests that can be sent by now, and rejects the expired ones. A request without capacity holds back
+     * those behind it; one without a permit does not, since they may go to other servers.
      *
      * @param nowMillis The current monotonic time in milliseconds.
      */
     public void dispatch(long nowMillis) {
         for (WaitQueue<Exchange> queue : queues.values()) {
             queue.removeExpired(nowMillis).forEach(Exchange::expireInQueue);
-            Optional<Exchange> next = queue.peek(nowMillis);
-            while (next.isPresent() && next.get().tryDispatch()) {
-                queue.remove(next.get());
-                next = queue.peek(nowMillis);
+            dispatch(nowMillis, queue);
+        }
+    }
+
+    private static void dispatch(long nowMillis, WaitQueue<Exchange> queue) {
+        int withoutPermit = 0;
+        for (Exchange next : queue.inOrder(nowMillis)) {
+            DispatchResult result = next.tryDispatch();
+            if (result == DispatchResult.SENT) {
+                queue.remove(next);
+                continue;
+            }
+            withoutPermit++;
+            if (result == DispatchResult.NO_CAPACITY || withoutPermit == MAXIMUM_WITHOUT_PERMIT) {
+                return;
             }
         }
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 import org.cranberrygauge.decision.engine.EngineProfile;
@@ -105,19 +105,24 @@
      *
      * @param nowMillis The current monotonic time in milliseconds.
      * @param ready The backend servers of the pool that accept new requests.
-     * @param tried The incarnations to which the request was sent before; they are excluded.
+     * @param eligible Tells which of them this request may be sent to.
      * @param peers The load caused by the other hosts.
      * @return The choice, or empty if no backend server is left.
      */
     public Optional<Choice> choose(
-            long nowMillis, Pool pool, List<Backend> ready, Set<String> tried, Prompt prompt, PeerLoads peers) {
+            long nowMillis,
+            Pool pool,
+            List<Backend> ready,
+            Predicate<Backend> eligible,
+            Prompt prompt,
+            PeerLoads peers) {
         ToDoubleFunction<Backend> cost = pool.engine().isPresent()
                 ? engineCosts(pool, ready, prompt, peers)
                 : backend -> serviceCost(backend, peers);
         Backend best = null;
         double bestCost = Double.MAX_VALUE;
         for (Backend backend : ready) {
-            if (tried.contains(backend.incarnation())) {
+            if (!eligible.test(backend)) {
                 continue;
             }
             double total = cost.applyAsDouble(backend) + commonCost(nowMillis, pool, backend);
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/admission/WaitQueueTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/admission/WaitQueueTest.java
@@ -14,22 +14,22 @@
     void theMostUrgentRequestIsNext() {
         queue.add(new Entry<>("study", 7, 1_000, 5_000));
         queue.add(new Entry<>("summary", 4, 1_000, 5_000));
-        assertThat(queue.peek(0)).contains("summary");
+        assertThat(queue.inOrder(0)).startsWith("summary");
     }
 
     @Test
     void aLateUrgentRequestGoesBeforeALessUrgentOne() {
         queue.add(new Entry<>("study", 7, 9_000, 9_000));
         queue.add(new Entry<>("summary", 4, 100, 9_000));
-        assertThat(queue.peek(500)).contains("summary");
+        assertThat(queue.inOrder(500)).startsWith("summary");
     }
 
     @Test
     void atEqualUrgencyARequestThatCanMeetItsTargetGoesFirst() {
         queue.add(new Entry<>("late", 7, 100, 5_000));
         queue.add(new Entry<>("on time", 7, 2_000, 5_000));
-        assertThat(queue.peek(50)).contains("late");
-        assertThat(queue.peek(200)).contains("on time");
+        assertThat(queue.inOrder(50)).startsWith("late");
+        assertThat(queue.inOrder(200)).startsWith("on time");
     }
 
     @Test
@@ -39,6 +39,6 @@
         assertThat(queue.removeExpired(300)).containsExactly("short");
         assertThat(queue.size()).isEqualTo(1);
         queue.remove("long");
-        assertThat(queue.peek(0)).isEmpty();
+        assertThat(queue.inOrder(0)).isEmpty();
     }
 }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendChooserTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendChooserTest.java
@@ -126,7 +126,7 @@
                                     1_000,
                                     ProxyFixtures.ENGINES,
                                     many,
-                                    Set.of(),
+                                    backend -> true,
                                     ProxyFixtures.shortPrompt("session-" + host),
                                     peers)
                             .orElseThrow()
@@ -158,7 +158,12 @@
         loads.of(preferred.incarnation(), MEMORY).recordFailure(1_000, true);
         assertThat(choose(chooser, prompt, PeerLoads.NO_PEERS).backend()).isNotEqualTo(preferred);
         assertThat(chooser.choose(
-                                1_000, ProxyFixtures.ENGINES, List.of(preferred), Set.of(), prompt, PeerLoads.NO_PEERS)
+                                1_000,
+                                ProxyFixtures.ENGINES,
+                                List.of(preferred),
+                                backend -> true,
+                                prompt,
+                                PeerLoads.NO_PEERS)
                         .map(Choice::backend))
                 .contains(preferred);
     }
@@ -171,7 +176,7 @@
                             1_000,
                             ProxyFixtures.ENGINES,
                             engines,
-                            tried,
+                            backend -> !tried.contains(backend.incarnation()),
                             ProxyFixtures.shortPrompt("s"),
                             PeerLoads.NO_PEERS)
                     .orElseThrow()
@@ -183,7 +188,7 @@
                         1_000,
                         ProxyFixtures.ENGINES,
                         engines,
-                        tried,
+                        backend -> !tried.contains(backend.incarnation()),
                         ProxyFixtures.shortPrompt("s"),
                         PeerLoads.NO_PEERS))
                 .isEmpty();
@@ -194,17 +199,17 @@
         Backend near = ProxyFixtures.backend("near", "ledger", "east-a", false, Supply.REGULAR);
         Backend far = ProxyFixtures.backend("far", "ledger", "east-b", false, Supply.REGULAR);
         List<Backend> both = List.of(far, near);
-        assertThat(chooser.choose(1_000, ProxyFixtures.LEDGER, both, Set.of(), Prompt.NONE, PeerLoads.NO_PEERS)
+        assertThat(chooser.choose(1_000, ProxyFixtures.LEDGER, both, backend -> true, Prompt.NONE, PeerLoads.NO_PEERS)
                         .map(Choice::backend))
                 .contains(near);
         PeerLoads busy = new PeerLoads(Map.of(near.incarnation(), new Work(20, 0, 0, 20)), 4);
-        assertThat(chooser.choose(1_000, ProxyFixtures.LEDGER, both, Set.of(), Prompt.NONE, busy)
+        assertThat(chooser.choose(1_000, ProxyFixtures.LEDGER, both, backend -> true, Prompt.NONE, busy)
                         .map(Choice::backend))
                 .contains(far);
     }
 
     private Choice choose(BackendChooser chosen, Prompt prompt, PeerLoads peers) {
-        return chosen.choose(1_000, ProxyFixtures.ENGINES, engines, Set.of(), prompt, peers)
+        return chosen.choose(1_000, ProxyFixtures.ENGINES, engines, backend -> true, prompt, peers)
                 .orElseThrow();
     }
 
