--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/Backend.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/Backend.java
@@ -9,6 +9,7 @@
  * @param id The identifier that requests name, so that another process at the same address rejects them.
  * @param startedMillis The time of its start in milliseconds since the epoch; a restarted server has lost all its
  *     state.
+ * @param version The version of its software; what two versions write does not fit together in one stream.
  * @param slots The number of requests that it runs at once.
  * @param leaving Whether it drains and accepts no new requests.
  * @param supply Whether it is regular or cheap, reclaimable capacity.
@@ -19,6 +20,7 @@
         String pool,
         NetworkAddress address,
         String dataCentre,
+        String version,
         int slots,
         boolean leaving,
         Supply supply) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/BackendFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/BackendFollower.java
@@ -127,6 +127,7 @@
                                 backend.id(),
                                 backend.pool(),
                                 backend.dataCentre(),
+                                backend.version(),
                                 backend.leaving() ? "leaving" : "ready"));
             }
         }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
@@ -31,9 +31,11 @@
      * @param backend The identifier of the backend server.
      * @param pool The pool that it belongs to.
      * @param dataCentre The data centre that it runs in.
+     * @param version The version of its software.
      * @param state Whether it accepts new requests: ready or leaving.
      */
-    public record BackendListed(String backend, String pool, String dataCentre, String state) implements Event {}
+    public record BackendListed(String backend, String pool, String dataCentre, String version, String state)
+            implements Event {}
 
     /**
      * A backend server was removed from the list.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -314,6 +314,9 @@
         Backend backend = choice.backend();
         context.gate().pass(now, backend);
         recorder.recordChoice(choice);
+        if (history.streaming() || request.callerHeaders().firstRequestId().isPresent()) {
+            recorder.recordResumption(backend, lastEventId, history.streaming());
+        }
         tried.add(backend.incarnation());
         recordPrefill(backend);
         placement = context.load(request.pool(), backend)
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeEvents.java
@@ -44,6 +44,20 @@
             long afterMillis)
             implements Event {}
 
+    /**
+     * A stream is resumed at a backend server.
+     *
+     * @param request The identifier of the request that resumes it.
+     * @param first The identifier of the request that brought its first event; a dash if the caller named none.
+     * @param afterEvent The identifier of the last event that the caller has; a dash if there is none.
+     * @param by Who resumes it: the caller, or the proxy within one response.
+     * @param backend The identifier of the backend server.
+     * @param version The version of the backend server's software.
+     */
+    public record StreamResumed(
+            String request, String first, String afterEvent, String by, String backend, String version)
+            implements Event {}
+
     /**
      * A request that was admitted has ended.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeRecorder.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeRecorder.java
@@ -1,5 +1,6 @@
 package org.cranberrygauge.proxy.exchange;
 
+import java.util.Optional;
 import org.cranberrygauge.decision.limit.StatedLimits.Statement;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.backend.BackendLimitChanged;
@@ -15,8 +16,8 @@
  */
 final class ExchangeRecorder {
 
-    /** The label of requests without a customer. */
-    private static final String NO_CUSTOMER = "-";
+    /** The logged value for what is absent. */
+    private static final String ABSENT = "-";
 
     private final ExchangeContext context;
 
@@ -86,6 +87,23 @@
                         afterMillis));
     }
 
+    /**
+     * Records that a stream is resumed at a backend server.
+     *
+     * @param withinResponse Whether the caller has received the start of this response.
+     */
+    void recordResumption(Backend backend, Optional<String> lastEventId, boolean withinResponse) {
+        Optional<String> first = request.callerHeaders().firstRequestId();
+        context.events()
+                .emit(new ExchangeEvents.StreamResumed(
+                        request.id(),
+                        first.orElse(withinResponse ? request.id() : ABSENT),
+                        lastEventId.orElse(ABSENT),
+                        withinResponse ? "proxy" : "caller",
+                        backend.id(),
+                        backend.version()));
+    }
+
     /** Records that a backend server has changed or withdrawn its limit. */
     void recordLimit(Backend backend, Statement statement) {
         context.events().emit(BackendLimitChanged.of(backend.incarnation(), statement, request.id()));
@@ -115,6 +133,6 @@
     }
 
     private String customer() {
-        return request.customer().orElse(NO_CUSTOMER);
+        return request.customer().orElse(ABSENT);
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HeaderCodec.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HeaderCodec.java
@@ -37,6 +37,7 @@
      * @param remainingMillis The time until the caller's deadline in milliseconds.
      * @param key The key that the caller sent.
      * @param lastEventId The event after which a stream is to be resumed.
+     * @param firstRequestId The request of the same caller that brought the first event of the stream to be resumed.
      * @param prompt The description of the prompt; {@link Prompt#NONE} if there is none.
      */
     record CallerHeaders(
@@ -44,6 +45,7 @@
             OptionalLong remainingMillis,
             Optional<String> key,
             Optional<String> lastEventId,
+            Optional<String> firstRequestId,
             Prompt prompt) {}
 
     /**
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/ProxyFixtures.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/ProxyFixtures.java
@@ -35,7 +35,7 @@
     }
 
     public static Backend backend(String id, String pool, String dataCentre, boolean leaving, Supply supply) {
-        return new Backend(id, 1, pool, new NetworkAddress("127.0.0.1", 1), dataCentre, 64, leaving, supply);
+        return new Backend(id, 1, pool, new NetworkAddress("127.0.0.1", 1), dataCentre, "v1", 64, leaving, supply);
     }
 
     public static Route route(RouteKind kind, int attempts) {
