A stream goes on only at the software version that began it

Cause: no choice of a backend server knew its version, and no host knew where a stream had begun that was begun at another host or before its own start. Class: a fact that the caller's next attempt depends on was kept (if at all) only by the host that may be lost. Change: BackendSelection confines a request to the pool and version that began its stream, for attempts within a response and for streams that callers resume. Before the first event is forwarded its origin is sent to three other hosts, ranked by the request's identifier; a host that doesn't know a stream asks five. A stream that no host knows goes on only if a single version served lately (VersionHistory), else it is refused as not run (UNKNOWN_STREAM); one whose version is gone with NO_BACKEND_OF_VERSION.

--- a/cranberrygauge-protocol/src/main/thrift/proxy.thrift
+++ b/cranberrygauge-protocol/src/main/thrift/proxy.thrift
@@ -84,6 +84,26 @@
   2: required i32 issued
 }
 
+// The software version of the backend server at which a stream began, for hosts that keep a copy.
+struct StreamBegan {
+  1: required string request
+  2: required string pool
+  3: required string version
+}
+
+// Asks where a stream began, by the request that brought its first event.
+struct StreamQuestion {
+  1: required i64 number
+  2: required string request
+}
+
+// Where a stream began; without pool and version if the host doesn't know it.
+struct StreamAnswer {
+  1: required i64 number
+  2: optional string pool
+  3: optional string version
+}
+
 // The content of a datagram from one host to another.
 union HostMessage {
   1: HostReport report
@@ -92,6 +112,9 @@
   4: UsageBatch usage
   5: PermitQuestion permitQuestion
   6: PermitAnswer permitAnswer
+  7: StreamBegan streamBegan
+  8: StreamQuestion streamQuestion
+  9: StreamAnswer streamAnswer
 }
 
 // The address at which a host receives reports.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -6,12 +6,15 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import org.cranberrygauge.decision.limit.HeldPermits;
 import org.cranberrygauge.decision.limit.StatedLimits;
 import org.cranberrygauge.proxy.admission.RequestAdmission;
 import org.cranberrygauge.proxy.backend.BackendGate;
+import org.cranberrygauge.proxy.backend.VersionHistory;
 import org.cranberrygauge.proxy.configuration.ConfigurationView;
 import org.cranberrygauge.proxy.control.BackendFollower;
 import org.cranberrygauge.proxy.control.ConfigurationFollower;
@@ -21,6 +24,7 @@
 import org.cranberrygauge.proxy.control.LeaderElection;
 import org.cranberrygauge.proxy.control.PeerReportExchange;
 import org.cranberrygauge.proxy.control.PermitExchange;
+import org.cranberrygauge.proxy.control.StreamOriginExchange;
 import org.cranberrygauge.proxy.control.UsageCountWriter;
 import org.cranberrygauge.proxy.control.UsageReportController;
 import org.cranberrygauge.proxy.exchange.BackendClient;
@@ -41,6 +45,8 @@
 import org.cranberrygauge.proxy.routing.LoadTable;
 import org.cranberrygauge.proxy.routing.PeerLoads.Work;
 import org.cranberrygauge.proxy.routing.PlacementExchange;
+import org.cranberrygauge.proxy.stream.StreamDirectory;
+import org.cranberrygauge.proxy.stream.StreamOrigin;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.lifecycle.Program;
 import org.cranberrygauge.runtime.time.TimeSource;
@@ -87,9 +93,15 @@
 
     private final PoolWaitQueues queues = new PoolWaitQueues();
 
+    /** The versions of software that served lately, used on the event loop of requests. */
+    private final VersionHistory versions = new VersionHistory();
+
     /** Exists once the controllers have started. */
     private PermitExchange permitExchange;
 
+    /** Exists once the controllers have started, and is used on their event loop. */
+    private StreamDirectory streams;
+
     /** The event loop of the controllers. */
     private final Context controlContext;
 
@@ -196,6 +208,11 @@
         new FleetController(context, election, dependencies.controlPlane(), ownWork).start();
         permitExchange =
                 new PermitExchange(time, network.peers(), network.channel(), limits, permits, this::dispatchQueued);
+        streams = new StreamOriginExchange(
+                time,
+                (millis, action) -> vertx.setTimer(millis, fired -> action.run()),
+                network.peers(),
+                network.channel());
         return new PeerReportExchange(
                         context,
                         settings,
@@ -238,6 +255,8 @@
                 limits,
                 new BackendGate(limits, permits, this::requestPermit),
                 placements,
+                new EventLoopStreamDirectory(),
+                versions,
                 queues,
                 new PoolRetryBudgets(times.retryWindowMillis(), times.retryRatio(), times.retryAllowance()),
                 crashes,
@@ -249,6 +268,7 @@
         vertx.setPeriodic(DISPATCH_INTERVAL_MILLIS, fired -> queues.dispatch(time.monotonicMillis()));
         vertx.setPeriodic(PUBLISH_INTERVAL_MILLIS, fired -> {
             placements.applyTo(loads);
+            versions.record(time.monotonicMillis(), blackboard.backends());
             ownWork.set(loads.work());
             blackboard.publish(profiles.snapshot());
             loads.removeUnlisted(blackboard.backends());
@@ -276,4 +296,19 @@
     private long maximumKeyAgeMillis() {
         return settings.times().keyWithdrawalMillis() - KEY_BOUND_MARGIN_MILLIS;
     }
+
+    /** Calls the directory of streams on the event loop of the controllers, and returns results on that of requests. */
+    private final class EventLoopStreamDirectory implements StreamDirectory {
+
+        @Override
+        public void record(String requestId, StreamOrigin origin) {
+            controlContext.runOnContext(run -> streams.record(requestId, origin));
+        }
+
+        @Override
+        public void find(String requestId, Consumer<Optional<StreamOrigin>> found) {
+            controlContext.runOnContext(run ->
+                    streams.find(requestId, origin -> requestContext.runOnContext(next -> found.accept(origin))));
+        }
+    }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RejectReason.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RejectReason.java
@@ -29,6 +29,10 @@
     BACKENDS_FULL(503, 800),
     /** All backend servers of the pool state a limit that other requests have used up. */
     BACKENDS_LIMITED(503, 1_000),
+    /** The caller resumes a stream, and no backend server of the version that began it accepts requests. */
+    NO_BACKEND_OF_VERSION(503, 500),
+    /** The caller resumes a stream, and no host knows at which version it began. */
+    UNKNOWN_STREAM(503, 0),
     /** The request has crashed several backend servers. */
     CRASHES_BACKENDS(503, 30_000),
     /** The deadline passed and the request has certainly not run. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
@@ -26,8 +26,8 @@
     /** The maximum age at which the load in a report is used. */
     private static final long WORK_VALIDITY_MILLIS = 1_500;
 
-    /** The time for which a silent host still counts among those that share budgets. */
-    private static final long BUDGET_MEMBERSHIP_MILLIS = 20_000;
+    /** The time for which a silent host still counts as a member of the fleet. */
+    private static final long MEMBERSHIP_MILLIS = 20_000;
 
     /** The time after which a silent host gets no more reports. */
     private static final long EVICTION_MILLIS = 60_000;
@@ -120,7 +120,7 @@
      * @param nowMillis The current monotonic time in milliseconds.
      */
     int members(long nowMillis) {
-        return 1 + count(peer -> nowMillis - peer.lastSeenMillis() < BUDGET_MEMBERSHIP_MILLIS);
+        return 1 + count(peer -> isMember(nowMillis, peer));
     }
 
     /**
@@ -164,6 +164,25 @@
                 : Optional.of(peers.get(first).address());
     }
 
+    /**
+     * Returns other hosts in the order of their ranks for a key, the same for all hosts that know the same ones. Silent
+     * hosts are included for a time, so that a short silence changes no ranks.
+     *
+     * @param nowMillis The current monotonic time in milliseconds.
+     * @param count The maximum number of hosts.
+     * @return Their addresses.
+     */
+    List<NetworkAddress> ranked(long nowMillis, String key, int count) {
+        List<String> members = peers.entrySet().stream()
+                .filter(entry -> isMember(nowMillis, entry.getValue()))
+                .map(Map.Entry::getKey)
+                .toList();
+        return RendezvousHash.ranked(key, members, Function.identity()).stream()
+                .limit(count)
+                .map(name -> peers.get(name).address())
+                .toList();
+    }
+
     /**
      * Returns the part of the known hosts that were heard recently, including this one, from 0 to 1. The others may
      * have failed, or may be cut off from this host and still send requests.
@@ -178,6 +197,10 @@
         return nowMillis - peer.lastReportMillis() < HEARD_MILLIS;
     }
 
+    private static boolean isMember(long nowMillis, Peer peer) {
+        return nowMillis - peer.lastSeenMillis() < MEMBERSHIP_MILLIS;
+    }
+
     private int count(Predicate<Peer> filter) {
         return (int) peers.values().stream().filter(filter).count();
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -2,13 +2,11 @@
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
-import java.util.function.Predicate;
 import org.cranberrygauge.proxy.admission.RejectReason;
 import org.cranberrygauge.proxy.admission.WaitQueue.Entry;
 import org.cranberrygauge.proxy.backend.Backend;
+import org.cranberrygauge.proxy.configuration.RouteKind;
 import org.cranberrygauge.proxy.exchange.BackendAttempt.BufferedResponse;
 import org.cranberrygauge.proxy.exchange.HeaderCodec.BackendResponseHeaders;
 import org.cranberrygauge.proxy.retry.AttemptHistory;
@@ -17,7 +15,7 @@
 import org.cranberrygauge.proxy.retry.RetryPolicy;
 import org.cranberrygauge.proxy.routing.BackendChooser.Choice;
 import org.cranberrygauge.proxy.routing.BackendLoad.Placement;
-import org.cranberrygauge.proxy.routing.Prompt;
+import org.cranberrygauge.proxy.stream.StreamOrigin;
 
 /**
  * The lifecycle of one request, from admission to the final response.
@@ -35,8 +33,7 @@
 
     private final ExchangeRecorder recorder;
 
-    /** The incarnations of the backend servers that were tried. */
-    private final Set<String> tried = new HashSet<>();
+    private final BackendSelection selection;
 
     private AttemptHistory history = AttemptHistory.NONE;
 
@@ -72,6 +69,7 @@
         this.context = context;
         this.request = request;
         this.response = response;
+        this.selection = new BackendSelection(context, request);
         this.recorder = new ExchangeRecorder(context, request);
         this.lastEventId = request.callerHeaders().lastEventId();
     }
@@ -90,9 +88,47 @@
             reject(RejectReason.CRASHES_BACKENDS);
             return;
         }
-        context.budgets().of(request.pool().name()).recordRequest(now);
+        if (request.resumesStream()) {
+            findOrigin();
+            return;
+        }
+        attemptFirst(RejectReason.NO_BACKEND);
+    }
+
+    /** Looks up where the stream that the caller resumes began, and goes on there. */
+    private void findOrigin() {
+        Optional<String> first = request.callerHeaders().firstRequestId();
+        if (first.isPresent()) {
+            context.streams().find(first.get(), this::resume);
+        } else {
+            resume(Optional.empty());
+        }
+    }
+
+    /**
+     * Resumes a stream of the caller.
+     *
+     * @param found Where it began, if any host knows.
+     */
+    private void resume(Optional<StreamOrigin> found) {
+        if (ended) {
+            return;
+        }
+        Optional<StreamOrigin> origin = found.or(selection::onlyOrigin);
+        if (origin.isEmpty()) {
+            reject(RejectReason.UNKNOWN_STREAM);
+        } else if (selection.confineTo(origin.get())) {
+            attemptFirst(RejectReason.NO_BACKEND_OF_VERSION);
+        } else {
+            reject(RejectReason.NO_BACKEND_OF_VERSION);
+        }
+    }
+
+    /** @param otherwise The reason for the rejection if there is no backend server. */
+    private void attemptFirst(RejectReason otherwise) {
+        context.budgets().of(selection.pool().name()).recordRequest(now());
         if (!attemptNext()) {
-            reject(RejectReason.NO_BACKEND);
+            reject(otherwise);
         }
     }
 
@@ -127,8 +163,8 @@
     @Override
     public void onStreamEnd(int status, MultiMap headers) {
         beginStream(status, headers);
-        context.load(request.pool(), attempt.backend()).recordSuccess();
-        context.profiles().recordEnd(request.pool().name(), placement, now() - attemptStartMillis);
+        context.load(selection.pool(), attempt.backend()).recordSuccess();
+        context.profiles().recordEnd(selection.pool().name(), placement, now() - attemptStartMillis);
         response.endStream();
         finish("served", status);
     }
@@ -141,7 +177,7 @@
             onFailure(AttemptOutcome.SERVER_ERROR, "status " + buffered.status());
             return;
         }
-        context.load(request.pool(), attempt.backend()).recordSuccess();
+        context.load(selection.pool(), attempt.backend()).recordSuccess();
         if (history.streaming()) {
             abort("resumed_with_status");
             return;
@@ -199,7 +235,7 @@
     }
 
     private void recordFailure(Backend backend, AttemptOutcome outcome, long now) {
-        context.load(request.pool(), backend).recordFailure(now, outcome != AttemptOutcome.NOT_CONNECTED);
+        context.load(selection.pool(), backend).recordFailure(now, outcome != AttemptOutcome.NOT_CONNECTED);
         if (outcome == AttemptOutcome.BROKEN && !request.route().kind().streams()) {
             recorder.recordStart();
         }
@@ -217,7 +253,7 @@
             return false;
         }
         return context.budgets()
-                .of(request.pool().name())
+                .of(selection.pool().name())
                 .tryAcquire(now, context.blackboard().peers().hosts());
     }
 
@@ -229,9 +265,9 @@
      */
     private boolean attemptNext() {
         long now = now();
-        Optional<Choice> choice = chooseOpen(now);
+        Optional<Choice> choice = selection.chooseOpen(now);
         if (choice.isEmpty()) {
-            return choose(now, this::mayTry).map(this::enqueue).isPresent();
+            return selection.chooseAny(now).map(this::enqueue).isPresent();
         }
         if (choice.get().saturated() && history.sent() == 0) {
             enqueue(choice.get());
@@ -244,22 +280,26 @@
     /** Queues the request until an engine has capacity or a permit arrives, and returns its first choice. */
     private Choice enqueue(Choice choice) {
         waiting = true;
-        long tokens = context.load(request.pool(), choice.backend())
+        long tokens = context.load(selection.pool(), choice.backend())
                 .uncachedTokens(request.callerHeaders().prompt());
-        long prefillMillis = (long) context.profiles().of(request.pool().name()).prefillMillis(tokens);
+        long prefillMillis =
+                (long) context.profiles().of(selection.pool().name()).prefillMillis(tokens);
         context.queues()
-                .of(request.pool().name())
+                .of(selection.pool().name())
                 .add(new Entry<>(
-                        this, request.urgency(), request.onTimeMillis() - prefillMillis, request.expiresAtMillis()));
+                        this,
+                        request.urgency(),
+                        request.onTimeMillis() - selection.prefillMillis(choice),
+                        request.expiresAtMillis()));
         return choice;
     }
 
     /** Sends a queued request if an engine has capacity by now and no permit is missing. */
     DispatchResult tryDispatch() {
         long now = now();
-        Optional<Choice> choice = chooseOpen(now);
+        Optional<Choice> choice = selection.chooseOpen(now);
         if (choice.isEmpty()) {
-            return choose(now, this::mayTry).isPresent() ? DispatchResult.NO_PERMIT : DispatchResult.NO_CAPACITY;
+            return selection.chooseAny(now).isPresent() ? DispatchResult.NO_PERMIT : DispatchResult.NO_CAPACITY;
         }
         if (choice.get().saturated() && history.sent() == 0) {
             return DispatchResult.NO_CAPACITY;
@@ -276,50 +316,18 @@
             proceed(RetryPolicy.withoutRetry(history, lastOutcome), lastOutcome);
             return;
         }
-        boolean limited = chooseOpen(now()).isEmpty();
+        boolean limited = selection.chooseOpen(now()).isEmpty();
         reject(limited ? RejectReason.BACKENDS_LIMITED : RejectReason.BACKENDS_FULL);
     }
 
-    /** Chooses among the servers that need no permit or for which this host holds one; requests one if it lacks it. */
-    private Optional<Choice> chooseOpen(long now) {
-        Optional<Choice> preferred = choose(now, backend -> mayTry(backend) && isOpenOrMayRequest(now, backend));
-        if (preferred.isEmpty() || context.gate().isOpen(now, preferred.get().backend())) {
-            return preferred;
-        }
-        context.gate().requestPermit(now, preferred.get().backend());
-        return choose(now, backend -> mayTry(backend) && context.gate().isOpen(now, backend));
-    }
-
-    private boolean isOpenOrMayRequest(long now, Backend backend) {
-        return context.gate().isOpen(now, backend) || context.gate().mayRequestPermit(now, backend);
-    }
-
-    /** Tells whether the request was not sent to a server before. */
-    private boolean mayTry(Backend backend) {
-        return !tried.contains(backend.incarnation());
-    }
-
-    private Optional<Choice> choose(long now, Predicate<Backend> eligible) {
-        return context.chooser()
-                .choose(
-                        now,
-                        request.pool(),
-                        context.blackboard().backends().ready(request.pool().name()),
-                        eligible,
-                        request.callerHeaders().prompt(),
-                        context.blackboard().peers());
-    }
-
     private void send(long now, Choice choice) {
         Backend backend = choice.backend();
-        context.gate().pass(now, backend);
         recorder.recordChoice(choice);
-        if (history.streaming() || request.callerHeaders().firstRequestId().isPresent()) {
+        if (history.streaming() || request.resumesStream()) {
             recorder.recordResumption(backend, lastEventId, history.streaming());
         }
-        tried.add(backend.incarnation());
-        recordPrefill(backend);
-        placement = context.load(request.pool(), backend)
+        selection.use(now, backend);
+        placement = context.load(selection.pool(), backend)
                 .place(
                         request.callerHeaders().prompt(),
                         context.blackboard().peers().at(backend.incarnation()));
@@ -331,14 +339,6 @@
         attempt.start(context.client(), request.deadlineMillis() - now, lastEventId);
     }
 
-    private void recordPrefill(Backend backend) {
-        if (request.pool().engine().isPresent()) {
-            Prompt prompt = request.callerHeaders().prompt();
-            long uncachedTokens = context.load(request.pool(), backend).uncachedTokens(prompt);
-            context.profiles().recordSent(request.pool().name(), prompt, uncachedTokens);
-        }
-    }
-
     /** Records the first events, and writes the headers of the response unless that is done. */
     private void beginStream(int status, MultiMap headers) {
         placement.started();
@@ -347,13 +347,23 @@
             return;
         }
         history = history.withStart();
-        context.profiles().recordFirstEvent(request.pool().name(), placement, now() - attemptStartMillis);
+        recordOrigin();
+        context.profiles().recordFirstEvent(selection.pool().name(), placement, now() - attemptStartMillis);
         recorder.recordFirstEvent(now());
         MultiMap forwarded = MultiMap.caseInsensitiveMultiMap();
         context.codec().copyResponse(headers, forwarded);
         response.startStream(status, forwarded);
     }
 
+    /** Records where a resumable stream began, before the caller can resume it. */
+    private void recordOrigin() {
+        selection.confineTo(attempt.backend());
+        if (request.route().kind() == RouteKind.RESUMABLE_STREAM) {
+            String first = request.callerHeaders().firstRequestId().orElse(request.id());
+            context.streams().record(first, StreamOrigin.of(attempt.backend()));
+        }
+    }
+
     /**
      * Forwards a complete response.
      *
@@ -420,7 +430,7 @@
         context.vertx().cancelTimer(deadlineTimer);
         context.blackboard().active().decrementAndGet();
         if (waiting) {
-            context.queues().of(request.pool().name()).remove(this);
+            context.queues().of(selection.pool().name()).remove(this);
         }
         if (placement != null) {
             placement.end();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
@@ -4,6 +4,7 @@
 import org.cranberrygauge.decision.limit.StatedLimits;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.backend.BackendGate;
+import org.cranberrygauge.proxy.backend.VersionHistory;
 import org.cranberrygauge.proxy.configuration.Pool;
 import org.cranberrygauge.proxy.leader.UsageCounter;
 import org.cranberrygauge.proxy.retry.CrashTracker;
@@ -12,6 +13,7 @@
 import org.cranberrygauge.proxy.routing.EngineProfiles;
 import org.cranberrygauge.proxy.routing.LoadTable;
 import org.cranberrygauge.proxy.routing.PlacementExchange;
+import org.cranberrygauge.proxy.stream.StreamDirectory;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.time.TimeSource;
 
@@ -22,6 +24,8 @@
  * @param profiles The speed of engines, as this host's own requests show it.
  * @param limits The rates of requests that backend servers state to take.
  * @param gate Tells whether a request may be sent to a backend server now.
+ * @param streams Tells where streams began.
+ * @param versions The versions of software that served lately.
  * @param queues The requests that wait until an engine has capacity or a permit arrives.
  * @param usage Counts the requests that started running.
  * @param usageTime The clocks by which usage is counted.
@@ -38,6 +42,8 @@
         StatedLimits limits,
         BackendGate gate,
         PlacementExchange placements,
+        StreamDirectory streams,
+        VersionHistory versions,
         PoolWaitQueues queues,
         PoolRetryBudgets budgets,
         CrashTracker crashes,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeRecorder.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeRecorder.java
@@ -74,7 +74,7 @@
             AttemptHistory history,
             long remainingMillis,
             long afterMillis) {
-        context.metrics().recordFailedAttempt(request.pool().name(), outcome.name());
+        context.metrics().recordFailedAttempt(backend.pool(), outcome.name());
         context.events()
                 .emit(new ExchangeEvents.AttemptFailed(
                         request.id(),
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
@@ -7,6 +7,7 @@
 import org.cranberrygauge.decision.topology.StableHash;
 import org.cranberrygauge.proxy.configuration.Pool;
 import org.cranberrygauge.proxy.configuration.Route;
+import org.cranberrygauge.proxy.configuration.RouteKind;
 import org.cranberrygauge.proxy.exchange.HeaderCodec.CallerHeaders;
 
 /**
@@ -49,6 +50,13 @@
         return receivedMillis + (long) ((deadlineMillis - receivedMillis) * QUEUEING_FRACTION);
     }
 
+    /** Tells whether the caller resumes a stream of which it has some events. */
+    public boolean resumesStream() {
+        return route.kind() == RouteKind.RESUMABLE_STREAM
+                && (callerHeaders.firstRequestId().isPresent()
+                        || callerHeaders.lastEventId().isPresent());
+    }
+
     /** Returns a hash of customer, URI and body, which identifies retries of the same request by the caller. */
     public long fingerprint() {
         long hash = StableHash.update(StableHash.START, customer.orElse("") + '\n' + uri + '\n');
