--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/LimitedFleet.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/LimitedFleet.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
@@ -17,7 +16,6 @@
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.protocol.generated.HostMessage;
 import org.cranberrygauge.protocol.generated.HostReport;
-import org.cranberrygauge.runtime.time.TimeSource;
 
 /**
  * A simulated fleet before one backend server that states a limit, with virtual time and a seed.
@@ -41,6 +39,8 @@
 
     private static final int MAXIMUM_SEND_MILLIS = 40;
 
+    private static final int RESPONSE_MILLIS = 20;
+
     /** The time after the first statement, and after a fault of a host, in which its requests don't count. */
     private static final int CONTACT_MILLIS = 3_000;
 
@@ -59,10 +59,7 @@
 
     private final List<Host> hosts = new ArrayList<>();
 
-    private final PriorityQueue<Delivery> deliveries =
-            new PriorityQueue<>((left, right) -> left.atMillis() != right.atMillis()
-                    ? Long.compare(left.atMillis(), right.atMillis())
-                    : Long.compare(left.number(), right.number()));
+    private final VirtualTimeline timeline = new VirtualTimeline();
 
     /** The arrivals that count against the limit, in order. */
     private final List<Long> counted = new ArrayList<>();
@@ -72,10 +69,6 @@
     /** The limit that the counted arrivals are judged by: the highest in force in the window. */
     private final List<LimitChange> changes = new ArrayList<>();
 
-    private long now;
-
-    private long deliveryNumber;
-
     private boolean reports = true;
 
     /** Whether hosts of even and odd numbers hear of each other. */
@@ -110,13 +103,13 @@
 
     /** Changes the limit after a third and after two thirds of the time, and ends it shortly before the end. */
     void runWithChanges(double second, double third) {
-        while (now < RUN_MILLIS) {
+        while (now() < RUN_MILLIS) {
             step(Faults.NONE);
-            if (now == RUN_MILLIS / 3 / STEP_MILLIS * STEP_MILLIS) {
+            if (now() == RUN_MILLIS / 3 / STEP_MILLIS * STEP_MILLIS) {
                 setLimit(OptionalDouble.of(second));
-            } else if (now == RUN_MILLIS * 2 / 3 / STEP_MILLIS * STEP_MILLIS) {
+            } else if (now() == RUN_MILLIS * 2 / 3 / STEP_MILLIS * STEP_MILLIS) {
                 setLimit(OptionalDouble.of(third));
-            } else if (now == RUN_MILLIS - 2 * WINDOW_MILLIS) {
+            } else if (now() == RUN_MILLIS - 2 * WINDOW_MILLIS) {
                 setLimit(OptionalDouble.empty());
             }
         }
@@ -154,26 +147,23 @@
 
     private void setLimit(OptionalDouble perSecond) {
         limit = perSecond;
-        changes.add(new LimitChange(now, perSecond));
+        changes.add(new LimitChange(now(), perSecond));
     }
 
     private void run(Faults faults) {
-        while (now < RUN_MILLIS) {
+        while (now() < RUN_MILLIS) {
             step(faults);
         }
     }
 
     private void step(Faults faults) {
-        now += STEP_MILLIS;
+        timeline.advance(STEP_MILLIS);
         faults.apply(this);
-        while (!deliveries.isEmpty() && deliveries.peek().atMillis() <= now) {
-            deliveries.poll().action().run();
-        }
         hosts.forEach(Host::step);
     }
 
-    private void deliver(long delayMillis, Runnable action) {
-        deliveries.add(new Delivery(now + delayMillis, deliveryNumber++, action));
+    private long now() {
+        return timeline.monotonicMillis();
     }
 
     private NetworkAddress address(int host) {
@@ -193,7 +183,7 @@
                     return;
                 }
                 Host host = fleet.hosts.get(fleet.random.nextInt(fleet.hosts.size()));
-                long until = fleet.now + 300 + fleet.random.nextInt(5_000);
+                long until = fleet.now() + 300 + fleet.random.nextInt(5_000);
                 host.faultEndMillis = until;
                 switch (fleet.random.nextInt(3)) {
                     case 0 -> host.frozenUntilMillis = until;
@@ -205,7 +195,7 @@
         PARTITION {
             @Override
             void apply(LimitedFleet fleet) {
-                fleet.partitioned = fleet.now > RUN_MILLIS / 4 && fleet.now < RUN_MILLIS * 3 / 4;
+                fleet.partitioned = fleet.now() > RUN_MILLIS / 4 && fleet.now() < RUN_MILLIS * 3 / 4;
             }
         };
 
@@ -213,7 +203,7 @@
     }
 
     /** One host: its own state, and the requests that it sends. */
-    private final class Host implements TimeSource {
+    private final class Host {
 
         private final int number;
 
@@ -241,6 +231,9 @@
         /** The time at which this host first passed on a statement. */
         private long toldMillis = Long.MAX_VALUE;
 
+        /** The requests that wait for this server. */
+        private int wanted;
+
         /** Messages that arrived while the host was frozen. */
         private final List<Runnable> backlog = new ArrayList<>();
 
@@ -249,35 +242,25 @@
             restart();
         }
 
-        @Override
-        public long monotonicMillis() {
-            return now;
-        }
-
-        @Override
-        public long wallMillis() {
-            return now;
-        }
-
         void restart() {
-            startedMillis = now;
+            startedMillis = now();
             sequence = 0;
             toldMillis = Long.MAX_VALUE;
             limits = new StatedLimits();
             permits = new HeldPermits();
             peers = new PeerDirectory("host-" + number, "east");
             handlers = new EnumMap<>(HostMessage._Fields.class);
-            exchange = new PermitExchange(this, peers, new Transport(this), limits, permits, () -> {});
+            exchange = new PermitExchange(timeline, peers, new Transport(this), limits, permits, () -> {});
             handlers.put(HostMessage._Fields.REPORT, this::receiveReport);
         }
 
         void step() {
-            if (now < frozenUntilMillis) {
+            if (now() < frozenUntilMillis) {
                 return;
             }
             backlog.forEach(Runnable::run);
             backlog.clear();
-            if (reports && (now + 37L * number) % REPORT_MILLIS < STEP_MILLIS) {
+            if (reports && (now() + 37L * number) % REPORT_MILLIS < STEP_MILLIS) {
                 report();
             }
             double demandPerSecond = 3 * limit.orElse(10) / hosts.size() + 1;
@@ -289,39 +272,36 @@
             }
         }
 
-        /** The requests that wait for this server. */
-        private int wanted;
-
         private boolean trySend() {
-            if (limits.limit(SERVER).isPresent() && !permits.use(now, SERVER)) {
-                if (permits.mayRequest(now, SERVER)) {
-                    permits.recordRequest(now, SERVER);
+            if (limits.limit(SERVER).isPresent() && !permits.use(now(), SERVER)) {
+                if (permits.mayRequest(now(), SERVER)) {
+                    permits.recordRequest(now(), SERVER);
                     exchange.request(SERVER);
                 }
                 return false;
             }
-            deliver(1 + random.nextInt(MAXIMUM_SEND_MILLIS), this::arrive);
+            timeline.after(1 + random.nextInt(MAXIMUM_SEND_MILLIS), this::arrive);
             return true;
         }
 
         private void arrive() {
             arrivals++;
-            boolean bound = now - BINDING_MILLIS >= toldMillis && now >= CONTACT_MILLIS;
-            if (bound && now - faultEndMillis > CONTACT_MILLIS) {
-                counted.add(now);
+            boolean bound = now() - BINDING_MILLIS >= toldMillis && now() >= CONTACT_MILLIS;
+            if (bound && now() - faultEndMillis > CONTACT_MILLIS) {
+                counted.add(now());
             }
             RateStatement stated =
                     limit.isPresent() ? RateStatement.limited(limit.getAsDouble()) : RateStatement.Standard.UNLIMITED;
-            deliver(
-                    20,
+            timeline.after(
+                    RESPONSE_MILLIS,
                     () -> whenAwake(() -> {
-                        limits.observe(now, SERVER, stated);
-                        toldMillis = Math.min(toldMillis, now);
+                        limits.observe(now(), SERVER, stated);
+                        toldMillis = Math.min(toldMillis, now());
                     }));
         }
 
         private void whenAwake(Runnable action) {
-            if (now < frozenUntilMillis) {
+            if (now() < frozenUntilMillis) {
                 backlog.add(action);
             } else {
                 action.run();
@@ -329,11 +309,11 @@
         }
 
         private void report() {
-            Map<String, Statement> stated = limits.current(now, Set.of(SERVER));
+            Map<String, Statement> stated = limits.current(now(), Set.of(SERVER));
             HostReport report = new HostReport(
                     "host-" + number, startedMillis, ++sequence, Map.of(), List.of(), List.of(), "east", true);
             if (!stated.isEmpty()) {
-                report.setRates(RateReports.write(now, stated));
+                report.setRates(RateReports.write(now(), stated));
             }
             for (Host other : hosts) {
                 if (other != this) {
@@ -343,19 +323,19 @@
         }
 
         private void receiveReport(HostMessage message, NetworkAddress sender) {
-            if (peers.update(now, message.getReport(), sender)
+            if (peers.update(now(), message.getReport(), sender)
                     && message.getReport().isSetRates()) {
-                RateReports.read(now, message.getReport().getRates()).forEach(limits::merge);
+                RateReports.read(now(), message.getReport().getRates()).forEach(limits::merge);
             }
         }
 
         private void send(Host receiver, HostMessage message) {
-            boolean cut = now < cutUntilMillis || now < receiver.cutUntilMillis;
+            boolean cut = now() < cutUntilMillis || now() < receiver.cutUntilMillis;
             boolean separated = partitioned && number % 2 != receiver.number % 2;
             if (cut || separated || random.nextDouble() < MESSAGE_LOSS) {
                 return;
             }
-            deliver(
+            timeline.after(
                     1 + random.nextInt(MAXIMUM_MESSAGE_MILLIS),
                     () -> receiver.whenAwake(() -> {
                         BiConsumer<HostMessage, NetworkAddress> handler = receiver.handlers.get(message.getSetField());
@@ -388,7 +368,5 @@
         }
     }
 
-    private record Delivery(long atMillis, long number, Runnable action) {}
-
     private record LimitChange(long atMillis, OptionalDouble limit) {}
 }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/PeerDirectoryTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/PeerDirectoryTest.java
@@ -62,6 +62,39 @@
         assertThat(peers.reader(1_200, true)).contains(FIRST);
     }
 
+    @Test
+    void hostsThatHearOfEachOtherAgreeOnTheIssuerOfAServer() {
+        PeerDirectory other = new PeerDirectory("host-1", "west");
+        receivesReport(1_000, "host-1", "west", true, FIRST);
+        HostReport report = new HostReport("host-2", 1, 1, Map.of(), List.of(), List.of(), "east", true);
+        assertThat(other.update(1_000, report, SECOND)).isTrue();
+        for (int server = 0; server < 20; server++) {
+            String incarnation = "i-" + server + "/1";
+            assertThat(peers.issuer(1_100, incarnation).isEmpty())
+                    .isNotEqualTo(other.issuer(1_100, incarnation).isEmpty());
+        }
+        assertThat(peers.issuer(2_100, "i-0/1")).isEmpty();
+    }
+
+    @Test
+    void theShareOfHostsThatAreKnownButNotHeardIsLeftToThemForATime() {
+        receivesReport(1_000, "host-1", "west", true, FIRST);
+        assertThat(peers.heardShare(1_100)).isEqualTo(1);
+        assertThat(peers.heardShare(2_100)).isEqualTo(0.5);
+        assertThat(peers.heardShare(30_000)).isEqualTo(1);
+    }
+
+    @Test
+    void aSilentHostKeepsItsRankForATime() {
+        receivesReport(1_000, "host-1", "west", true, FIRST);
+        receivesReport(1_000, "host-3", "west", true, SECOND);
+        List<NetworkAddress> ranked = peers.ranked(1_100, "stream-1", 5);
+        assertThat(ranked).containsExactlyInAnyOrder(FIRST, SECOND);
+        assertThat(peers.ranked(9_000, "stream-1", 5)).isEqualTo(ranked);
+        assertThat(peers.ranked(9_000, "stream-1", 1)).isEqualTo(ranked.subList(0, 1));
+        assertThat(peers.ranked(30_000, "stream-1", 5)).isEmpty();
+    }
+
     private void receivesReport(long nowMillis, String host, String dataCentre, boolean reads, NetworkAddress address) {
         HostReport report = new HostReport(host, 1, nowMillis, Map.of(), List.of(), List.of(), dataCentre, reads);
         assertThat(peers.update(nowMillis, report, address)).isTrue();
