What a backend server states of itself decides where requests go: leaving, pauses

Change: decision/backend holds all that an incarnation states of itself (BackendStatements: limit, leaving, pause, slow start after it), and BackendGate answers one question for first attempts, retries, queued requests and resumed streams: may this request be sent to this server now, and if not, why and from when (Availability). That a server leaves is told in the reports and takes it out of the list, so that the fleet is sized without it; an entry that is still ready doesn't bring it back, a new start does. After a pause requests return in doubling steps. If all servers pause, requests wait for a pause that ends in time, else the rejection tells when the first ends. A pause given as a date or malformed is ignored and logged once a server; one above an hour is cut.

--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/limit/HeldPermits.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/backend/HeldPermits.java
@@ -1,4 +1,4 @@
-package org.cranberrygauge.decision.limit;
+package org.cranberrygauge.decision.backend;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/limit/RateStatement.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/backend/RateStatement.java
@@ -1,4 +1,4 @@
-package org.cranberrygauge.decision.limit;
+package org.cranberrygauge.decision.backend;
 
 /** What one response of a backend server states about the rate of requests that it takes. Immutable. */
 public sealed interface RateStatement {
--- a/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/limit/HeldPermitsTest.java
+++ b/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/backend/HeldPermitsTest.java
@@ -1,4 +1,4 @@
-package org.cranberrygauge.decision.limit;
+package org.cranberrygauge.decision.backend;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/cranberrygauge-protocol/src/main/thrift/proxy.thrift
+++ b/cranberrygauge-protocol/src/main/thrift/proxy.thrift
@@ -22,11 +22,13 @@
   3: required i64 tokens
 }
 
-// What a backend server last stated about the requests that it takes from all hosts together; no rate: it takes any.
-struct RateStated {
+// What a backend server stated of itself: that it leaves, and its limit on the requests of all hosts together. The age is
+// set if it ever stated a limit; without a rate it takes any by now.
+struct BackendStated {
   1: required string incarnation
-  2: optional double perSecond
-  3: required i64 ageMillis
+  2: required bool leaving
+  3: optional i64 limitAgeMillis
+  4: optional double perSecond
 }
 
 // The periodic status report of a host, sent to the others several times per second.
@@ -39,7 +41,7 @@
   6: required list<PartPlaced> placed
   7: required string dataCentre
   8: required bool readsLog
-  9: optional list<RateStated> rates
+  9: optional list<BackendStated> stated
 }
 
 // Requests the records of a topic, starting at an offset, from a host that reads the shared log.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -10,8 +10,8 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
-import org.cranberrygauge.decision.limit.HeldPermits;
-import org.cranberrygauge.decision.limit.StatedLimits;
+import org.cranberrygauge.decision.backend.BackendStatements;
+import org.cranberrygauge.decision.backend.HeldPermits;
 import org.cranberrygauge.proxy.admission.RequestAdmission;
 import org.cranberrygauge.proxy.backend.BackendGate;
 import org.cranberrygauge.proxy.backend.VersionHistory;
@@ -86,8 +86,8 @@
 
     private final PlacementExchange placements = new PlacementExchange();
 
-    /** The limits that backend servers state. */
-    private final StatedLimits limits = new StatedLimits();
+    /** What backend servers state of themselves. */
+    private final BackendStatements statements = new BackendStatements();
 
     private final HeldPermits permits = new HeldPermits();
 
@@ -195,6 +195,7 @@
                         network.relay(),
                         dependencies.backendTopic(),
                         dependencies.backends(),
+                        statements::isLeaving,
                         times.leavingMillis())
                 .start();
         election = new LeaderElection(context, network.relay(), incarnation, times.leaseMillis());
@@ -207,7 +208,7 @@
                 .start();
         new FleetController(context, election, dependencies.controlPlane(), ownWork).start();
         permitExchange =
-                new PermitExchange(time, network.peers(), network.channel(), limits, permits, this::dispatchQueued);
+                new PermitExchange(time, network.peers(), network.channel(), statements, permits, this::dispatchQueued);
         streams = new StreamOriginExchange(
                 time,
                 (millis, action) -> vertx.setTimer(millis, fired -> action.run()),
@@ -220,7 +221,7 @@
                         time.wallMillis(),
                         crashes,
                         placements,
-                        limits,
+                        statements,
                         permitExchange,
                         ownWork)
                 .start();
@@ -252,8 +253,8 @@
                 new BackendChooser(settings.dataCentre(), loads, profiles, new SplittableRandom()),
                 loads,
                 profiles,
-                limits,
-                new BackendGate(limits, permits, this::requestPermit),
+                statements,
+                new BackendGate(statements, permits, this::requestPermit),
                 placements,
                 new EventLoopStreamDirectory(),
                 versions,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RejectReason.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RejectReason.java
@@ -29,6 +29,8 @@
     BACKENDS_FULL(503, 800),
     /** All backend servers of the pool state a limit that other requests have used up. */
     BACKENDS_LIMITED(503, 1_000),
+    /** All backend servers of the pool have asked this host for a pause; the rejection tells when the first one ends. */
+    BACKENDS_PAUSED(503, 1_000),
     /** The caller resumes a stream, and no backend server of the version that began it accepts requests. */
     NO_BACKEND_OF_VERSION(503, 500),
     /** The caller resumes a stream, and no host knows at which version it began. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/WaitQueue.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/WaitQueue.java
@@ -6,7 +6,7 @@
 import java.util.List;
 
 /**
- * The requests that are queued on this host until an engine has capacity for their prompts, or a permit arrives.
+ * The requests that are queued on this host until a backend server is available and has capacity.
  *
  * <p>Order: by urgency; at equal urgency, requests that can still meet their target latency go before those that can't;
  * then by arrival. A request expires as soon as it can no longer finish before its deadline. Not thread-safe.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/Backend.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/Backend.java
@@ -25,6 +25,11 @@
         boolean leaving,
         Supply supply) {
 
+    /** Returns this backend server as one that drains. */
+    public Backend withLeaving() {
+        return new Backend(id, startedMillis, pool, address, dataCentre, version, slots, true, supply);
+    }
+
     /** Returns a name that is unique to this start of the server. */
     public String incarnation() {
         return id + "/" + startedMillis;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendRegistry.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendRegistry.java
@@ -1,10 +1,13 @@
 package org.cranberrygauge.proxy.backend;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Retains the entries of backend servers across outages of the store that holds them.
@@ -92,8 +95,9 @@
      * Removes expired entries and returns the current snapshot.
      *
      * @param nowMillis The current monotonic time in milliseconds.
+     * @param statedLeaving Tells by incarnation whether a server leaves, whatever its entry says.
      */
-    public BackendSnapshot snapshot(long nowMillis) {
+    public BackendSnapshot snapshot(long nowMillis, Predicate<String> statedLeaving) {
         Iterator<Map.Entry<String, Long>> entries = expiryMillis.entrySet().iterator();
         while (entries.hasNext()) {
             Map.Entry<String, Long> entry = entries.next();
@@ -102,6 +106,10 @@
                 entries.remove();
             }
         }
-        return new BackendSnapshot(backends.values(), known);
+        List<Backend> listed = new ArrayList<>();
+        backends.values()
+                .forEach(backend ->
+                        listed.add(statedLeaving.test(backend.incarnation()) ? backend.withLeaving() : backend));
+        return new BackendSnapshot(listed, known);
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/BackendFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/BackendFollower.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.backend.BackendRegistry;
 import org.cranberrygauge.proxy.backend.BackendSnapshot;
@@ -36,6 +37,9 @@
 
     private final RecordReader<Backend> reader;
 
+    /** Tells by incarnation whether a server has stated in a response that it leaves, whatever its entry says. */
+    private final Predicate<String> statedLeaving;
+
     private final TopicRelay relay;
 
     private final long drainBoundMillis;
@@ -49,6 +53,7 @@
     private Map<String, Backend> lastLogged = new HashMap<>();
 
     /**
+     * @param statedLeaving Tells by incarnation whether a server has stated in a response that it leaves.
      * @param drainBoundMillis The time in milliseconds within which a draining backend server must receive no more
      *     requests.
      */
@@ -57,11 +62,13 @@
             TopicRelay relay,
             String topic,
             RecordReader<Backend> reader,
+            Predicate<String> statedLeaving,
             long drainBoundMillis) {
         this.relay = relay;
         this.context = context;
         this.topic = topic;
         this.reader = reader;
+        this.statedLeaving = statedLeaving;
         this.drainBoundMillis = drainBoundMillis;
     }
 
@@ -116,7 +123,7 @@
 
     /** Publishes the snapshot and logs the changes. */
     private void publish(long now) {
-        BackendSnapshot snapshot = registry.snapshot(now);
+        BackendSnapshot snapshot = registry.snapshot(now, statedLeaving);
         context.blackboard().publish(snapshot);
         Map<String, Backend> present = new HashMap<>();
         for (Backend backend : snapshot.all()) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
@@ -8,8 +8,8 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.thrift.TException;
-import org.cranberrygauge.decision.limit.StatedLimits;
-import org.cranberrygauge.decision.limit.StatedLimits.Statement;
+import org.cranberrygauge.decision.backend.BackendStatements;
+import org.cranberrygauge.decision.backend.BackendStatements.Shared;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.protocol.generated.BackendWork;
 import org.cranberrygauge.protocol.generated.CrashCount;
@@ -18,7 +18,7 @@
 import org.cranberrygauge.protocol.generated.HostReport;
 import org.cranberrygauge.protocol.generated.PartPlaced;
 import org.cranberrygauge.proxy.ProxySettings;
-import org.cranberrygauge.proxy.backend.BackendLimitChanged;
+import org.cranberrygauge.proxy.backend.BackendEvents;
 import org.cranberrygauge.proxy.retry.CrashTracker;
 import org.cranberrygauge.proxy.routing.PeerLoads.Work;
 import org.cranberrygauge.proxy.routing.PlacedPart;
@@ -51,7 +51,7 @@
 
     private final PlacementExchange placements;
 
-    private final StatedLimits limits;
+    private final BackendStatements statements;
 
     private final PermitExchange permits;
 
@@ -76,7 +76,7 @@
             long startedAtMillis,
             CrashTracker crashes,
             PlacementExchange placements,
-            StatedLimits limits,
+            BackendStatements statements,
             PermitExchange permits,
             AtomicReference<Map<String, Work>> ownWork) {
         this.context = context;
@@ -85,7 +85,7 @@
         this.startedAtMillis = startedAtMillis;
         this.crashes = crashes;
         this.placements = placements;
-        this.limits = limits;
+        this.statements = statements;
         this.permits = permits;
         this.ownWork = ownWork;
         this.monitor = new DependencyMonitor("host addresses", context.events());
@@ -167,19 +167,21 @@
                 parts,
                 settings.dataCentre(),
                 network.relay().readsLog());
-        Map<String, Statement> stated = limits.current(now, present);
-        return stated.isEmpty() ? report : report.setRates(RateReports.write(now, stated));
+        Map<String, Shared> shared = statements.shared(now, present);
+        return shared.isEmpty() ? report : report.setStated(StatementReports.write(now, shared));
     }
 
-    /** Applies what another host learned of the limits of backend servers. */
-    private void mergeRates(HostReport report) {
-        if (!report.isSetRates()) {
+    /** Applies what another host knows of backend servers. */
+    private void mergeStatements(HostReport report) {
+        if (!report.isSetStated()) {
             return;
         }
-        RateReports.read(context.time().monotonicMillis(), report.getRates())
-                .forEach((incarnation, statement) -> limits.merge(incarnation, statement)
-                        .ifPresent(changed ->
-                                context.events().emit(BackendLimitChanged.of(incarnation, changed, report.getHost()))));
+        long now = context.time().monotonicMillis();
+        StatementReports.read(now, report.getStated())
+                .forEach((incarnation, shared) -> statements
+                        .merge(now, incarnation, shared)
+                        .forEach(notice ->
+                                context.events().emit(BackendEvents.of(now, incarnation, notice, report.getHost()))));
     }
 
     /** Applies the report of another host. */
@@ -187,7 +189,7 @@
         if (!network.peers().update(context.time().monotonicMillis(), report, sender)) {
             return;
         }
-        mergeRates(report);
+        mergeStatements(report);
         Map<Long, Integer> counts = new HashMap<>();
         report.getCrashes().forEach(count -> counts.put(count.getFingerprint(), count.getCrashes()));
         crashes.replaceRemote(report.getHost(), counts);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PermitExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PermitExchange.java
@@ -6,9 +6,9 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
-import org.cranberrygauge.decision.limit.HeldPermits;
-import org.cranberrygauge.decision.limit.PermitIssuer;
-import org.cranberrygauge.decision.limit.StatedLimits;
+import org.cranberrygauge.decision.backend.BackendStatements;
+import org.cranberrygauge.decision.backend.HeldPermits;
+import org.cranberrygauge.decision.backend.PermitIssuer;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.protocol.generated.HostMessage;
 import org.cranberrygauge.protocol.generated.PermitAnswer;
@@ -37,7 +37,7 @@
 
     private final MessageTransport transport;
 
-    private final StatedLimits limits;
+    private final BackendStatements statements;
 
     private final HeldPermits permits;
 
@@ -55,13 +55,13 @@
             TimeSource time,
             PeerDirectory peers,
             MessageTransport transport,
-            StatedLimits limits,
+            BackendStatements statements,
             HeldPermits permits,
             Runnable onPermits) {
         this.time = time;
         this.peers = peers;
         this.transport = transport;
-        this.limits = limits;
+        this.statements = statements;
         this.permits = permits;
         this.onPermits = onPermits;
         transport.onMessage(
@@ -72,7 +72,7 @@
     /** Requests permits for a server that states a limit; they are added to those that this host holds. */
     public void request(String incarnation) {
         long now = time.monotonicMillis();
-        OptionalDouble perSecond = limits.limit(incarnation);
+        OptionalDouble perSecond = statements.limit(incarnation);
         if (perSecond.isEmpty()) {
             return;
         }
@@ -115,7 +115,7 @@
 
     /** Issues permits; none for a server of whose limit this host does not know. */
     private int issue(long now, String incarnation, int count) {
-        OptionalDouble perSecond = limits.limit(incarnation);
+        OptionalDouble perSecond = statements.limit(incarnation);
         return perSecond.isEmpty()
                 ? 0
                 : issuer.issue(now, incarnation, perSecond.getAsDouble(), peers.heardShare(now), count);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
@@ -117,7 +117,8 @@
         }
         response = backendResponse;
         backendResponse.exceptionHandler(failure -> failBroken(String.valueOf(failure.getMessage())));
-        BackendResponseHeaders responseHeaders = codec.decodeResponse(backendResponse.headers());
+        BackendResponseHeaders responseHeaders =
+                codec.decodeResponse(backendResponse.statusCode(), backendResponse.headers());
         if (responseHeaders.requestId().filter(id -> !id.equals(request.id())).isPresent()) {
             failBroken("response names another request");
             return;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendSelection.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendSelection.java
@@ -1,9 +1,13 @@
 package org.cranberrygauge.proxy.exchange;
 
+import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.cranberrygauge.decision.backend.Availability;
+import org.cranberrygauge.decision.backend.Availability.Kind;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.configuration.Pool;
 import org.cranberrygauge.proxy.routing.BackendChooser.Choice;
@@ -11,7 +15,7 @@
 
 /**
  * Selects the backend servers of one request: of its pool, none twice, of one software version once a stream has begun,
- * and none whose limit is used up. Not thread-safe.
+ * and none that takes no request of this host by its own statement. Not thread-safe.
  */
 final class BackendSelection {
 
@@ -22,6 +26,9 @@
     /** The incarnations of the backend servers that were tried. */
     private final Set<String> tried = new HashSet<>();
 
+    /** The reasons for which the best server was not available. */
+    private final Set<Kind> unavailable = EnumSet.noneOf(Kind.class);
+
     /** The pool that serves the request; for a resumed stream the one in which it began. */
     private Pool pool;
 
@@ -63,19 +70,38 @@
         return context.versions().onlyVersion(pool.name()).map(only -> new StreamOrigin(pool.name(), only));
     }
 
-    /** Chooses among the servers that need no permit or for which this host holds one; requests one if it lacks it. */
+    /** Chooses among the servers that are available now; requests a permit if it is what a better one lacks. */
     Optional<Choice> chooseOpen(long now) {
-        Optional<Choice> preferred = choose(now, backend -> isOpenOrMayRequest(now, backend));
-        if (preferred.isEmpty() || context.gate().isOpen(now, preferred.get().backend())) {
-            return preferred;
+        Optional<Choice> best =
+                choose(now, backend -> availability(now, backend).isEverOpen());
+        if (best.isEmpty() || availability(now, best.get().backend()).isOpen()) {
+            return best;
         }
-        context.gate().requestPermit(now, preferred.get().backend());
-        return choose(now, backend -> context.gate().isOpen(now, backend));
+        recordUnavailable(availability(now, best.get().backend()).kind());
+        choose(now, backend -> shouldRequestPermit(now, backend))
+                .ifPresent(choice -> context.gate().requestPermit(now, choice.backend()));
+        return choose(now, backend -> availability(now, backend).isOpen());
+    }
+
+    /**
+     * Chooses among the servers that are available by a time, or may be with a permit.
+     *
+     * @param byMillis The monotonic time in milliseconds.
+     */
+    Optional<Choice> chooseSoon(long now, long byMillis) {
+        return choose(now, backend -> availability(now, backend).fromMillis() <= byMillis);
     }
 
-    /** Chooses among all servers, also those for which a permit is missing. */
-    Optional<Choice> chooseAny(long now) {
-        return choose(now, backend -> true);
+    /**
+     * Returns the monotonic time in milliseconds from which some server, tried or not, is available or may be with a
+     * permit; empty if there is none.
+     */
+    OptionalLong availableFromMillis(long now) {
+        return context.blackboard().backends().ready(pool.name()).stream()
+                .map(backend -> availability(now, backend))
+                .filter(Availability::isEverOpen)
+                .mapToLong(Availability::fromMillis)
+                .min();
     }
 
     /** Records that the request is about to be sent to a server. */
@@ -97,8 +123,20 @@
                 .uncachedTokens(request.callerHeaders().prompt());
     }
 
-    private boolean isOpenOrMayRequest(long now, Backend backend) {
-        return context.gate().isOpen(now, backend) || context.gate().mayRequestPermit(now, backend);
+    private Availability availability(long now, Backend backend) {
+        return context.gate().availability(now, backend, version);
+    }
+
+    private boolean shouldRequestPermit(long now, Backend backend) {
+        return availability(now, backend).kind() == Kind.NEEDS_PERMIT
+                && context.gate().mayRequestPermit(now, backend);
+    }
+
+    /** Counts that the best server was not available, once for each reason. */
+    private void recordUnavailable(Kind reason) {
+        if (unavailable.add(reason)) {
+            context.metrics().recordUnavailable(pool.name(), reason.name());
+        }
     }
 
     private Optional<Choice> choose(long now, Predicate<Backend> eligible) {
@@ -107,16 +145,11 @@
                         now,
                         pool,
                         context.blackboard().backends().ready(pool.name()),
-                        backend -> mayTry(backend) && eligible.test(backend),
+                        backend -> !tried.contains(backend.incarnation()) && eligible.test(backend),
                         request.callerHeaders().prompt(),
                         context.blackboard().peers());
     }
 
-    private boolean mayTry(Backend backend) {
-        return !tried.contains(backend.incarnation())
-                && version.filter(began -> !began.equals(backend.version())).isEmpty();
-    }
-
     private Optional<Pool> permittedPool(String name) {
         if (request.route().pools().stream()
                 .noneMatch(weighted -> weighted.pool().equals(name))) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
@@ -168,7 +168,7 @@
             RejectReason reason) {
         ConfigurationView view = context.blackboard().configuration();
         request.exceptionHandler(failure -> {});
-        response.reject(reason);
+        response.reject(reason.status(), reason.retryAfterMillis());
         context.metrics().recordEnd(ABSENT, ABSENT, reason.name());
         context.events()
                 .emit(new ExchangeEvents.RequestRejected(
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
@@ -7,8 +7,8 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.Locale;
+import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
-import org.cranberrygauge.proxy.admission.RejectReason;
 
 /**
  * Writes the response to a caller.
@@ -45,12 +45,15 @@
         closeAfter = true;
     }
 
-    /** Writes the proxy's own response for a rejection. */
-    public void reject(RejectReason reason) {
-        response.setStatusCode(reason.status());
-        reason.retryAfterMillis()
-                .ifPresent(millis -> response.putHeader(
-                        HttpHeaders.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", millis / MILLIS_PER_SECOND)));
+    /**
+     * Writes the proxy's own response for a rejection.
+     *
+     * @param retryAfterMillis How long the caller should wait before a retry, in milliseconds.
+     */
+    public void reject(int status, OptionalLong retryAfterMillis) {
+        response.setStatusCode(status);
+        retryAfterMillis.ifPresent(millis -> response.putHeader(
+                HttpHeaders.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", millis / MILLIS_PER_SECOND)));
         end(Buffer.buffer());
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/DispatchResult.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/DispatchResult.java
@@ -6,6 +6,6 @@
     SENT,
     /** No engine has capacity for its prompt. */
     NO_CAPACITY,
-    /** All servers that it may be sent to state a limit, and this host holds no permit. */
-    NO_PERMIT
+    /** No server that it may be sent to takes a request of this host now. */
+    NOT_AVAILABLE
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -3,6 +3,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.cranberrygauge.proxy.admission.RejectReason;
 import org.cranberrygauge.proxy.admission.WaitQueue.Entry;
 import org.cranberrygauge.proxy.backend.Backend;
@@ -89,38 +90,21 @@
             return;
         }
         if (request.resumesStream()) {
-            findOrigin();
+            new StreamResumption(context, request, selection).resolve(this::resume);
             return;
         }
         attemptFirst(RejectReason.NO_BACKEND);
     }
 
-    /** Looks up where the stream that the caller resumes began, and goes on there. */
-    private void findOrigin() {
-        Optional<String> first = request.callerHeaders().firstRequestId();
-        if (first.isPresent()) {
-            context.streams().find(first.get(), this::resume);
-        } else {
-            resume(Optional.empty());
-        }
-    }
-
-    /**
-     * Resumes a stream of the caller.
-     *
-     * @param found Where it began, if any host knows.
-     */
-    private void resume(Optional<StreamOrigin> found) {
+    /** @param rejection The reason why the stream that the caller resumes can't go on, if any. */
+    private void resume(Optional<RejectReason> rejection) {
         if (ended) {
             return;
         }
-        Optional<StreamOrigin> origin = found.or(selection::onlyOrigin);
-        if (origin.isEmpty()) {
-            reject(RejectReason.UNKNOWN_STREAM);
-        } else if (selection.confineTo(origin.get())) {
-            attemptFirst(RejectReason.NO_BACKEND_OF_VERSION);
+        if (rejection.isPresent()) {
+            reject(rejection.get());
         } else {
-            reject(RejectReason.NO_BACKEND_OF_VERSION);
+            attemptFirst(RejectReason.NO_BACKEND_OF_VERSION);
         }
     }
 
@@ -128,7 +112,7 @@
     private void attemptFirst(RejectReason otherwise) {
         context.budgets().of(selection.pool().name()).recordRequest(now());
         if (!attemptNext()) {
-            reject(otherwise);
+            rejectUnavailable(otherwise);
         }
     }
 
@@ -140,9 +124,10 @@
     @Override
     public void onHeaders(BackendResponseHeaders headers) {
         Backend backend = attempt.backend();
-        context.limits()
-                .observe(now(), backend.incarnation(), headers.rate())
-                .ifPresent(changed -> recorder.recordLimit(backend, changed));
+        long now = now();
+        context.statements()
+                .observe(now, backend.incarnation(), headers.statement())
+                .forEach(notice -> recorder.recordNotice(now, backend, notice));
     }
 
     @Override
@@ -218,7 +203,8 @@
         }
         switch (next) {
             case REFUSE ->
-                reject(outcome == AttemptOutcome.NOT_RUN ? RejectReason.BACKENDS_FULL : RejectReason.NO_BACKEND);
+                rejectUnavailable(
+                        outcome == AttemptOutcome.NOT_RUN ? RejectReason.BACKENDS_FULL : RejectReason.NO_BACKEND);
             case PASS_ON -> forward(serverError.orElseThrow(), "server_error");
             case CUT -> abort("stream_broken");
             default -> forwardOrReject();
@@ -258,8 +244,8 @@
     }
 
     /**
-     * Sends the request to the next backend server, or queues it if that server is saturated or all servers that are
-     * left need a permit.
+     * Sends the request to the next backend server, or queues it if that server is saturated or those that are left
+     * become available in time.
      *
      * @return Whether there is another backend server.
      */
@@ -267,7 +253,10 @@
         long now = now();
         Optional<Choice> choice = selection.chooseOpen(now);
         if (choice.isEmpty()) {
-            return selection.chooseAny(now).map(this::enqueue).isPresent();
+            return selection
+                    .chooseSoon(now, request.expiresAtMillis())
+                    .map(this::enqueue)
+                    .isPresent();
         }
         if (choice.get().saturated() && history.sent() == 0) {
             enqueue(choice.get());
@@ -277,13 +266,9 @@
         return true;
     }
 
-    /** Queues the request until an engine has capacity or a permit arrives, and returns its first choice. */
+    /** Queues the request until it can be sent, and returns its first choice. */
     private Choice enqueue(Choice choice) {
         waiting = true;
-        long tokens = context.load(selection.pool(), choice.backend())
-                .uncachedTokens(request.callerHeaders().prompt());
-        long prefillMillis =
-                (long) context.profiles().of(selection.pool().name()).prefillMillis(tokens);
         context.queues()
                 .of(selection.pool().name())
                 .add(new Entry<>(
@@ -294,12 +279,12 @@
         return choice;
     }
 
-    /** Sends a queued request if an engine has capacity by now and no permit is missing. */
+    /** Sends a queued request if a server is available by now and has capacity. */
     DispatchResult tryDispatch() {
         long now = now();
         Optional<Choice> choice = selection.chooseOpen(now);
         if (choice.isEmpty()) {
-            return selection.chooseAny(now).isPresent() ? DispatchResult.NO_PERMIT : DispatchResult.NO_CAPACITY;
+            return DispatchResult.NOT_AVAILABLE;
         }
         if (choice.get().saturated() && history.sent() == 0) {
             return DispatchResult.NO_CAPACITY;
@@ -316,8 +301,8 @@
             proceed(RetryPolicy.withoutRetry(history, lastOutcome), lastOutcome);
             return;
         }
-        boolean limited = selection.chooseOpen(now()).isEmpty();
-        reject(limited ? RejectReason.BACKENDS_LIMITED : RejectReason.BACKENDS_FULL);
+        boolean unavailable = selection.chooseOpen(now()).isEmpty();
+        rejectUnavailable(unavailable ? RejectReason.BACKENDS_LIMITED : RejectReason.BACKENDS_FULL);
     }
 
     private void send(long now, Choice choice) {
@@ -376,8 +361,27 @@
         finish(outcome, buffered.status());
     }
 
+    /**
+     * Rejects a request that has not run and that no server takes.
+     *
+     * @param otherwise The reason unless all servers pause, in which case the rejection tells when the first one ends.
+     */
+    private void rejectUnavailable(RejectReason otherwise) {
+        long now = now();
+        OptionalLong fromMillis = selection.availableFromMillis(now);
+        if (fromMillis.isPresent() && fromMillis.getAsLong() > now) {
+            reject(RejectReason.BACKENDS_PAUSED, OptionalLong.of(fromMillis.getAsLong() - now));
+        } else {
+            reject(otherwise);
+        }
+    }
+
     private void reject(RejectReason reason) {
-        response.reject(reason);
+        reject(reason, reason.retryAfterMillis());
+    }
+
+    private void reject(RejectReason reason, OptionalLong retryAfterMillis) {
+        response.reject(reason.status(), retryAfterMillis);
         finish(reason.name(), reason.status());
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
@@ -1,7 +1,7 @@
 package org.cranberrygauge.proxy.exchange;
 
 import io.vertx.core.Vertx;
-import org.cranberrygauge.decision.limit.StatedLimits;
+import org.cranberrygauge.decision.backend.BackendStatements;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.backend.BackendGate;
 import org.cranberrygauge.proxy.backend.VersionHistory;
@@ -22,11 +22,11 @@
  *
  * @param loads The load caused by this host's own requests.
  * @param profiles The speed of engines, as this host's own requests show it.
- * @param limits The rates of requests that backend servers state to take.
+ * @param statements What backend servers state of themselves.
  * @param gate Tells whether a request may be sent to a backend server now.
  * @param streams Tells where streams began.
  * @param versions The versions of software that served lately.
- * @param queues The requests that wait until an engine has capacity or a permit arrives.
+ * @param queues The requests that wait until a backend server is available and has capacity.
  * @param usage Counts the requests that started running.
  * @param usageTime The clocks by which usage is counted.
  */
@@ -39,7 +39,7 @@
         BackendChooser chooser,
         LoadTable loads,
         EngineProfiles profiles,
-        StatedLimits limits,
+        BackendStatements statements,
         BackendGate gate,
         PlacementExchange placements,
         StreamDirectory streams,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeMetrics.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeMetrics.java
@@ -22,6 +22,8 @@
 
     private final Counter attempts;
 
+    private final Counter unavailable;
+
     private final Histogram first;
 
     public ExchangeMetrics(PrometheusRegistry registry) {
@@ -35,6 +37,11 @@
                 .help("Attempts at backend servers that failed, by pool and outcome.")
                 .labelNames("pool", OUTCOME)
                 .register(registry);
+        unavailable = Counter.builder()
+                .name("cranberrygauge_proxy_unavailable_total")
+                .help("Choices whose best backend server took no request by its own statement, by pool and reason.")
+                .labelNames("pool", "reason")
+                .register(registry);
         first = Histogram.builder()
                 .name("cranberrygauge_proxy_first_seconds")
                 .help("Time to the first event or the whole answer, by route and customer.")
@@ -59,6 +66,11 @@
         attempts.labelValues(pool, outcome).inc();
     }
 
+    /** Counts that the best backend server for a request was not available. */
+    public void recordUnavailable(String pool, String reason) {
+        unavailable.labelValues(pool, reason).inc();
+    }
+
     /**
      * Records the time to the first event or the complete response.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeRecorder.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeRecorder.java
@@ -1,9 +1,9 @@
 package org.cranberrygauge.proxy.exchange;
 
 import java.util.Optional;
-import org.cranberrygauge.decision.limit.StatedLimits.Statement;
+import org.cranberrygauge.decision.backend.BackendNotice;
 import org.cranberrygauge.proxy.backend.Backend;
-import org.cranberrygauge.proxy.backend.BackendLimitChanged;
+import org.cranberrygauge.proxy.backend.BackendEvents;
 import org.cranberrygauge.proxy.retry.AttemptHistory;
 import org.cranberrygauge.proxy.retry.AttemptOutcome;
 import org.cranberrygauge.proxy.retry.NextStep;
@@ -104,9 +104,9 @@
                         backend.version()));
     }
 
-    /** Records that a backend server has changed or withdrawn its limit. */
-    void recordLimit(Backend backend, Statement statement) {
-        context.events().emit(BackendLimitChanged.of(backend.incarnation(), statement, request.id()));
+    /** Records what a backend server stated of itself for the first time. */
+    void recordNotice(long nowMillis, Backend backend, BackendNotice notice) {
+        context.events().emit(BackendEvents.of(nowMillis, backend.incarnation(), notice, request.id()));
     }
 
     /**
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HeaderCodec.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HeaderCodec.java
@@ -3,7 +3,7 @@
 import io.vertx.core.MultiMap;
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.cranberrygauge.decision.limit.RateStatement;
+import org.cranberrygauge.decision.backend.BackendStatement;
 import org.cranberrygauge.proxy.routing.Prompt;
 
 /** Translates between HTTP headers and their meaning. Implementations are stateless and thread-safe. */
@@ -20,8 +20,8 @@
      */
     void encodeBackend(MultiMap callerHeaders, BackendHeaders proxyHeaders, MultiMap target);
 
-    /** Decodes the headers of a backend server's response. */
-    BackendResponseHeaders decodeResponse(MultiMap headers);
+    /** Decodes the status and the headers of a backend server's response. */
+    BackendResponseHeaders decodeResponse(int status, MultiMap headers);
 
     /**
      * Copies the headers of a backend server's response that are forwarded to the caller.
@@ -73,7 +73,8 @@
      * @param requestId The identifier of the request that it belongs to.
      * @param notRun Whether the backend server states that it did not run the request.
      * @param signature Whether the response carries the signature of a backend server.
-     * @param rate The rate of requests that the backend server takes.
+     * @param statement What the backend server states of itself.
      */
-    record BackendResponseHeaders(Optional<String> requestId, boolean notRun, boolean signature, RateStatement rate) {}
+    record BackendResponseHeaders(
+            Optional<String> requestId, boolean notRun, boolean signature, BackendStatement statement) {}
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/PoolWaitQueues.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/PoolWaitQueues.java
@@ -4,11 +4,11 @@
 import java.util.Map;
 import org.cranberrygauge.proxy.admission.WaitQueue;
 
-/** The requests that wait until an engine has capacity or a permit arrives, by pool. Not thread-safe. */
+/** The requests that wait until a backend server is available and has capacity, by pool. Not thread-safe. */
 public final class PoolWaitQueues {
 
-    /** The number of requests without a permit after which no further ones are checked, since each check takes time. */
-    private static final int MAXIMUM_WITHOUT_PERMIT = 8;
+    /** The number of requests without a server after which no further ones are checked, since each check takes time. */
+    private static final int MAXIMUM_UNAVAILABLE = 8;
 
     private final Map<String, WaitQueue<Exchange>> queues = new HashMap<>();
 
@@ -18,7 +18,7 @@
 
     /**
      * Sends the requests that can be sent by now, and rejects the expired ones. A request without capacity holds back
-     * those behind it; one without a permit does not, since they may go to other servers.
+     * those behind it; one without an available server does not, since others may have one.
      *
      * @param nowMillis The current monotonic time in milliseconds.
      */
@@ -30,15 +30,15 @@
     }
 
     private static void dispatch(long nowMillis, WaitQueue<Exchange> queue) {
-        int withoutPermit = 0;
+        int unavailable = 0;
         for (Exchange next : queue.inOrder(nowMillis)) {
             DispatchResult result = next.tryDispatch();
             if (result == DispatchResult.SENT) {
                 queue.remove(next);
                 continue;
             }
-            withoutPermit++;
-            if (result == DispatchResult.NO_CAPACITY || withoutPermit == MAXIMUM_WITHOUT_PERMIT) {
+            unavailable++;
+            if (result == DispatchResult.NO_CAPACITY || unavailable == MAXIMUM_UNAVAILABLE) {
                 return;
             }
         }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/backend/BackendRegistryTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/backend/BackendRegistryTest.java
@@ -19,7 +19,7 @@
         registry.put(first);
         registry.recordRead(1_500);
         registry.remove(1_500, "first");
-        assertThat(registry.snapshot(1_500).all()).isEmpty();
+        assertThat(registry.snapshot(1_500, incarnation -> false).all()).isEmpty();
     }
 
     @Test
@@ -28,8 +28,9 @@
         registry.put(first);
         registry.recordRead(6_000);
         registry.remove(6_000, "first");
-        assertThat(registry.snapshot(7_999).ready("engines")).containsExactly(first);
-        assertThat(registry.snapshot(8_000).all()).isEmpty();
+        assertThat(registry.snapshot(7_999, incarnation -> false).ready("engines"))
+                .containsExactly(first);
+        assertThat(registry.snapshot(8_000, incarnation -> false).all()).isEmpty();
     }
 
     @Test
@@ -39,7 +40,8 @@
         registry.recordRead(6_000);
         registry.remove(6_000, "first");
         registry.put(first);
-        assertThat(registry.snapshot(9_000).ready("engines")).containsExactly(first);
+        assertThat(registry.snapshot(9_000, incarnation -> false).ready("engines"))
+                .containsExactly(first);
     }
 
     @Test
@@ -48,8 +50,8 @@
         registry.put(first);
         registry.recordRead(6_000);
         registry.replaceEntries(6_000, Map.of());
-        assertThat(registry.snapshot(7_000).all()).containsExactly(first);
-        assertThat(registry.snapshot(8_000).all()).isEmpty();
+        assertThat(registry.snapshot(7_000, incarnation -> false).all()).containsExactly(first);
+        assertThat(registry.snapshot(8_000, incarnation -> false).all()).isEmpty();
     }
 
     @Test
@@ -57,11 +59,13 @@
         Backend leaving = ProxyFixtures.backend("first", "engines", "east-a", true, Supply.REGULAR);
         registry.recordRead(1_000);
         registry.put(leaving);
-        assertThat(registry.snapshot(1_000).ready("engines")).isEmpty();
-        assertThat(registry.snapshot(1_000).lists(leaving.incarnation())).isTrue();
+        assertThat(registry.snapshot(1_000, incarnation -> false).ready("engines"))
+                .isEmpty();
+        assertThat(registry.snapshot(1_000, incarnation -> false).lists(leaving.incarnation()))
+                .isTrue();
         registry.recordRead(6_000);
         registry.remove(6_000, "first");
-        assertThat(registry.snapshot(6_000).all()).isEmpty();
+        assertThat(registry.snapshot(6_000, incarnation -> false).all()).isEmpty();
     }
 
     @Test
@@ -71,13 +75,13 @@
         registry.put(first);
         registry.put(second);
         registry.discard("first");
-        assertThat(registry.snapshot(1_000).all()).containsExactly(second);
+        assertThat(registry.snapshot(1_000, incarnation -> false).all()).containsExactly(second);
     }
 
     @Test
     void theListIsUnknownBeforeTheFirstRead() {
-        assertThat(registry.snapshot(0).known()).isFalse();
+        assertThat(registry.snapshot(0, incarnation -> false).known()).isFalse();
         registry.recordRead(1);
-        assertThat(registry.snapshot(1).known()).isTrue();
+        assertThat(registry.snapshot(1, incarnation -> false).known()).isTrue();
     }
 }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/LimitedFleet.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/LimitedFleet.java
@@ -9,10 +9,11 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
-import org.cranberrygauge.decision.limit.HeldPermits;
-import org.cranberrygauge.decision.limit.RateStatement;
-import org.cranberrygauge.decision.limit.StatedLimits;
-import org.cranberrygauge.decision.limit.StatedLimits.Statement;
+import org.cranberrygauge.decision.backend.BackendStatement;
+import org.cranberrygauge.decision.backend.BackendStatements;
+import org.cranberrygauge.decision.backend.BackendStatements.Shared;
+import org.cranberrygauge.decision.backend.HeldPermits;
+import org.cranberrygauge.decision.backend.RateStatement;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.protocol.generated.HostMessage;
 import org.cranberrygauge.protocol.generated.HostReport;
@@ -207,7 +208,7 @@
 
         private final int number;
 
-        private StatedLimits limits;
+        private BackendStatements statements;
 
         private HeldPermits permits;
 
@@ -246,11 +247,11 @@
             startedMillis = now();
             sequence = 0;
             toldMillis = Long.MAX_VALUE;
-            limits = new StatedLimits();
+            statements = new BackendStatements();
             permits = new HeldPermits();
             peers = new PeerDirectory("host-" + number, "east");
             handlers = new EnumMap<>(HostMessage._Fields.class);
-            exchange = new PermitExchange(timeline, peers, new Transport(this), limits, permits, () -> {});
+            exchange = new PermitExchange(timeline, peers, new Transport(this), statements, permits, () -> {});
             handlers.put(HostMessage._Fields.REPORT, this::receiveReport);
         }
 
@@ -273,7 +274,7 @@
         }
 
         private boolean trySend() {
-            if (limits.limit(SERVER).isPresent() && !permits.use(now(), SERVER)) {
+            if (statements.limit(SERVER).isPresent() && !permits.use(now(), SERVER)) {
                 if (permits.mayRequest(now(), SERVER)) {
                     permits.recordRequest(now(), SERVER);
                     exchange.request(SERVER);
@@ -295,7 +296,7 @@
             timeline.after(
                     RESPONSE_MILLIS,
                     () -> whenAwake(() -> {
-                        limits.observe(now(), SERVER, stated);
+                        statements.observe(now(), SERVER, BackendStatement.NONE.withRate(stated));
                         toldMillis = Math.min(toldMillis, now());
                     }));
         }
@@ -309,11 +310,11 @@
         }
 
         private void report() {
-            Map<String, Statement> stated = limits.current(now(), Set.of(SERVER));
+            Map<String, Shared> stated = statements.shared(now(), Set.of(SERVER));
             HostReport report = new HostReport(
                     "host-" + number, startedMillis, ++sequence, Map.of(), List.of(), List.of(), "east", true);
             if (!stated.isEmpty()) {
-                report.setRates(RateReports.write(now(), stated));
+                report.setStated(StatementReports.write(now(), stated));
             }
             for (Host other : hosts) {
                 if (other != this) {
@@ -324,8 +325,9 @@
 
         private void receiveReport(HostMessage message, NetworkAddress sender) {
             if (peers.update(now(), message.getReport(), sender)
-                    && message.getReport().isSetRates()) {
-                RateReports.read(now(), message.getReport().getRates()).forEach(limits::merge);
+                    && message.getReport().isSetStated()) {
+                StatementReports.read(now(), message.getReport().getStated())
+                        .forEach((incarnation, shared) -> statements.merge(now(), incarnation, shared));
             }
         }
 
