--- a/cranberrygauge-protocol/src/main/thrift/proxy.thrift
+++ b/cranberrygauge-protocol/src/main/thrift/proxy.thrift
@@ -42,6 +42,8 @@
   7: required string dataCentre
   8: required bool readsLog
   9: optional list<BackendStated> stated
+  10: optional i64 era
+  11: optional i64 configurationVersion
 }
 
 // Requests the records of a topic, starting at an offset, from a host that reads the shared log.
@@ -51,7 +53,7 @@
   3: required i64 fromOffset
 }
 
-// The requested records, and the time since the read was sent that found no further records. If the answer is not
+// The requested records, the era of the log in which they were read, and the time since the read was sent that found no further records. If the answer is not
 // complete, the next question requests the remainder.
 struct TopicAnswer {
   1: required i64 number
@@ -59,6 +61,7 @@
   3: required bool complete
   4: required i64 ageMillis
   5: required list<binary> records
+  6: optional i64 era
 }
 
 // The number of requests that have begun in one window so far, at one incarnation of a host.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -18,6 +18,7 @@
 import org.cranberrygauge.proxy.configuration.ConfigurationView;
 import org.cranberrygauge.proxy.control.BackendFollower;
 import org.cranberrygauge.proxy.control.ConfigurationFollower;
+import org.cranberrygauge.proxy.control.ControlEvents;
 import org.cranberrygauge.proxy.control.ControllerContext;
 import org.cranberrygauge.proxy.control.FleetController;
 import org.cranberrygauge.proxy.control.HostNetwork;
@@ -182,12 +183,17 @@
         ControllerContext context = new ControllerContext(vertx, time, dependencies.log(), blackboard, events);
         String incarnation = Program.incarnation(settings.host(), time.wallMillis());
         HostNetwork network = HostNetwork.of(context, settings, dependencies.hostTopic());
+        dependencies
+                .log()
+                .era()
+                .onChange((previous, current) -> events.emit(new ControlEvents.StoreEraChanged(previous, current)));
         new ConfigurationFollower(
                         context,
                         network.relay(),
                         dependencies.configurationTopic(),
                         dependencies.configurationKey(),
                         dependencies.configurations(),
+                        network.peers()::configurationVersion,
                         times.configurationMillis())
                 .start();
         new BackendFollower(
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendRegistry.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendRegistry.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -14,7 +15,8 @@
  *
  * <p>Entries also expire because the store was unavailable. Therefore the last list stays valid during an outage, and
  * an entry that is missing afterwards is retained for the time in which running backend servers register again. An
- * entry that marks a server as draining takes effect at once. Not thread-safe.
+ * entry that marks a server as draining takes effect at once, and for good: an older copy of the store may say ready
+ * again. Not thread-safe.
  */
 public final class BackendRegistry {
 
@@ -24,8 +26,17 @@
     /** The time after an outage within which running backend servers register again. */
     private static final long REGISTRATION_MILLIS = 2_000;
 
+    /** The number of removed incarnations that are remembered. */
+    private static final int MAXIMUM_REMOVED = 1_000;
+
     private final Map<String, Backend> backends = new HashMap<>();
 
+    /** The incarnations whose entries were removed last. */
+    private final Set<String> removed = new LinkedHashSet<>();
+
+    /** Whether the next complete list comes from an older copy of the store. */
+    private boolean rolledBack;
+
     /** The monotonic times at which missing entries are removed, by identifier. */
     private final Map<String, Long> expiryMillis = new HashMap<>();
 
@@ -51,9 +62,22 @@
         known = true;
     }
 
-    /** Adds or replaces an entry. */
+    /**
+     * Records that the store has come back from an older copy: entries that it lacks are retained for a time, and
+     * servers whose entries were removed before are not taken from it.
+     *
+     * @param nowMillis The current monotonic time in milliseconds.
+     */
+    public void recordRollback(long nowMillis) {
+        outageEndMillis = nowMillis;
+        rolledBack = true;
+    }
+
+    /** Adds or replaces an entry that was written to the store. */
     public void put(Backend backend) {
-        backends.put(backend.id(), backend);
+        Backend known = backends.get(backend.id());
+        boolean leaves = known != null && known.leaving() && known.incarnation().equals(backend.incarnation());
+        backends.put(backend.id(), leaves ? backend.withLeaving() : backend);
         expiryMillis.remove(backend.id());
     }
 
@@ -74,7 +98,10 @@
 
     /** Removes an entry at once, for example because it can't be decoded. */
     public void discard(String id) {
-        backends.remove(id);
+        Backend known = backends.remove(id);
+        if (known != null) {
+            recordRemoved(known.incarnation());
+        }
         expiryMillis.remove(id);
     }
 
@@ -88,7 +115,12 @@
         Set<String> missing = new HashSet<>(backends.keySet());
         missing.removeAll(listed.keySet());
         missing.forEach(id -> remove(nowMillis, id));
-        listed.values().forEach(this::put);
+        for (Backend backend : listed.values()) {
+            if (!rolledBack || !removed.contains(backend.incarnation())) {
+                put(backend);
+            }
+        }
+        rolledBack = false;
     }
 
     /**
@@ -102,7 +134,7 @@
         while (entries.hasNext()) {
             Map.Entry<String, Long> entry = entries.next();
             if (nowMillis >= entry.getValue()) {
-                backends.remove(entry.getKey());
+                recordRemoved(backends.remove(entry.getKey()).incarnation());
                 entries.remove();
             }
         }
@@ -112,4 +144,13 @@
                         listed.add(statedLeaving.test(backend.incarnation()) ? backend.withLeaving() : backend));
         return new BackendSnapshot(listed, known);
     }
+
+    private void recordRemoved(String incarnation) {
+        removed.add(incarnation);
+        if (removed.size() > MAXIMUM_REMOVED) {
+            Iterator<String> oldest = removed.iterator();
+            oldest.next();
+            oldest.remove();
+        }
+    }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/BackendFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/BackendFollower.java
@@ -72,7 +72,12 @@
         this.drainBoundMillis = drainBoundMillis;
     }
 
+    /** Starts to follow the topic, also when the log comes back from an older copy. */
     public void start() {
+        context.log()
+                .era()
+                .onChange((previous, current) ->
+                        registry.recordRollback(context.time().monotonicMillis()));
         PollSettings settings = new PollSettings(READ_WAIT_MILLIS, (long) (drainBoundMillis * PAUSE_FRACTION), (long)
                 (drainBoundMillis * RELAYED_AGE_FRACTION));
         new TopicFollower(context, relay, topic, settings, this).poll();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ConfigurationFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ConfigurationFollower.java
@@ -1,7 +1,7 @@
 package org.cranberrygauge.proxy.control;
 
 import java.util.Map;
-import org.cranberrygauge.proxy.configuration.ConfigurationView;
+import java.util.function.LongSupplier;
 import org.cranberrygauge.proxy.configuration.ProxyConfiguration;
 import org.cranberrygauge.proxy.control.TopicFollower.PollSettings;
 import org.cranberrygauge.proxy.store.Confirmation;
@@ -12,7 +12,9 @@
 /**
  * Applies the newest configuration.
  *
- * <p>Invariant: within a process the version never decreases. Not thread-safe.
+ * <p>Invariants: within a process the version never decreases; a read confirms the configuration in force only if what
+ * the log holds is neither older than it nor than what other hosts have in force, as it may be after the log has come
+ * back from an older copy. Not thread-safe.
  */
 public final class ConfigurationFollower implements TopicFollower.Listener {
 
@@ -34,8 +36,15 @@
 
     private final RecordReader<ProxyConfiguration> reader;
 
+    /** Supplies the highest version that another host has in force. */
+    private final LongSupplier versionElsewhere;
+
+    /** The version that the log held at the last read. */
+    private long loggedVersion = Long.MIN_VALUE;
+
     /**
      * @param key The key under which the configuration is stored.
+     * @param versionElsewhere Supplies the highest version that another host has in force.
      * @param applyBoundMillis The time in milliseconds within which a new configuration must be in force.
      */
     public ConfigurationFollower(
@@ -44,12 +53,14 @@
             String topic,
             String key,
             RecordReader<ProxyConfiguration> reader,
+            LongSupplier versionElsewhere,
             long applyBoundMillis) {
         this.relay = relay;
         this.context = context;
         this.topic = topic;
         this.key = key;
         this.reader = reader;
+        this.versionElsewhere = versionElsewhere;
         this.applyBoundMillis = applyBoundMillis;
     }
 
@@ -61,6 +72,7 @@
 
     @Override
     public void onSnapshot(Map<String, byte[]> values) {
+        loggedVersion = Long.MIN_VALUE;
         if (values.containsKey(key)) {
             apply(values.get(key), -1);
         }
@@ -75,6 +87,9 @@
 
     @Override
     public void onConfirmed(Confirmation read) {
+        if (loggedVersion < Math.max(currentVersion(), versionElsewhere.getAsLong())) {
+            return;
+        }
         context.blackboard().publish(context.blackboard().configuration().withConfirmation(read));
     }
 
@@ -86,16 +101,23 @@
     private void apply(byte[] value, long offset) {
         try {
             ProxyConfiguration read = reader.read(key, value);
-            ConfigurationView view = context.blackboard().configuration();
-            long currentVersion =
-                    view.configuration().map(ProxyConfiguration::version).orElse(Long.MIN_VALUE);
-            if (read.version() <= currentVersion) {
+            loggedVersion = read.version();
+            if (read.version() <= currentVersion()) {
                 return;
             }
-            context.blackboard().publish(view.withConfiguration(read));
+            context.blackboard().publish(context.blackboard().configuration().withConfiguration(read));
             context.events().emit(new ControlEvents.ConfigurationInForce(read.version(), offset));
         } catch (UnreadableRecordException exception) {
             context.events().emit(new ControlEvents.RecordUnreadable(topic, key, exception.getMessage()));
         }
     }
+
+    /** Returns the version in force; {@link Long#MIN_VALUE} if there is none. */
+    private long currentVersion() {
+        return context.blackboard()
+                .configuration()
+                .configuration()
+                .map(ProxyConfiguration::version)
+                .orElse(Long.MIN_VALUE);
+    }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
@@ -44,6 +44,22 @@
      */
     public record BackendGone(String backend) implements Event {}
 
+    /**
+     * The shared log has come back from an older copy and lost what it had acknowledged lately. This host writes its
+     * usage counts and, if it is new, its address again, and reads all topics anew.
+     *
+     * @param from The era before.
+     * @param to The era now.
+     */
+    public record StoreEraChanged(long from, long to) implements Event {}
+
+    /**
+     * The usage of a window is not reported, since a lost record may have decided its figures.
+     *
+     * @param window The number of the window.
+     */
+    public record UsageWindowGivenUp(long window) implements Event {}
+
     /**
      * A dependency became unavailable.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/LeaderElection.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/LeaderElection.java
@@ -65,6 +65,10 @@
 
     /** Starts to join periodically. */
     public void start() {
+        context.log().era().onChange((previous, current) -> {
+            lease.recordRollback(context.time().monotonicMillis());
+            logChange();
+        });
         context.vertx().setTimer(INITIAL_DELAY_MILLIS, fired -> joinOrStandBy());
     }
 
@@ -87,6 +91,9 @@
                 .join(GROUP, member, GROUP, lifetimeMillis, lease.generation())
                 .onSuccess(assignment -> {
                     monitor.recordSuccess(context.time().monotonicMillis());
+                    if (assignment.era() != context.log().era().newest()) {
+                        return;
+                    }
                     lease.recordJoin(sentMillis, sentWallMillis, assignment);
                 })
                 .onFailure(failure ->
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
@@ -41,6 +41,9 @@
 
     private final Map<String, Peer> peers = new HashMap<>();
 
+    /** The highest version of the configuration that another host had in force. */
+    private long configurationVersion = Long.MIN_VALUE;
+
     public PeerDirectory(String host, String dataCentre) {
         this.host = host;
         this.dataCentre = dataCentre;
@@ -71,6 +74,9 @@
         if (current != null && isOlder(report, current)) {
             return false;
         }
+        if (report.isSetConfigurationVersion()) {
+            configurationVersion = Math.max(configurationVersion, report.getConfigurationVersion());
+        }
         Map<String, Work> work = new HashMap<>();
         report.getWork().forEach((incarnation, entry) -> work.put(incarnation, work(entry)));
         peers.put(
@@ -114,6 +120,11 @@
         return new PeerLoads(total, members(nowMillis));
     }
 
+    /** Returns the highest version of the configuration that another host had in force, or the lowest number. */
+    public long configurationVersion() {
+        return configurationVersion;
+    }
+
     /**
      * Returns the number of hosts that share budgets, including this one.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.thrift.TException;
 import org.cranberrygauge.decision.backend.BackendStatements;
@@ -24,6 +25,7 @@
 import org.cranberrygauge.proxy.routing.PlacedPart;
 import org.cranberrygauge.proxy.routing.PlacementExchange;
 import org.cranberrygauge.proxy.routing.PromptPart;
+import org.cranberrygauge.proxy.store.StoreEra;
 
 /**
  * Sends periodic reports of this host's load to all other hosts, and receives theirs.
@@ -40,6 +42,12 @@
     /** The delay before a failed discovery is retried. */
     private static final long RETRY_DELAY_MILLIS = 700;
 
+    /** The age up to which an address is written again after the log has come back from a copy some seconds old. */
+    private static final long REWRITTEN_MILLIS = 120_000;
+
+    /** The maximum random delay of that, so that hosts don't write all at once. */
+    private static final long REWRITE_JITTER_MILLIS = 1_000;
+
     private final ControllerContext context;
 
     private final ProxySettings settings;
@@ -97,6 +105,7 @@
                 .onMessage(HostMessage._Fields.REPORT, (message, sender) -> receive(message.getReport(), sender));
         return network.channel().start().onSuccess(bound -> {
             publishAddress();
+            context.log().era().onChange((previous, current) -> publishAddressAgain());
             context.vertx().setPeriodic(REPORT_INTERVAL_MILLIS, fired -> report());
         });
     }
@@ -118,6 +127,15 @@
                 });
     }
 
+    /** Writes the address again after the log has come back from an older copy, unless any copy must hold it. */
+    private void publishAddressAgain() {
+        if (context.time().wallMillis() - startedAtMillis < REWRITTEN_MILLIS) {
+            context.vertx()
+                    .setTimer(
+                            1 + ThreadLocalRandom.current().nextLong(REWRITE_JITTER_MILLIS), fired -> publishAddress());
+        }
+    }
+
     private void addHost(String name, byte[] value) {
         if (name.equals(settings.host())) {
             return;
@@ -167,6 +185,13 @@
                 parts,
                 settings.dataCentre(),
                 network.relay().readsLog());
+        if (context.log().era().newest() != StoreEra.UNKNOWN) {
+            report.setEra(context.log().era().newest());
+        }
+        context.blackboard()
+                .configuration()
+                .configuration()
+                .ifPresent(inForce -> report.setConfigurationVersion(inForce.version()));
         Map<String, Shared> shared = statements.shared(now, present);
         return shared.isEmpty() ? report : report.setStated(StatementReports.write(now, shared));
     }
@@ -189,6 +214,9 @@
         if (!network.peers().update(context.time().monotonicMillis(), report, sender)) {
             return;
         }
+        if (report.isSetEra()) {
+            context.log().era().observe(report.getEra());
+        }
         mergeStatements(report);
         Map<Long, Integer> counts = new HashMap<>();
         report.getCrashes().forEach(count -> counts.put(count.getFingerprint(), count.getCrashes()));
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
@@ -6,6 +6,7 @@
 import org.cranberrygauge.proxy.store.KeyedRecord;
 import org.cranberrygauge.proxy.store.SharedLogException;
 import org.cranberrygauge.proxy.store.SharedLogException.Kind;
+import org.cranberrygauge.proxy.store.StoreEra;
 
 /**
  * Follows a topic in which the newest record of each key is authoritative.
@@ -40,6 +41,9 @@
     /** The offset of the next record; -1 if a snapshot has to be read. */
     private long next = -1;
 
+    /** The era of the log in which that offset was read. */
+    private long era = StoreEra.UNKNOWN;
+
     /** The delay after the next failed read. */
     private long retryMillis = INITIAL_RETRY_MILLIS;
 
@@ -54,7 +58,7 @@
 
     /** Reads the next records, or a snapshot, and schedules the following read. */
     void poll() {
-        if (next >= 0) {
+        if (next >= 0 && era == context.log().era().newest()) {
             relay.read(topic, next, settings.waitMillis(), settings.maximumAgeMillis())
                     .onSuccess(this::apply)
                     .onFailure(this::failed);
@@ -65,6 +69,7 @@
                 .newest(topic)
                 .onSuccess(newest -> {
                     next = newest.end();
+                    era = context.log().era().newest();
                     listener.onSnapshot(newest.values());
                     succeeded(sent, settings.pauseMillis());
                 })
@@ -72,6 +77,10 @@
     }
 
     private void apply(TopicReadResult result) {
+        if (era != context.log().era().newest()) {
+            failed(new SharedLogException(Kind.ERA_CHANGED, "the log has come back from an older copy"));
+            return;
+        }
         long offset = next;
         for (byte[] record : result.records()) {
             long at = offset;
@@ -107,7 +116,8 @@
     private void failed(Throwable failure) {
         monitor.recordFailure(context.time().monotonicMillis(), String.valueOf(failure.getMessage()));
         listener.onReadFailure();
-        if (failure instanceof SharedLogException known && known.kind() == Kind.TRIMMED) {
+        if (failure instanceof SharedLogException known
+                && (known.kind() == Kind.TRIMMED || known.kind() == Kind.ERA_CHANGED)) {
             next = -1;
         }
         context.vertx().setTimer(retryMillis, fired -> poll());
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicRelay.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicRelay.java
@@ -18,6 +18,7 @@
 import org.cranberrygauge.proxy.store.RecentRecords.Part;
 import org.cranberrygauge.proxy.store.SharedLogException;
 import org.cranberrygauge.proxy.store.SharedLogException.Kind;
+import org.cranberrygauge.proxy.store.StoreEra;
 
 /**
  * Reads topics of the shared log on behalf of a data centre: one host reads, the others query it.
@@ -129,7 +130,7 @@
                 .map(slice ->
                         cache(topic, fromOffset, new TopicReadResult(slice.records(), slice.next(), sent, false, true)))
                 .recover(failure -> {
-                    if (failure instanceof SharedLogException known && known.kind() == Kind.TRIMMED) {
+                    if (failure instanceof SharedLogException known && isPositionLost(known)) {
                         return Future.failedFuture(failure);
                     }
                     lastFailureMillis = context.time().monotonicMillis();
@@ -141,11 +142,19 @@
                 });
     }
 
+    /** Tells whether the offset of a read is not valid any longer, though the log can be read. */
+    private static boolean isPositionLost(SharedLogException failure) {
+        return failure.kind() == Kind.TRIMMED || failure.kind() == Kind.ERA_CHANGED;
+    }
+
     /** Queries another host for records, and stops to query it for a time if it gives no usable response. */
     private Future<TopicReadResult> query(NetworkAddress other, String topic, long fromOffset, long maximumAgeMillis) {
         Confirmation sent = Confirmation.now(context.time());
         return sendQuery(other, topic, fromOffset, TRIES)
                 .compose(answer -> {
+                    if (answer.isSetEra() && !context.log().era().observe(answer.getEra())) {
+                        return Future.<TopicReadResult>failedFuture("from before the log came back from a copy");
+                    }
                     if (!answer.isKnown()) {
                         return Future.<TopicReadResult>failedFuture("no records kept from offset " + fromOffset);
                     }
@@ -190,7 +199,9 @@
 
     /** Keeps a result for queries of other hosts, and returns it. */
     private TopicReadResult cache(String topic, long fromOffset, TopicReadResult result) {
-        TopicState state = topics.computeIfAbsent(topic, name -> new TopicState());
+        long era = context.log().era().newest();
+        TopicState state =
+                topics.compute(topic, (name, known) -> known == null || known.era != era ? new TopicState(era) : known);
         state.recent.add(fromOffset, result.records());
         state.confirmation = state.confirmation.later(result.confirmation());
         return result;
@@ -199,7 +210,11 @@
     private void respond(TopicQuestion question, NetworkAddress sender) {
         Confirmation now = Confirmation.now(context.time());
         lastQueriedMillis = now.monotonicMillis();
-        TopicState state = topics.getOrDefault(question.getTopic(), new TopicState());
+        long era = context.log().era().newest();
+        TopicState state = topics.get(question.getTopic());
+        if (state == null || state.era != era) {
+            state = new TopicState(era);
+        }
         OptionalLong age = state.confirmation.ageMillis(now.monotonicMillis(), now.wallMillis());
         Optional<Part> part = age.isPresent()
                 ? state.recent.since(question.getFromOffset(), MAXIMUM_RESPONSE_BYTES)
@@ -208,6 +223,9 @@
         part.ifPresent(found -> found.records().forEach(record -> buffers.add(ByteBuffer.wrap(record))));
         boolean complete = part.map(Part::complete).orElse(false);
         TopicAnswer answer = new TopicAnswer(question.getNumber(), part.isPresent(), complete, age.orElse(0), buffers);
+        if (era != StoreEra.UNKNOWN) {
+            answer.setEra(era);
+        }
         transport.send(HostMessage.answer(answer), List.of(sender));
     }
 
@@ -222,9 +240,16 @@
     /** What this host has read of one topic. */
     private static final class TopicState {
 
+        /** The era of the log in which it was read. */
+        private final long era;
+
         private final RecentRecords recent = new RecentRecords();
 
         /** The time up to which there were no further records. */
         private Confirmation confirmation = Confirmation.NONE;
+
+        TopicState(long era) {
+            this.era = era;
+        }
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageCountWriter.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageCountWriter.java
@@ -58,6 +58,7 @@
     }
 
     public void start() {
+        context.log().era().onChange((previous, current) -> pending.requeueAll());
         context.vertx().setPeriodic(WRITE_INTERVAL_MILLIS, fired -> tick());
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageReportController.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageReportController.java
@@ -18,7 +18,8 @@
  * Reports the usage of each window while this host is the leader.
  *
  * <p>Invariant: the figures of a window are written to the shared log before they are reported, so that a later leader
- * repeats them exactly. Not thread-safe.
+ * repeats them exactly. After the log has come back from an older copy, decided figures that it lacks are written again,
+ * and a window whose figures another leader may have reported from a lost record is given up. Not thread-safe.
  */
 public final class UsageReportController {
 
@@ -47,6 +48,12 @@
     /** The windows whose reports were accepted. */
     private final TreeSet<Long> reported = new TreeSet<>();
 
+    /** The windows whose decided figures the log holds. */
+    private final TreeSet<Long> logged = new TreeSet<>();
+
+    /** The wall-clock time at which the log last came back from an older copy, in milliseconds since the epoch. */
+    private long rollbackWallMillis = Long.MIN_VALUE;
+
     /** The offset of the next record with counts. */
     private long nextCounted;
 
@@ -65,6 +72,7 @@
     }
 
     public void start() {
+        context.log().era().onChange((previous, current) -> recordRollback());
         context.vertx().setPeriodic(TICK_MILLIS, fired -> tick());
     }
 
@@ -80,12 +88,26 @@
         }
         busy = true;
         readDecided()
+                .compose(read -> writeLostDecided())
                 .compose(read -> readCounted())
                 .compose(read -> reportNext(newest))
                 .onFailure(this::logFailure)
                 .onComplete(done -> busy = false);
     }
 
+    /** Reads both topics anew, since their offsets are not valid any longer. */
+    private void recordRollback() {
+        nextCounted = 0;
+        nextDecided = 0;
+        logged.clear();
+        rollbackWallMillis = context.time().wallMillis();
+    }
+
+    /** Tells whether a window was due before the log came back from a copy, so that a lost record may have decided it. */
+    private boolean mayHaveBeenReported(long window) {
+        return (window + 1) * windowMillis + SETTLING_MILLIS <= rollbackWallMillis;
+    }
+
     private boolean hasEarlierUnreported(long newest) {
         return nextWindow(newest) < newest;
     }
@@ -110,14 +132,37 @@
         if (decided != null) {
             return report(window, decided);
         }
+        if (mayHaveBeenReported(window)) {
+            reported.add(window);
+            context.events().emit(new ControlEvents.UsageWindowGivenUp(window));
+            return Future.succeededFuture();
+        }
         Map<String, Long> total = ledger.total(window);
-        byte[] record = MessageCodec.write(new UsageDecided(window, total));
+        return writeDecided(window, total).compose(written -> {
+            ledger.recordDecided(window, total);
+            return report(window, total);
+        });
+    }
+
+    /** Writes decided figures that the log has lost, one after the other. */
+    private Future<Void> writeLostDecided() {
+        for (Map.Entry<Long, Map<String, Long>> decided : ledger.decided().entrySet()) {
+            if (!logged.contains(decided.getKey())) {
+                return writeDecided(decided.getKey(), decided.getValue()).compose(written -> writeLostDecided());
+            }
+        }
+        return Future.succeededFuture();
+    }
+
+    /** Writes decided figures if the log has not grown since it was read. */
+    private Future<Void> writeDecided(long window, Map<String, Long> figures) {
+        byte[] record = MessageCodec.write(new UsageDecided(window, figures));
         return context.log()
                 .append(DECIDED_TOPIC, record, OptionalLong.of(nextDecided))
-                .compose(offset -> {
+                .map(offset -> {
                     nextDecided = offset + 1;
-                    ledger.recordDecided(window, total);
-                    return report(window, total);
+                    logged.add(window);
+                    return null;
                 });
     }
 
@@ -183,6 +228,7 @@
         try {
             UsageDecided decided = MessageCodec.read(record, new UsageDecided());
             ledger.recordDecided(decided.getWindow(), decided.getByCustomer());
+            logged.add(decided.getWindow());
         } catch (TException exception) {
             context.events().emit(new ControlEvents.RecordUnreadable(DECIDED_TOPIC, "", exception.getMessage()));
         }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/leader/LeaderLease.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/leader/LeaderLease.java
@@ -11,7 +11,9 @@
  * fencing token. Invariants: the leader acts only while its last successful join is within the validity of its
  * membership, by the monotonic and by the wall clock; a host that lost leadership acts again only a whole lease after
  * its last action, so that two leaders never act in alternation within one lease; a process that has just started waits
- * for as long, since it doesn't know what its predecessor did; a fenced token is never used again. Not thread-safe.
+ * for as long, since it doesn't know what its predecessor did, and so does each host after the shared log has come back
+ * from an older copy, which may assign the partition to another member than before; a fenced token is never used again.
+ * Not thread-safe.
  */
 public final class LeaderLease {
 
@@ -25,6 +27,8 @@
 
     private long generation;
 
+    private long token;
+
     /** The highest token that was rejected; -1 if there is none. */
     private long highestFencedToken = -1;
 
@@ -61,9 +65,22 @@
         }
         leading = assignment.holdsFirst();
         generation = assignment.generation();
+        token = assignment.token();
         lastJoin = new Confirmation(sentMillis, sentWallMillis);
     }
 
+    /**
+     * Records that the shared log has come back from an older copy; leadership is to be gained anew.
+     *
+     * @param nowMillis The current monotonic time in milliseconds.
+     */
+    public void recordRollback(long nowMillis) {
+        leading = false;
+        generation = 0;
+        previousTermActionMillis = nowMillis;
+        lastActionMillis = nowMillis;
+    }
+
     /**
      * Records that the host acts as the leader.
      *
@@ -93,8 +110,8 @@
         boolean mayLead = leading
                 && isValid(nowMillis, nowWallMillis)
                 && nowMillis - previousTermActionMillis >= leaseMillis
-                && generation > highestFencedToken;
-        return mayLead ? OptionalLong.of(generation) : OptionalLong.empty();
+                && token > highestFencedToken;
+        return mayLead ? OptionalLong.of(token) : OptionalLong.empty();
     }
 
     private boolean isValid(long nowMillis, long nowWallMillis) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/leader/PendingUsageCounts.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/leader/PendingUsageCounts.java
@@ -51,6 +51,12 @@
         return drained;
     }
 
+    /** Marks all retained counts as due again, since some may be lost. */
+    public void requeueAll() {
+        counts.forEach((window, byIncarnation) ->
+                byIncarnation.keySet().forEach(incarnation -> changed.add(new Origin(window, incarnation))));
+    }
+
     /** Marks counts as due again after a failed write. */
     public void requeue(List<UsageCount> drained) {
         for (UsageCount count : drained) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/leader/UsageLedger.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/leader/UsageLedger.java
@@ -1,7 +1,9 @@
 package org.cranberrygauge.proxy.leader;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.SortedMap;
 import java.util.TreeMap;
 
 /**
@@ -38,6 +40,11 @@
         }
     }
 
+    /** Returns the windows with decided figures, oldest first. */
+    public SortedMap<Long, Map<String, Long>> decided() {
+        return Collections.unmodifiableSortedMap(decided);
+    }
+
     /** Returns the decided figures of a window by customer, or null if there are none. */
     public Map<String, Long> decidedFigures(long window) {
         return decided.get(window);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/store/SharedLog.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/store/SharedLog.java
@@ -42,6 +42,9 @@
      */
     Future<GroupAssignment> join(String group, String member, String topic, long lifetimeMillis, long generation);
 
+    /** Returns the era of the log, as the responses to this host and to others name it. */
+    StoreEra era();
+
     /** Leaves a group. */
     Future<Void> leave(String group, String member);
 
@@ -64,8 +67,18 @@
     /**
      * The assignment of a group member.
      *
-     * @param generation The generation, which increases with each change of the group.
+     * @param era The era of the log in which it was assigned.
+     * @param generation The generation, which increases with each change of the group within an era.
      * @param holdsFirst Whether the member holds the topic's first partition, which only one member does.
      */
-    record GroupAssignment(long generation, boolean holdsFirst) {}
+    record GroupAssignment(long era, long generation, boolean holdsFirst) {
+
+        /** The number of generations of one era. */
+        private static final long GENERATIONS_PER_ERA = 1L << 24;
+
+        /** Returns a number that increases with each change of the group, also over eras. */
+        public long token() {
+            return era * GENERATIONS_PER_ERA + generation;
+        }
+    }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/store/SharedLogException.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/store/SharedLogException.java
@@ -36,6 +36,8 @@
         TURNED_AWAY,
         /** The requested records are no longer retained. */
         TRIMMED,
+        /** The log has come back from an older copy, so that offsets read before are not valid. */
+        ERA_CHANGED,
         /** The condition of the call does not hold. */
         CONFLICT
     }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/backend/BackendRegistryTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/backend/BackendRegistryTest.java
@@ -54,6 +54,32 @@
         assertThat(registry.snapshot(8_000, incarnation -> false).all()).isEmpty();
     }
 
+    @Test
+    void anOlderCopyOfTheStoreBringsNeitherALeavingServerBackNorOneThatWasRemoved() {
+        Backend second = ProxyFixtures.backend("second");
+        registry.recordRead(1_000);
+        registry.put(first.withLeaving());
+        registry.put(second);
+        registry.recordRead(1_500);
+        registry.remove(1_500, "second");
+        registry.recordRollback(2_000);
+        registry.replaceEntries(2_000, Map.of("first", first, "second", second));
+        assertThat(registry.snapshot(2_000, incarnation -> false).all()).containsExactly(first.withLeaving());
+        registry.put(second);
+        assertThat(registry.snapshot(2_100, incarnation -> false).ready("engines"))
+                .containsExactly(second);
+    }
+
+    @Test
+    void anEntryThatAnOlderCopyOfTheStoreLacksIsRetainedForTheRegistrationTime() {
+        registry.recordRead(1_000);
+        registry.put(first);
+        registry.recordRollback(1_500);
+        registry.replaceEntries(1_500, Map.of());
+        assertThat(registry.snapshot(3_499, incarnation -> false).all()).containsExactly(first);
+        assertThat(registry.snapshot(3_500, incarnation -> false).all()).isEmpty();
+    }
+
     @Test
     void aDrainingBackendServerGetsNoNewRequestsAndIsNotRetainedAfterAnOutage() {
         Backend leaving = ProxyFixtures.backend("first", "engines", "east-a", true, Supply.REGULAR);
--- /dev/null
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicFollowerTest.java
@@ -0,0 +1,182 @@
+package org.cranberrygauge.proxy.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.cranberrygauge.model.backend.NetworkAddress;
+import org.cranberrygauge.protocol.generated.HostMessage;
+import org.cranberrygauge.proxy.control.TopicFollower.PollSettings;
+import org.cranberrygauge.proxy.exchange.ProxyBlackboard;
+import org.cranberrygauge.proxy.store.Confirmation;
+import org.cranberrygauge.proxy.store.KeyedRecord;
+import org.cranberrygauge.proxy.store.SharedLog;
+import org.cranberrygauge.proxy.store.StoreEra;
+import org.cranberrygauge.runtime.event.EventLog;
+import org.cranberrygauge.runtime.time.TimeSource;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against records that a follower skips or keeps after the log has come back from an older copy. */
+class TopicFollowerTest {
+
+    private static final String TOPIC = "keyed.records";
+
+    private static final long TIMEOUT_SECONDS = 10;
+
+    private final Vertx vertx = Vertx.vertx();
+
+    private final RewindingLog log = new RewindingLog();
+
+    /** What the follower knows, by key. */
+    private final Map<String, String> known = new TreeMap<>();
+
+    @AfterEach
+    void close() {
+        vertx.close();
+    }
+
+    @Test
+    void aLogThatWasCutAndHasGrownBeyondTheCursorIsReadAnew() throws Exception {
+        log.appendNumbered("old", 0, 500);
+        TopicFollower follower = follower();
+        poll(follower);
+        log.appendNumbered("old", 500, 505);
+        poll(follower);
+        assertThat(known).hasSize(505);
+        log.rewind(450);
+        log.appendNumbered("new", 450, 520);
+        poll(follower);
+        poll(follower);
+        assertThat(known).isEqualTo(log.newestValues());
+    }
+
+    private TopicFollower follower() {
+        ControllerContext context = new ControllerContext(
+                vertx, TimeSource.System.INSTANCE, log, new ProxyBlackboard(), EventLog.NoOp.INSTANCE);
+        TopicRelay relay = new TopicRelay(context, new PeerDirectory("host-1", "east"), new NoTransport());
+        return new TopicFollower(context, relay, TOPIC, new PollSettings(0, 600_000, 1_000), new Recorder());
+    }
+
+    /** Polls on an event loop and waits until the result has been applied or dropped. */
+    private void poll(TopicFollower follower) throws Exception {
+        CountDownLatch polled = new CountDownLatch(1);
+        vertx.runOnContext(run -> {
+            follower.poll();
+            polled.countDown();
+        });
+        assertThat(polled.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+    }
+
+    /** Keeps the newest values. */
+    private final class Recorder implements TopicFollower.Listener {
+
+        @Override
+        public void onSnapshot(Map<String, byte[]> values) {
+            known.clear();
+            values.forEach((key, value) -> known.put(key, new String(value, StandardCharsets.UTF_8)));
+        }
+
+        @Override
+        public void onRecord(KeyedRecord record, long offset) {
+            known.put(record.key(), new String(record.value().orElseThrow(), StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void onConfirmed(Confirmation confirmation) {}
+    }
+
+    /** A host without others. */
+    private static final class NoTransport implements MessageTransport {
+
+        @Override
+        public void onMessage(HostMessage._Fields kind, BiConsumer<HostMessage, NetworkAddress> handler) {}
+
+        @Override
+        public void send(HostMessage message, Collection<NetworkAddress> receivers) {}
+    }
+
+    /** A log whose responses are complete when a call returns, and that can return to an older copy of itself. */
+    private static final class RewindingLog implements SharedLog {
+
+        private final StoreEra era = new StoreEra();
+
+        private final List<KeyedRecord> records = new ArrayList<>();
+
+        RewindingLog() {
+            era.observe(1);
+        }
+
+        /** Appends a record for each number, under the number as its key. */
+        void appendNumbered(String value, int from, int to) {
+            for (int number = from; number < to; number++) {
+                String key = Integer.toString(number);
+                records.add(new KeyedRecord(key, Optional.of(value.getBytes(StandardCharsets.UTF_8))));
+            }
+        }
+
+        void rewind(int end) {
+            records.subList(end, records.size()).clear();
+            era.observe(era.newest() + 1);
+        }
+
+        Map<String, String> newestValues() {
+            Map<String, String> values = new TreeMap<>();
+            records.forEach(record ->
+                    values.put(record.key(), new String(record.value().orElseThrow(), StandardCharsets.UTF_8)));
+            return values;
+        }
+
+        @Override
+        public Future<KeyedValues> newest(String topic) {
+            Map<String, byte[]> values = new HashMap<>();
+            records.forEach(record -> values.put(record.key(), record.value().orElseThrow()));
+            return Future.succeededFuture(new KeyedValues(values, records.size()));
+        }
+
+        @Override
+        public Future<LogSlice> read(String topic, long from, long waitMillis) {
+            List<byte[]> read =
+                    records.stream().skip(from).map(KeyedRecord::bytes).toList();
+            return Future.succeededFuture(new LogSlice(records.size(), from + read.size(), read));
+        }
+
+        @Override
+        public StoreEra era() {
+            return era;
+        }
+
+        @Override
+        public Future<Long> append(String topic, byte[] record, OptionalLong expectedEnd) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Future<Long> put(String topic, String key, byte[] value) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Future<GroupAssignment> join(
+                String group, String member, String topic, long lifetimeMillis, long generation) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Future<Void> leave(String group, String member) {
+            throw new UnsupportedOperationException();
+        }
+    }
+}
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicRelayTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicRelayTest.java
@@ -22,6 +22,7 @@
 import org.cranberrygauge.proxy.store.Confirmation;
 import org.cranberrygauge.proxy.store.SharedLog;
 import org.cranberrygauge.proxy.store.SharedLogException;
+import org.cranberrygauge.proxy.store.StoreEra;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.time.TimeSource;
 import org.junit.jupiter.api.AfterEach;
@@ -83,6 +84,27 @@
         assertThat(read(second, 5).confirmation().monotonicMillis()).isLessThanOrEqualTo(queried);
     }
 
+    @Test
+    void aResponseFromBeforeTheLogCameBackFromACopyIsDropped() throws Exception {
+        firstLog.era.observe(1);
+        read(first, 5);
+        secondLog.era.observe(2);
+        assertThat(read(second, 5).relayed()).isFalse();
+        assertThat(secondLog.reads).isEqualTo(1);
+    }
+
+    @Test
+    void aHostLearnsOfANewEraFromTheOneThatReadsAndGetsNothingOfTheOldOne() throws Exception {
+        firstLog.era.observe(1);
+        secondLog.era.observe(1);
+        firstLog.records = List.of(new byte[] {1});
+        read(first, 5);
+        firstLog.era.observe(2);
+        read(second, 5);
+        assertThat(secondLog.era.newest()).isEqualTo(2);
+        assertThat(secondLog.reads).isEqualTo(1);
+    }
+
     @Test
     void aHostReadsByItselfIfTheResponseIsTooOldOrMissing() throws Exception {
         read(first, 5);
@@ -250,6 +272,8 @@
     /** A log with fixed records, or one that fails. */
     private static final class FakeLog implements SharedLog {
 
+        private final StoreEra era = new StoreEra();
+
         private List<byte[]> records = List.of();
 
         private SharedLogException failure;
@@ -287,6 +311,11 @@
             throw new UnsupportedOperationException();
         }
 
+        @Override
+        public StoreEra era() {
+            return era;
+        }
+
         @Override
         public Future<Void> leave(String group, String member) {
             throw new UnsupportedOperationException();
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/leader/LeaderLeaseTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/leader/LeaderLeaseTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.cranberrygauge.proxy.store.SharedLog.GroupAssignment;
+import org.cranberrygauge.proxy.store.StoreEra;
 import org.junit.jupiter.api.Test;
 
 class LeaderLeaseTest {
@@ -60,8 +61,21 @@
         assertThat(fencingToken(10_900)).isEqualTo(6);
     }
 
+    @Test
+    void afterARollbackOfTheLogNobodyActsForALeaseAndTokensAreHigherThanBefore() {
+        join(10_000, 9, true);
+        assertThat(fencingToken(10_001)).isEqualTo(9);
+        lease.recordRollback(11_000);
+        assertThat(lease.generation()).isZero();
+        lease.recordJoin(11_100, WALL + 11_100, new GroupAssignment(2, 4, true));
+        assertThat(fencingToken(11_100)).isEqualTo(-1);
+        lease.recordJoin(13_900, WALL + 13_900, new GroupAssignment(2, 4, true));
+        assertThat(fencingToken(13_999)).isEqualTo(-1);
+        assertThat(fencingToken(14_000)).isGreaterThan(new GroupAssignment(1, 1_000_000, true).token());
+    }
+
     private void join(long now, long generation, boolean leads) {
-        lease.recordJoin(now, WALL + now, new GroupAssignment(generation, leads));
+        lease.recordJoin(now, WALL + now, new GroupAssignment(StoreEra.UNKNOWN, generation, leads));
     }
 
     private long fencingToken(long now) {
