--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendRegistry.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendRegistry.java
@@ -79,6 +79,7 @@
         boolean leaves = known != null && known.leaving() && known.incarnation().equals(backend.incarnation());
         backends.put(backend.id(), leaves ? backend.withLeaving() : backend);
         expiryMillis.remove(backend.id());
+        removed.remove(backend.incarnation());
     }
 
     /**
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PermitExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PermitExchange.java
@@ -106,7 +106,7 @@
         String incarnation = question.getIncarnation();
         int issued = 0;
         if (peers.issuer(now, incarnation).isEmpty()) {
-            issued = issue(now, incarnation, Math.min(question.getCount(), MAXIMUM_REQUESTED));
+            issued = issue(now, incarnation, Math.max(0, Math.min(question.getCount(), MAXIMUM_REQUESTED)));
         } else {
             issuer.pause(incarnation);
         }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/backend/BackendRegistryTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/backend/BackendRegistryTest.java
@@ -70,6 +70,18 @@
                 .containsExactly(second);
     }
 
+    @Test
+    void aServerThatRegisteredAgainAfterItsRemovalIsTakenFromAnOlderCopy() {
+        registry.recordRead(1_000);
+        registry.put(first);
+        registry.remove(1_000, "first");
+        registry.put(first);
+        registry.recordRollback(2_000);
+        registry.replaceEntries(2_000, Map.of("first", first));
+        assertThat(registry.snapshot(2_000, incarnation -> false).ready("engines"))
+                .containsExactly(first);
+    }
+
     @Test
     void anEntryThatAnOlderCopyOfTheStoreLacksIsRetainedForTheRegistrationTime() {
         registry.recordRead(1_000);
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicFollowerTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicFollowerTest.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -22,8 +21,7 @@
 import org.cranberrygauge.proxy.exchange.ProxyBlackboard;
 import org.cranberrygauge.proxy.store.Confirmation;
 import org.cranberrygauge.proxy.store.KeyedRecord;
-import org.cranberrygauge.proxy.store.SharedLog;
-import org.cranberrygauge.proxy.store.StoreEra;
+import org.cranberrygauge.proxy.store.PartialLog;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.time.TimeSource;
 import org.junit.jupiter.api.AfterEach;
@@ -109,14 +107,12 @@
     }
 
     /** A log whose responses are complete when a call returns, and that can return to an older copy of itself. */
-    private static final class RewindingLog implements SharedLog {
-
-        private final StoreEra era = new StoreEra();
+    private static final class RewindingLog extends PartialLog {
 
         private final List<KeyedRecord> records = new ArrayList<>();
 
         RewindingLog() {
-            era.observe(1);
+            era().observe(1);
         }
 
         /** Appends a record for each number, under the number as its key. */
@@ -129,7 +125,7 @@
 
         void rewind(int end) {
             records.subList(end, records.size()).clear();
-            era.observe(era.newest() + 1);
+            era().observe(era().newest() + 1);
         }
 
         Map<String, String> newestValues() {
@@ -152,31 +148,5 @@
                     records.stream().skip(from).map(KeyedRecord::bytes).toList();
             return Future.succeededFuture(new LogSlice(records.size(), from + read.size(), read));
         }
-
-        @Override
-        public StoreEra era() {
-            return era;
-        }
-
-        @Override
-        public Future<Long> append(String topic, byte[] record, OptionalLong expectedEnd) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public Future<Long> put(String topic, String key, byte[] value) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public Future<GroupAssignment> join(
-                String group, String member, String topic, long lifetimeMillis, long generation) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public Future<Void> leave(String group, String member) {
-            throw new UnsupportedOperationException();
-        }
     }
 }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicRelayTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicRelayTest.java
@@ -10,7 +10,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -20,9 +19,8 @@
 import org.cranberrygauge.protocol.generated.HostReport;
 import org.cranberrygauge.proxy.exchange.ProxyBlackboard;
 import org.cranberrygauge.proxy.store.Confirmation;
-import org.cranberrygauge.proxy.store.SharedLog;
+import org.cranberrygauge.proxy.store.PartialLog;
 import org.cranberrygauge.proxy.store.SharedLogException;
-import org.cranberrygauge.proxy.store.StoreEra;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.time.TimeSource;
 import org.junit.jupiter.api.AfterEach;
@@ -86,22 +84,22 @@
 
     @Test
     void aResponseFromBeforeTheLogCameBackFromACopyIsDropped() throws Exception {
-        firstLog.era.observe(1);
+        firstLog.era().observe(1);
         read(first, 5);
-        secondLog.era.observe(2);
+        secondLog.era().observe(2);
         assertThat(read(second, 5).relayed()).isFalse();
         assertThat(secondLog.reads).isEqualTo(1);
     }
 
     @Test
     void aHostLearnsOfANewEraFromTheOneThatReadsAndGetsNothingOfTheOldOne() throws Exception {
-        firstLog.era.observe(1);
-        secondLog.era.observe(1);
+        firstLog.era().observe(1);
+        secondLog.era().observe(1);
         firstLog.records = List.of(new byte[] {1});
         read(first, 5);
-        firstLog.era.observe(2);
+        firstLog.era().observe(2);
         read(second, 5);
-        assertThat(secondLog.era.newest()).isEqualTo(2);
+        assertThat(secondLog.era().newest()).isEqualTo(2);
         assertThat(secondLog.reads).isEqualTo(1);
     }
 
@@ -270,9 +268,7 @@
     }
 
     /** A log with fixed records, or one that fails. */
-    private static final class FakeLog implements SharedLog {
-
-        private final StoreEra era = new StoreEra();
+    private static final class FakeLog extends PartialLog {
 
         private List<byte[]> records = List.of();
 
@@ -289,36 +285,5 @@
             long next = from + records.size();
             return Future.succeededFuture(new LogSlice(next, next, records));
         }
-
-        @Override
-        public Future<Long> append(String topic, byte[] record, OptionalLong expectedEnd) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public Future<Long> put(String topic, String key, byte[] value) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public Future<KeyedValues> newest(String topic) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public Future<GroupAssignment> join(
-                String group, String member, String topic, long lifetimeMillis, long generation) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public StoreEra era() {
-            return era;
-        }
-
-        @Override
-        public Future<Void> leave(String group, String member) {
-            throw new UnsupportedOperationException();
-        }
     }
 }
