--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/backend/BackendNotice.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/backend/BackendNotice.java
@@ -16,7 +16,7 @@
     record LeavingStated() implements BackendNotice {}
 
     /**
-     * The server wants no requests from this host for longer than it said before.
+     * The server asks this host for a pause while none is in force.
      *
      * @param untilMillis The monotonic time of the end in milliseconds.
      */
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/backend/BackendStatements.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/backend/BackendStatements.java
@@ -120,7 +120,7 @@
 
     /**
      * Removes what is known of servers that have been gone for a while, and returns by incarnation what other hosts
-     * should know.
+     * should know of the listed ones; if gone ones were told, hosts would remind each other of them for ever.
      *
      * @param nowMillis The current monotonic time in milliseconds.
      * @param listed The incarnations of the servers that have an entry.
@@ -136,7 +136,7 @@
             Optional<Limit> limit = Optional.ofNullable(server.limit)
                     .filter(stated -> stated.perSecond().isPresent()
                             || nowMillis - stated.statedMillis() <= ENDED_RETENTION_MILLIS);
-            if (limit.isPresent() || server.leaving) {
+            if (listed.contains(incarnation) && (limit.isPresent() || server.leaving)) {
                 shared.put(incarnation, new Shared(limit, server.leaving));
             }
         });
--- a/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/backend/BackendStatementsTest.java
+++ b/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/backend/BackendStatementsTest.java
@@ -98,6 +98,22 @@
         assertThat(statements.isLeaving(SERVER)).isFalse();
     }
 
+    @Test
+    void hostsDoNotRemindEachOtherOfServersThatAreGone() {
+        BackendStatements other = new BackendStatements();
+        statements.observe(0, SERVER, BackendStatement.NONE.withLeaving());
+        statements.shared(1_000, Set.of(SERVER)).forEach((server, told) -> other.merge(1_000, server, told));
+        assertThat(other.isLeaving(SERVER)).isTrue();
+        for (long now = 1_200; now < 200_000; now += 200) {
+            long receivedMillis = now + 100;
+            statements.shared(now, Set.of()).forEach((server, told) -> other.merge(receivedMillis, server, told));
+            other.shared(receivedMillis, Set.of())
+                    .forEach((server, told) -> statements.merge(receivedMillis, server, told));
+        }
+        assertThat(statements.isLeaving(SERVER)).isFalse();
+        assertThat(other.isLeaving(SERVER)).isFalse();
+    }
+
     @Test
     void aPauseIsNeverShortened() {
         assertThat(statements.observe(1_000, SERVER, BackendStatement.NONE.withPause(5_000)))
--- a/cranberrygauge-protocol/src/main/thrift/proxy.thrift
+++ b/cranberrygauge-protocol/src/main/thrift/proxy.thrift
@@ -53,8 +53,8 @@
   3: required i64 fromOffset
 }
 
-// The requested records, the era of the log in which they were read, and the time since the read was sent that found no further records. If the answer is not
-// complete, the next question requests the remainder.
+// The requested records, the era of the log in which they were read, and the time since the read was sent that found no
+// further records. If the answer is not complete, the next question requests the remainder.
 struct TopicAnswer {
   1: required i64 number
   2: required bool known
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageReportController.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageReportController.java
@@ -146,6 +146,7 @@
 
     /** Writes decided figures that the log has lost, one after the other. */
     private Future<Void> writeLostDecided() {
+        logged.retainAll(ledger.decided().keySet());
         for (Map.Entry<Long, Map<String, Long>> decided : ledger.decided().entrySet()) {
             if (!logged.contains(decided.getKey())) {
                 return writeDecided(decided.getKey(), decided.getValue()).compose(written -> writeLostDecided());
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -58,7 +58,7 @@
     /** Whether the attempt in progress has a connection, so that the request may run. */
     private boolean sent;
 
-    /** Whether the request is queued until an engine has capacity or a permit arrives. */
+    /** Whether the request is queued until a backend server is available and has capacity. */
     private boolean waiting;
 
     /** Whether the final response was given. */
