The test of servers that are gone lets one host forget later than the other

Result: without the condition on listed servers it now fails; with it, the 12 tests of BackendStatements pass.

--- a/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/backend/BackendStatementsTest.java
+++ b/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/backend/BackendStatementsTest.java
@@ -102,7 +102,8 @@
     void hostsDoNotRemindEachOtherOfServersThatAreGone() {
         BackendStatements other = new BackendStatements();
         statements.observe(0, SERVER, BackendStatement.NONE.withLeaving());
-        statements.shared(1_000, Set.of(SERVER)).forEach((server, told) -> other.merge(1_000, server, told));
+        long toldLaterMillis = 1_500;
+        statements.shared(1_000, Set.of(SERVER)).forEach((server, told) -> other.merge(toldLaterMillis, server, told));
         assertThat(other.isLeaving(SERVER)).isTrue();
         for (long now = 1_200; now < 200_000; now += 200) {
             long receivedMillis = now + 100;
