A part of prompts that crashes backend servers is sent to no more of them

Cause: crashes were counted by a hash of customer, URI and body. Requests that share one part of their prompts and are no two alike never came to three. Change: hosts find out whether a server whose connections broke takes a new one (CrashWatch), tell each other which parts ran on crashed servers and which completed or wrote for a second (CrashExchange), and blame the part that accounts for the most crashes since it last completed; others only for what remains, first parts last (CrashAttribution). What is exchanged are facts, so that hosts revise a judgement.

--- a/cranberrygauge-protocol/src/main/thrift/proxy.thrift
+++ b/cranberrygauge-protocol/src/main/thrift/proxy.thrift
@@ -109,6 +109,32 @@
   3: optional string version
 }
 
+// A part of a prompt that ran on a crashed backend server, and its position in the prompt.
+struct PartSuspected {
+  1: required i64 part
+  2: required i32 position
+}
+
+// The crash of a backend server, and the parts of the prompts that ran there.
+struct CrashSeen {
+  1: required string incarnation
+  2: required i64 ageMillis
+  3: required list<PartSuspected> parts
+}
+
+// The time since a request with a part of a prompt last completed.
+struct PartCompleted {
+  1: required i64 part
+  2: required i64 ageMillis
+}
+
+// What hosts saw of crashes of backend servers. The receiver answers with what it knows if the sender asks.
+struct CrashReport {
+  1: required list<CrashSeen> crashes
+  2: required list<PartCompleted> completed
+  3: required bool asks
+}
+
 // The content of a datagram from one host to another.
 union HostMessage {
   1: HostReport report
@@ -120,6 +146,7 @@
   7: StreamBegan streamBegan
   8: StreamQuestion streamQuestion
   9: StreamAnswer streamAnswer
+  10: CrashReport crashes
 }
 
 // The address at which a host receives reports.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -7,11 +7,14 @@
 import io.vertx.core.Vertx;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.cranberrygauge.decision.backend.BackendStatements;
 import org.cranberrygauge.decision.backend.HeldPermits;
+import org.cranberrygauge.decision.quarantine.BackendCrash;
+import org.cranberrygauge.decision.quarantine.CrashingParts;
 import org.cranberrygauge.proxy.admission.RequestAdmission;
 import org.cranberrygauge.proxy.backend.BackendGate;
 import org.cranberrygauge.proxy.backend.VersionHistory;
@@ -20,6 +23,7 @@
 import org.cranberrygauge.proxy.control.ConfigurationFollower;
 import org.cranberrygauge.proxy.control.ControlEvents;
 import org.cranberrygauge.proxy.control.ControllerContext;
+import org.cranberrygauge.proxy.control.CrashExchange;
 import org.cranberrygauge.proxy.control.FleetController;
 import org.cranberrygauge.proxy.control.HostNetwork;
 import org.cranberrygauge.proxy.control.LeaderElection;
@@ -30,6 +34,7 @@
 import org.cranberrygauge.proxy.control.UsageReportController;
 import org.cranberrygauge.proxy.exchange.BackendClient;
 import org.cranberrygauge.proxy.exchange.CallerHandler;
+import org.cranberrygauge.proxy.exchange.CrashWatch;
 import org.cranberrygauge.proxy.exchange.ExchangeContext;
 import org.cranberrygauge.proxy.exchange.ExchangeMetrics;
 import org.cranberrygauge.proxy.exchange.HostMetrics;
@@ -103,6 +108,11 @@
     /** Exists once the controllers have started, and is used on their event loop. */
     private StreamDirectory streams;
 
+    private final CrashingParts crashingParts = new CrashingParts();
+
+    /** Exists once the controllers have started, and is used on their event loop. */
+    private CrashExchange crashExchange;
+
     /** The event loop of the controllers. */
     private final Context controlContext;
 
@@ -220,6 +230,9 @@
                 (millis, action) -> vertx.setTimer(millis, fired -> action.run()),
                 network.peers(),
                 network.channel());
+        crashExchange =
+                new CrashExchange(time, network.peers(), network.channel(), crashingParts, events, new Random());
+        vertx.setPeriodic(CrashExchange.INTERVAL_MILLIS, fired -> crashExchange.update());
         return new PeerReportExchange(
                         context,
                         settings,
@@ -243,6 +256,11 @@
         requestContext.runOnContext(run -> queues.dispatch(time.monotonicMillis()));
     }
 
+    /** Records the crash of a backend server on the event loop of the controllers. */
+    private void recordCrash(BackendCrash crash) {
+        controlContext.runOnContext(run -> crashExchange.record(crash));
+    }
+
     private Future<Void> startIngress(
             AtomicReference<Map<String, Work>> ownWork, CrashTracker crashes, UsageCounter usage) {
         ProxySettings.Times times = settings.times();
@@ -267,6 +285,8 @@
                 queues,
                 new PoolRetryBudgets(times.retryWindowMillis(), times.retryRatio(), times.retryAllowance()),
                 crashes,
+                crashingParts,
+                new CrashWatch(vertx, blackboard, statements, this::recordCrash),
                 usage,
                 usageTime,
                 metrics,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
@@ -95,6 +95,29 @@
     public record UsageReported(long window, Map<String, Long> byCustomer, long fencingToken, String outcome)
             implements Event {}
 
+    /**
+     * A backend server broke connections of requests and takes no new one.
+     *
+     * @param backend The incarnation of the backend server.
+     * @param parts The number of shared prompt parts that this host's requests ran there.
+     */
+    public record BackendCrashSeen(String backend, int parts) implements Event {}
+
+    /**
+     * Requests with a part in their prompts are rejected from now on, since the part crashes backend servers.
+     *
+     * @param part The hash of the part's identifier in hexadecimal.
+     */
+    public record PromptPartBlocked(String part) implements Event {}
+
+    /**
+     * Requests with a part in their prompts are no longer rejected: one completed, other parts account for the crashes, or
+     * the last crash is old.
+     *
+     * @param part The hash of the part's identifier in hexadecimal.
+     */
+    public record PromptPartReleased(String part) implements Event {}
+
     /**
      * Backend servers were ordered.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.cranberrygauge.decision.topology.RendezvousHash;
@@ -41,6 +42,9 @@
 
     private final Map<String, Peer> peers = new HashMap<>();
 
+    /** Receives the address of each host that is found. */
+    private Consumer<NetworkAddress> hostFound = address -> {};
+
     /** The highest version of the configuration that another host had in force. */
     private long configurationVersion = Long.MIN_VALUE;
 
@@ -49,6 +53,11 @@
         this.dataCentre = dataCentre;
     }
 
+    /** Sets the receiver of the address of each host that is found. */
+    void onHostFound(Consumer<NetworkAddress> receiver) {
+        hostFound = receiver;
+    }
+
     /**
      * Adds a host that was found in the shared log; ignored if it is known already.
      *
@@ -59,6 +68,7 @@
         Peer current = peers.get(name);
         if (current == null) {
             peers.put(name, new Peer(address, 0, 0, Map.of(), "", false, nowMillis, Long.MIN_VALUE / 2));
+            hostFound.accept(address);
         }
     }
 
@@ -90,6 +100,9 @@
                         report.isReadsLog(),
                         nowMillis,
                         nowMillis));
+        if (current == null) {
+            hostFound.accept(address);
+        }
         return true;
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
@@ -4,6 +4,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
 import java.util.Optional;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.exchange.HeaderCodec.BackendHeaders;
@@ -176,7 +177,8 @@
             }
             if (!ended) {
                 ended = true;
-                listener.onStreamEnd(backendResponse.statusCode(), backendResponse.headers());
+                listener.onStreamEnd(
+                        backendResponse.statusCode(), backendResponse.headers(), isFramed(backendResponse.headers()));
             }
         });
     }
@@ -218,8 +220,12 @@
          */
         void onEvents(int status, MultiMap headers, Buffer events, Optional<String> lastEventId);
 
-        /** Called when a stream has ended completely. */
-        void onStreamEnd(int status, MultiMap headers);
+        /**
+         * Called when a stream has ended completely.
+         *
+         * @param framed Whether more than the end of the connection shows that it is complete.
+         */
+        void onStreamEnd(int status, MultiMap headers, boolean framed);
 
         /** Called when a response that is no stream has arrived completely. */
         void onResponse(BufferedResponse response);
@@ -228,9 +234,19 @@
         void onFailure(AttemptOutcome outcome, String detail);
     }
 
+    /** Tells whether a response declares its length or chunks, so that it does not end with its connection. */
+    private static boolean isFramed(MultiMap headers) {
+        return headers.contains(HttpHeaders.CONTENT_LENGTH) || headers.contains(HttpHeaders.TRANSFER_ENCODING);
+    }
+
     /** A complete response. */
     record BufferedResponse(int status, MultiMap headers, Buffer body) {
 
+        /** Tells whether more than the end of the connection shows that the response is complete. */
+        boolean isFramed() {
+            return BackendAttempt.isFramed(headers);
+        }
+
         boolean isServerError() {
             return status >= SERVER_ERROR_STATUS;
         }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/DispatchResult.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/DispatchResult.java
@@ -4,6 +4,8 @@
 enum DispatchResult {
     /** The request was sent. */
     SENT,
+    /** The request has ended, since it must not be sent any more. */
+    ENDED,
     /** No engine has capacity for its prompt. */
     NO_CAPACITY,
     /** No server that it may be sent to takes a request of this host now. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -16,6 +16,7 @@
 import org.cranberrygauge.proxy.retry.RetryPolicy;
 import org.cranberrygauge.proxy.routing.BackendChooser.Choice;
 import org.cranberrygauge.proxy.routing.BackendLoad.Placement;
+import org.cranberrygauge.proxy.routing.Prompt;
 import org.cranberrygauge.proxy.stream.StreamOrigin;
 
 /**
@@ -26,6 +27,12 @@
  */
 final class Exchange implements BackendAttempt.Listener {
 
+    /**
+     * The time after the first event of a stream from which its request does not crash the backend server: one that does
+     * crashes it as soon as it begins to write.
+     */
+    private static final long SOUND_AFTER_MILLIS = 1_000;
+
     private final ExchangeContext context;
 
     private final ProxyRequest request;
@@ -55,6 +62,12 @@
     /** The monotonic time at which the attempt in progress started. */
     private long attemptStartMillis;
 
+    /** The monotonic time of the first event in the attempt in progress; empty before it. */
+    private OptionalLong firstEventMillis = OptionalLong.empty();
+
+    /** Whether the attempt in progress has shown that the request does not crash its backend server. */
+    private boolean shownSound;
+
     /** Whether the attempt in progress has a connection, so that the request may run. */
     private boolean sent;
 
@@ -85,10 +98,6 @@
             return;
         }
         deadlineTimer = context.vertx().setTimer(request.deadlineMillis() - now, fired -> expire());
-        if (context.crashes().isBlocked(request::fingerprint)) {
-            reject(RejectReason.CRASHES_BACKENDS);
-            return;
-        }
         if (request.resumesStream()) {
             new StreamResumption(context, request, selection).resolve(this::resume);
             return;
@@ -110,12 +119,22 @@
 
     /** @param otherwise The reason for the rejection if there is no backend server. */
     private void attemptFirst(RejectReason otherwise) {
+        if (crashesBackends()) {
+            reject(RejectReason.CRASHES_BACKENDS);
+            return;
+        }
         context.budgets().of(selection.pool().name()).recordRequest(now());
         if (!attemptNext()) {
             rejectUnavailable(otherwise);
         }
     }
 
+    /** Tells whether the request, or a part of its prompt, has crashed several backend servers. */
+    private boolean crashesBackends() {
+        return context.crashes().isBlocked(request::fingerprint)
+                || context.crashingParts().isBlocked(request.callerHeaders().prompt()::suspects);
+    }
+
     @Override
     public void onSent() {
         sent = true;
@@ -137,6 +156,7 @@
         }
         beginStream(status, headers);
         lastEventId = lastId.or(() -> lastEventId);
+        recordProgress();
         response.write(events);
         if (response.isFull()) {
             BackendAttempt reading = attempt;
@@ -146,8 +166,9 @@
     }
 
     @Override
-    public void onStreamEnd(int status, MultiMap headers) {
+    public void onStreamEnd(int status, MultiMap headers, boolean framed) {
         beginStream(status, headers);
+        recordCompletion(framed);
         context.load(selection.pool(), attempt.backend()).recordSuccess();
         context.profiles().recordEnd(selection.pool().name(), placement, now() - attemptStartMillis);
         response.endStream();
@@ -163,6 +184,7 @@
             return;
         }
         context.load(selection.pool(), attempt.backend()).recordSuccess();
+        recordCompletion(buffered.isFramed());
         if (history.streaming()) {
             abort("resumed_with_status");
             return;
@@ -171,6 +193,32 @@
         forward(buffered, "served");
     }
 
+    /** Records that the request does not crash its backend server once events have arrived for a while. */
+    private void recordProgress() {
+        long now = now();
+        if (firstEventMillis.isEmpty()) {
+            firstEventMillis = OptionalLong.of(now);
+        }
+        if (!shownSound && now - firstEventMillis.getAsLong() >= SOUND_AFTER_MILLIS) {
+            shownSound = true;
+            context.crashingParts()
+                    .recordCompletion(now, request.callerHeaders().prompt()::suspects);
+        }
+    }
+
+    /**
+     * Records that the request did not crash its backend server; if only the end of the connection ended the response,
+     * it may have.
+     */
+    private void recordCompletion(boolean framed) {
+        Prompt prompt = request.callerHeaders().prompt();
+        if (framed) {
+            context.crashingParts().recordCompletion(now(), prompt::suspects);
+        } else if (!shownSound) {
+            context.crashWatch().recordBroken(now(), attempt.backend(), prompt.suspects());
+        }
+    }
+
     @Override
     public void onFailure(AttemptOutcome reported, String detail) {
         AttemptOutcome outcome =
@@ -227,17 +275,22 @@
         }
         if (outcome == AttemptOutcome.BROKEN || outcome == AttemptOutcome.STREAM_BROKEN) {
             context.crashes().record(now, request.fingerprint());
+            if (!shownSound) {
+                context.crashWatch()
+                        .recordBroken(
+                                now, backend, request.callerHeaders().prompt().suspects());
+            }
         }
     }
 
     /** Checks the crash tracker and the retry budget for another attempt. */
     private boolean mayRetry(AttemptOutcome outcome, long now) {
+        if (crashesBackends()) {
+            return false;
+        }
         if (outcome == AttemptOutcome.NOT_CONNECTED) {
             return true;
         }
-        if (context.crashes().isBlocked(request::fingerprint)) {
-            return false;
-        }
         return context.budgets()
                 .of(selection.pool().name())
                 .tryAcquire(now, context.blackboard().peers().hosts());
@@ -281,6 +334,11 @@
 
     /** Sends a queued request if a server is available by now and has capacity. */
     DispatchResult tryDispatch() {
+        if (crashesBackends()) {
+            waiting = false;
+            endBlocked();
+            return DispatchResult.ENDED;
+        }
         long now = now();
         Optional<Choice> choice = selection.chooseOpen(now);
         if (choice.isEmpty()) {
@@ -305,6 +363,15 @@
         rejectUnavailable(unavailable ? RejectReason.BACKENDS_LIMITED : RejectReason.BACKENDS_FULL);
     }
 
+    /** Ends a queued request that turns out to crash backend servers. */
+    private void endBlocked() {
+        if (lastOutcome != null) {
+            proceed(RetryPolicy.withoutRetry(history, lastOutcome), lastOutcome);
+        } else {
+            reject(RejectReason.CRASHES_BACKENDS);
+        }
+    }
+
     private void send(long now, Choice choice) {
         Backend backend = choice.backend();
         recorder.recordChoice(choice);
@@ -320,6 +387,8 @@
                 .record(now, backend.incarnation(), request.callerHeaders().prompt());
         attempt = new BackendAttempt(context.codec(), request, backend, this);
         attemptStartMillis = now;
+        firstEventMillis = OptionalLong.empty();
+        shownSound = false;
         sent = false;
         attempt.start(context.client(), request.deadlineMillis() - now, lastEventId);
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx;
 import org.cranberrygauge.decision.backend.BackendStatements;
+import org.cranberrygauge.decision.quarantine.CrashingParts;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.backend.BackendGate;
 import org.cranberrygauge.proxy.backend.VersionHistory;
@@ -27,6 +28,9 @@
  * @param streams Tells where streams began.
  * @param versions The versions of software that served lately.
  * @param queues The requests that wait until a backend server is available and has capacity.
+ * @param crashes The requests that broke the connections of backend servers.
+ * @param crashingParts The parts of prompts that crash backend servers.
+ * @param crashWatch Finds out which backend servers crashed.
  * @param usage Counts the requests that started running.
  * @param usageTime The clocks by which usage is counted.
  */
@@ -47,6 +51,8 @@
         PoolWaitQueues queues,
         PoolRetryBudgets budgets,
         CrashTracker crashes,
+        CrashingParts crashingParts,
+        CrashWatch crashWatch,
         UsageCounter usage,
         TimeSource usageTime,
         ExchangeMetrics metrics,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/PoolWaitQueues.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/PoolWaitQueues.java
@@ -33,7 +33,7 @@
         int unavailable = 0;
         for (Exchange next : queue.inOrder(nowMillis)) {
             DispatchResult result = next.tryDispatch();
-            if (result == DispatchResult.SENT) {
+            if (result == DispatchResult.SENT || result == DispatchResult.ENDED) {
                 queue.remove(next);
                 continue;
             }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/Prompt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/Prompt.java
@@ -1,6 +1,9 @@
 package org.cranberrygauge.proxy.routing;
 
+import java.util.ArrayList;
 import java.util.List;
+import org.cranberrygauge.decision.quarantine.SuspectPart;
+import org.cranberrygauge.decision.topology.StableHash;
 
 /**
  * The prompt of a request, as far as the caller describes it in headers. Immutable.
@@ -22,6 +25,15 @@
         return parts.subList(0, Math.max(0, parts.size() - 1));
     }
 
+    /** Returns the shared parts as suspects of a crash of the backend server that runs the prompt. */
+    public List<SuspectPart> suspects() {
+        List<SuspectPart> suspects = new ArrayList<>();
+        for (PromptPart part : sharedParts()) {
+            suspects.add(new SuspectPart(StableHash.update(StableHash.START, part.id()), suspects.size()));
+        }
+        return suspects;
+    }
+
     /**
      * Returns the identifier of the last shared part, by which requests with a common prefix are routed to the same
      * engine; empty if the prompt has no parts.
