A host that reaches no backend server serves its callers through another one

Cause: a host had no way to a server but its own links. Each request tried every server of its pool, found none and was rejected. One that is cut off passes requests on over a server for hosts (ForwardedRequest), with the remaining time and attempts, to a host that says in its reports that it reaches servers; a request that was passed on once is not passed on again. The host that sends it to a server counts it, uses its own permits and judges crashes; a host that is cut off blames no part of prompts.

--- a/cranberrygauge-protocol/src/main/thrift/proxy.thrift
+++ b/cranberrygauge-protocol/src/main/thrift/proxy.thrift
@@ -44,6 +44,7 @@
   9: optional list<BackendStated> stated
   10: optional i64 era
   11: optional i64 configurationVersion
+  12: optional bool reachesBackends
 }
 
 // Requests the records of a topic, starting at an offset, from a host that reads the shared log.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -17,6 +17,7 @@
 import org.cranberrygauge.decision.quarantine.CrashingParts;
 import org.cranberrygauge.proxy.admission.RequestAdmission;
 import org.cranberrygauge.proxy.backend.BackendGate;
+import org.cranberrygauge.proxy.backend.BackendReachability;
 import org.cranberrygauge.proxy.backend.VersionHistory;
 import org.cranberrygauge.proxy.configuration.ConfigurationView;
 import org.cranberrygauge.proxy.control.BackendFollower;
@@ -108,6 +109,8 @@
     /** Exists once the controllers have started, and is used on their event loop. */
     private StreamDirectory streams;
 
+    private final BackendReachability reachability;
+
     private final CrashingParts crashingParts = new CrashingParts();
 
     /** Exists once the controllers have started, and is used on their event loop. */
@@ -133,6 +136,7 @@
         this.usageTime = new JumpTolerantTimeSource(time);
         this.controlContext = vertx.getOrCreateContext();
         this.requestContext = vertx.getOrCreateContext();
+        this.reachability = new BackendReachability(vertx, time, blackboard::backends, events);
     }
 
     /** Starts the controllers, then the servers; completes when callers can connect. */
@@ -242,6 +246,7 @@
                         placements,
                         statements,
                         permitExchange,
+                        reachability,
                         ownWork)
                 .start();
     }
@@ -271,6 +276,7 @@
         ExchangeContext context = new ExchangeContext(
                 vertx,
                 time,
+                settings.host(),
                 blackboard,
                 new BackendClient(vertx),
                 dependencies.codec(),
@@ -286,7 +292,8 @@
                 new PoolRetryBudgets(times.retryWindowMillis(), times.retryRatio(), times.retryAllowance()),
                 crashes,
                 crashingParts,
-                new CrashWatch(vertx, blackboard, statements, this::recordCrash),
+                new CrashWatch(vertx, blackboard, statements, reachability, this::recordCrash),
+                reachability,
                 usage,
                 usageTime,
                 metrics,
@@ -301,8 +308,11 @@
             loads.removeUnlisted(blackboard.backends());
             publishMetrics(hostMetrics, queues.size());
         });
-        return new IngressServer(vertx, new CallerHandler(context, admission))
-                .listen(settings.front())
+        CallerHandler handler = new CallerHandler(context, admission);
+        return new IngressServer(vertx, handler::handleForwarded, handler::handleInvalid)
+                .listen(settings.peers())
+                .compose(
+                        listening -> new IngressServer(vertx, handler, handler::handleInvalid).listen(settings.front()))
                 .compose(listening ->
                         new StatusServer(vertx, settings.readyPath(), this::ready, registry).listen(settings.status()));
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendEvents.java
@@ -32,6 +32,20 @@
                 : new BackendStatementUnreadable(incarnation, source);
     }
 
+    /**
+     * None of several backend servers takes a connection of this host; requests are passed on to other hosts.
+     *
+     * @param listed The number of listed backend servers.
+     */
+    public record BackendsUnreachable(int listed) implements Event {}
+
+    /**
+     * A backend server takes connections of this host again.
+     *
+     * @param afterMillis The time since the host was cut off, in milliseconds.
+     */
+    public record BackendsReachable(long afterMillis) implements Event {}
+
     /**
      * A backend server stated another limit on the requests that it takes than before.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/configuration/Route.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/configuration/Route.java
@@ -31,6 +31,13 @@
         pools = List.copyOf(pools);
     }
 
+    /** Returns this route with at most a number of attempts for each request. */
+    public Route withMaximumAttempts(int maximum) {
+        return maximum >= maximumAttempts
+                ? this
+                : new Route(name, host, pathPrefix, kind, timeoutMillis, targetMillis, priority, pools, maximum, open);
+    }
+
     /**
      * Returns the name of the pool that serves a request.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
@@ -67,7 +67,7 @@
     void addHost(long nowMillis, String name, NetworkAddress address) {
         Peer current = peers.get(name);
         if (current == null) {
-            peers.put(name, new Peer(address, 0, 0, Map.of(), "", false, nowMillis, Long.MIN_VALUE / 2));
+            peers.put(name, new Peer(address, 0, 0, Map.of(), "", false, false, nowMillis, Long.MIN_VALUE / 2));
             hostFound.accept(address);
         }
     }
@@ -98,6 +98,7 @@
                         work,
                         report.getDataCentre(),
                         report.isReadsLog(),
+                        report.isReachesBackends(),
                         nowMillis,
                         nowMillis));
         if (current == null) {
@@ -217,6 +218,18 @@
         return (1.0 + count(peer -> isHeard(nowMillis, peer))) / members(nowMillis);
     }
 
+    /**
+     * Returns the addresses of the hosts that were heard recently and reach backend servers.
+     *
+     * @param nowMillis The current monotonic time in milliseconds.
+     */
+    List<NetworkAddress> helpers(long nowMillis) {
+        return peers.values().stream()
+                .filter(peer -> peer.reachesBackends() && isHeard(nowMillis, peer))
+                .map(Peer::address)
+                .toList();
+    }
+
     private static boolean isHeard(long nowMillis, Peer peer) {
         return nowMillis - peer.lastReportMillis() < HEARD_MILLIS;
     }
@@ -260,6 +273,7 @@
      * @param work Its load by incarnation of the backend server.
      * @param dataCentre Its data centre; empty before its first report.
      * @param readsLog Whether it can read the shared log for others.
+     * @param reachesBackends Whether it reaches backend servers.
      * @param lastSeenMillis The monotonic time of its last report or, before the first, of its discovery.
      * @param lastReportMillis The monotonic time of its last report.
      */
@@ -270,6 +284,7 @@
             Map<String, Work> work,
             String dataCentre,
             boolean readsLog,
+            boolean reachesBackends,
             long lastSeenMillis,
             long lastReportMillis) {}
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
@@ -20,6 +20,7 @@
 import org.cranberrygauge.protocol.generated.PartPlaced;
 import org.cranberrygauge.proxy.ProxySettings;
 import org.cranberrygauge.proxy.backend.BackendEvents;
+import org.cranberrygauge.proxy.backend.BackendReachability;
 import org.cranberrygauge.proxy.retry.CrashTracker;
 import org.cranberrygauge.proxy.routing.PeerLoads.Work;
 import org.cranberrygauge.proxy.routing.PlacedPart;
@@ -63,6 +64,8 @@
 
     private final PermitExchange permits;
 
+    private final BackendReachability reachability;
+
     /** The load caused by this host, as the request path last published it. */
     private final AtomicReference<Map<String, Work>> ownWork;
 
@@ -86,6 +89,7 @@
             PlacementExchange placements,
             BackendStatements statements,
             PermitExchange permits,
+            BackendReachability reachability,
             AtomicReference<Map<String, Work>> ownWork) {
         this.context = context;
         this.settings = settings;
@@ -95,6 +99,7 @@
         this.placements = placements;
         this.statements = statements;
         this.permits = permits;
+        this.reachability = reachability;
         this.ownWork = ownWork;
         this.monitor = new DependencyMonitor("host addresses", context.events());
     }
@@ -158,6 +163,7 @@
         network.channel()
                 .send(HostMessage.report(buildReport(now)), network.peers().addresses(now));
         context.blackboard().publish(network.peers().loads(now));
+        context.blackboard().publishHelpers(network.peers().helpers(now));
     }
 
     private HostReport buildReport(long now) {
@@ -192,6 +198,7 @@
                 .configuration()
                 .configuration()
                 .ifPresent(inForce -> report.setConfigurationVersion(inForce.version()));
+        report.setReachesBackends(reachability.reaches(now));
         Map<String, Shared> shared = statements.shared(now, present);
         return shared.isEmpty() ? report : report.setStated(StatementReports.write(now, shared));
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
@@ -65,7 +65,7 @@
     void start(BackendClient client, long remainingMillis, Optional<String> lastEventId) {
         BackendHeaders proxyHeaders = new BackendHeaders(
                 request.id(), backend.id(), remainingMillis, request.customer(), request.urgency(), lastEventId);
-        client.open(request, backend)
+        client.open(request, backend.address())
                 .onSuccess(opened -> send(opened, proxyHeaders))
                 .onFailure(failure -> fail(AttemptOutcome.NOT_CONNECTED, String.valueOf(failure.getMessage())));
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendClient.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendClient.java
@@ -10,7 +10,7 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.SocketAddress;
-import org.cranberrygauge.proxy.backend.Backend;
+import org.cranberrygauge.model.backend.NetworkAddress;
 
 /**
  * Opens connections to backend servers.
@@ -52,14 +52,14 @@
      * <p>The result is delivered after all input that the event loop has ready. If a caller sent a request and
      * disconnected before this host read either, the exchange has been cancelled by then.
      *
-     * @return The request to the backend server, of which nothing is sent yet; if this fails, nothing was sent.
+     * @param server The address of the backend server, or of another host.
+     * @return The request to that server, of which nothing is sent yet; if this fails, nothing was sent.
      */
-    Future<HttpClientRequest> open(ProxyRequest request, Backend backend) {
+    Future<HttpClientRequest> open(ProxyRequest request, NetworkAddress server) {
         RequestOptions options = new RequestOptions()
-                .setServer(SocketAddress.inetSocketAddress(
-                        backend.address().port(), backend.address().host()))
-                .setHost(backend.address().host())
-                .setPort(backend.address().port())
+                .setServer(SocketAddress.inetSocketAddress(server.port(), server.host()))
+                .setHost(server.host())
+                .setPort(server.port())
                 .setMethod(request.method())
                 .setURI(request.uri())
                 .putHeader(HttpHeaders.HOST, request.host());
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
@@ -45,29 +45,42 @@
 
     @Override
     public void handle(HttpServerRequest request) {
+        handle(request, Forwarding.NONE);
+    }
+
+    /** Handles a request that another host passes on. */
+    public void handleForwarded(HttpServerRequest request) {
+        try {
+            handle(request, Forwarding.take(request.headers()));
+        } catch (IllegalArgumentException exception) {
+            handleInvalid(request);
+        }
+    }
+
+    private void handle(HttpServerRequest request, Forwarding forwarding) {
         long now = context.time().monotonicMillis();
         if (startupGate.mustWait(now, now, context.blackboard())) {
             request.pause();
-            waitForState(request, now);
+            waitForState(request, forwarding, now);
             return;
         }
-        process(request, now);
+        process(request, forwarding, now);
     }
 
     /** Processes a request once the state is known or its maximum wait is over; its body is paused until then. */
-    private void waitForState(HttpServerRequest request, long arrivedMillis) {
+    private void waitForState(HttpServerRequest request, Forwarding forwarding, long arrivedMillis) {
         if (request.response().closed()) {
             return;
         }
         if (startupGate.mustWait(context.time().monotonicMillis(), arrivedMillis, context.blackboard())) {
-            context.vertx().setTimer(RECHECK_MILLIS, fired -> waitForState(request, arrivedMillis));
+            context.vertx().setTimer(RECHECK_MILLIS, fired -> waitForState(request, forwarding, arrivedMillis));
             return;
         }
-        process(request, arrivedMillis);
+        process(request, forwarding, arrivedMillis);
         request.resume();
     }
 
-    private void process(HttpServerRequest request, long now) {
+    private void process(HttpServerRequest request, Forwarding forwarding, long now) {
         CallerResponse response = new CallerResponse(request, context.blackboard()::draining);
         CallerHeaders callerHeaders = context.codec().decodeCaller(request.headers());
         ConfigurationView view = context.blackboard().configuration();
@@ -89,7 +102,7 @@
             reject(now, request, response, callerHeaders, decision.rejection().get());
             return;
         }
-        Route route = decision.route().orElseThrow();
+        Route route = decision.route().orElseThrow().withMaximumAttempts(forwarding.remainingAttempts());
         Pool pool = view.configuration()
                 .orElseThrow()
                 .pools()
@@ -101,6 +114,7 @@
         long maximumBytes = view.configuration().orElseThrow().limits().bodyBytes();
         long timeoutMillis =
                 Math.min(route.timeoutMillis(), callerHeaders.remainingMillis().orElse(Long.MAX_VALUE));
+        long deadlineMillis = now + Math.min(timeoutMillis, forwarding.remainingMillis());
         readBody(request, maximumBytes, body -> {
             if (body.isEmpty()) {
                 response.closeAfterResponse();
@@ -120,13 +134,14 @@
                     decision.customer(),
                     decision.urgency(),
                     now,
-                    now + timeoutMillis);
+                    deadlineMillis,
+                    forwarding.from().isPresent());
             new Exchange(context, admitted, response).start();
         });
     }
 
     /** Rejects a malformed request. The connection is closed, since the start of the next request on it is unknown. */
-    void handleInvalid(HttpServerRequest request) {
+    public void handleInvalid(HttpServerRequest request) {
         CallerResponse response = new CallerResponse(request, context.blackboard()::draining);
         response.closeAfterResponse();
         CallerHeaders callerHeaders = context.codec().decodeCaller(request.headers());
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CrashWatch.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CrashWatch.java
@@ -11,10 +11,12 @@
 import org.cranberrygauge.decision.quarantine.BackendCrash;
 import org.cranberrygauge.decision.quarantine.SuspectPart;
 import org.cranberrygauge.proxy.backend.Backend;
+import org.cranberrygauge.proxy.backend.BackendReachability;
 
 /**
  * Finds out whether backend servers whose connections broke have crashed: a server that was to serve and takes no new
- * connection has. One that leaves, or whose connections were only reset, has not. Not thread-safe.
+ * connection has, unless this host is cut off from all. One that leaves, or whose connections were only reset, has not.
+ * Not thread-safe.
  */
 public final class CrashWatch {
 
@@ -30,14 +32,21 @@
     /** Receives the crashes. */
     private final Consumer<BackendCrash> crashes;
 
+    private final BackendReachability reachability;
+
     /** What ran on the servers that are examined, by incarnation. */
     private final Map<String, Suspicion> suspicions = new HashMap<>();
 
     public CrashWatch(
-            Vertx vertx, ProxyBlackboard blackboard, BackendStatements statements, Consumer<BackendCrash> crashes) {
+            Vertx vertx,
+            ProxyBlackboard blackboard,
+            BackendStatements statements,
+            BackendReachability reachability,
+            Consumer<BackendCrash> crashes) {
         this.client = vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
         this.blackboard = blackboard;
         this.statements = statements;
+        this.reachability = reachability;
         this.crashes = crashes;
     }
 
@@ -74,7 +83,12 @@
                 connected.result().close();
                 return;
             }
-            crashes.accept(new BackendCrash(backend.incarnation(), suspicion.atMillis(), suspicion.positions()));
+            reachability.check(cutOff -> {
+                if (!cutOff) {
+                    crashes.accept(
+                            new BackendCrash(backend.incarnation(), suspicion.atMillis(), suspicion.positions()));
+                }
+            });
         });
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -33,6 +33,9 @@
      */
     private static final long SOUND_AFTER_MILLIS = 1_000;
 
+    /** The time without a response after which this host examines whether it is cut off. */
+    private static final long SILENCE_MILLIS = 700;
+
     private final ExchangeContext context;
 
     private final ProxyRequest request;
@@ -79,6 +82,9 @@
 
     private long deadlineTimer;
 
+    /** Fires if the backend server stays silent. */
+    private long silenceTimer;
+
     Exchange(ExchangeContext context, ProxyRequest request, CallerResponse response) {
         this.context = context;
         this.request = request;
@@ -138,12 +144,16 @@
     @Override
     public void onSent() {
         sent = true;
+        silenceTimer = context.vertx()
+                .setTimer(SILENCE_MILLIS, fired -> context.reachability().checkSilence(now()));
     }
 
     @Override
     public void onHeaders(BackendResponseHeaders headers) {
         Backend backend = attempt.backend();
         long now = now();
+        context.vertx().cancelTimer(silenceTimer);
+        context.reachability().recordHeard(now);
         context.statements()
                 .observe(now, backend.incarnation(), headers.statement())
                 .forEach(notice -> recorder.recordNotice(now, backend, notice));
@@ -156,6 +166,7 @@
         }
         beginStream(status, headers);
         lastEventId = lastId.or(() -> lastEventId);
+        context.reachability().recordHeard(now());
         recordProgress();
         response.write(events);
         if (response.isFull()) {
@@ -230,6 +241,21 @@
         history = history.withOutcome(outcome);
         lastOutcome = outcome;
         sent = false;
+        context.vertx().cancelTimer(silenceTimer);
+        if (outcome == AttemptOutcome.NOT_CONNECTED || outcome == AttemptOutcome.BROKEN) {
+            context.reachability().check(cutOff -> continueAfter(outcome, detail));
+        } else {
+            continueAfter(outcome, detail);
+        }
+    }
+
+    /** Decides what follows a failed attempt, once it is known whether this host is cut off. */
+    private void continueAfter(AttemptOutcome outcome, String detail) {
+        if (ended) {
+            return;
+        }
+        long now = now();
+        Backend backend = attempt.backend();
         long remaining = request.deadlineMillis() - now;
         NextStep next = RetryPolicy.next(request.route(), history, outcome, remaining);
         boolean retry = next == NextStep.TRY_ANOTHER && mayRetry(outcome, now);
@@ -303,6 +329,10 @@
      * @return Whether there is another backend server.
      */
     private boolean attemptNext() {
+        if (mayForward()) {
+            forwardToHost();
+            return true;
+        }
         long now = now();
         Optional<Choice> choice = selection.chooseOpen(now);
         if (choice.isEmpty()) {
@@ -319,6 +349,23 @@
         return true;
     }
 
+    /** Tells whether this host is cut off from all backend servers, and another one may serve the request. */
+    private boolean mayForward() {
+        return context.reachability().isCutOff()
+                && !request.forwarded()
+                && !history.streaming()
+                && (!history.mayHaveRun() || request.route().kind().mayRetry())
+                && history.sent() < request.route().maximumAttempts()
+                && !context.blackboard().helpers().isEmpty();
+    }
+
+    /** Ends this exchange and passes the request on to another host. */
+    private void forwardToHost() {
+        finish("forwarded", 0);
+        int remainingAttempts = request.route().maximumAttempts() - history.sent();
+        new ForwardedRequest(context, request, response, remainingAttempts, history.mayHaveRun()).start();
+    }
+
     /** Queues the request until it can be sent, and returns its first choice. */
     private Choice enqueue(Choice choice) {
         waiting = true;
@@ -339,6 +386,11 @@
             endBlocked();
             return DispatchResult.ENDED;
         }
+        if (mayForward()) {
+            waiting = false;
+            forwardToHost();
+            return DispatchResult.ENDED;
+        }
         long now = now();
         Optional<Choice> choice = selection.chooseOpen(now);
         if (choice.isEmpty()) {
@@ -501,6 +553,7 @@
     private void finish(String outcome, int status) {
         ended = true;
         context.vertx().cancelTimer(deadlineTimer);
+        context.vertx().cancelTimer(silenceTimer);
         context.blackboard().active().decrementAndGet();
         if (waiting) {
             context.queues().of(selection.pool().name()).remove(this);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
@@ -5,6 +5,7 @@
 import org.cranberrygauge.decision.quarantine.CrashingParts;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.backend.BackendGate;
+import org.cranberrygauge.proxy.backend.BackendReachability;
 import org.cranberrygauge.proxy.backend.VersionHistory;
 import org.cranberrygauge.proxy.configuration.Pool;
 import org.cranberrygauge.proxy.leader.UsageCounter;
@@ -21,6 +22,7 @@
 /**
  * What all exchanges use.
  *
+ * @param host The name of this host.
  * @param loads The load caused by this host's own requests.
  * @param profiles The speed of engines, as this host's own requests show it.
  * @param statements What backend servers state of themselves.
@@ -31,12 +33,14 @@
  * @param crashes The requests that broke the connections of backend servers.
  * @param crashingParts The parts of prompts that crash backend servers.
  * @param crashWatch Finds out which backend servers crashed.
+ * @param reachability Tells whether this host is cut off from all backend servers.
  * @param usage Counts the requests that started running.
  * @param usageTime The clocks by which usage is counted.
  */
 public record ExchangeContext(
         Vertx vertx,
         TimeSource time,
+        String host,
         ProxyBlackboard blackboard,
         BackendClient client,
         HeaderCodec codec,
@@ -53,6 +57,7 @@
         CrashTracker crashes,
         CrashingParts crashingParts,
         CrashWatch crashWatch,
+        BackendReachability reachability,
         UsageCounter usage,
         TimeSource usageTime,
         ExchangeMetrics metrics,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeEvents.java
@@ -60,6 +60,18 @@
             String request, String first, String afterEvent, String by, String backend, String version)
             implements Event {}
 
+    /**
+     * A request was passed on to another host, since this one reaches no backend server.
+     *
+     * @param request The identifier of the request.
+     * @param host The address of the last host that was tried, or a dash if there was none.
+     * @param tried The number of hosts that were tried.
+     * @param status The HTTP status of the response; 0 if a connection was closed.
+     * @param totalMillis The duration of the request in milliseconds.
+     */
+    public record RequestForwarded(String request, String host, int tried, int status, long totalMillis)
+            implements Event {}
+
     /**
      * A request that was admitted has ended.
      *
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
@@ -0,0 +1,276 @@
+package org.cranberrygauge.proxy.exchange;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.cranberrygauge.model.backend.NetworkAddress;
+import org.cranberrygauge.proxy.admission.RejectReason;
+
+/**
+ * A request that this host passes on to another one, since it reaches no backend server itself.
+ *
+ * <p>Invariants: a host that received the request completely is the last one, unless it states that the request did not
+ * run; exactly one final response is given, at the deadline at the latest; the other host learns when the caller
+ * disconnects. Not thread-safe.
+ */
+final class ForwardedRequest {
+
+    /** The number of other hosts that are tried. */
+    private static final int MAXIMUM_HOSTS = 3;
+
+    /** The part of the remaining time that is left for the way back from the other host, in milliseconds. */
+    private static final long RETURN_MILLIS = 20;
+
+    /** The maximum size of a response that is no stream. */
+    private static final int MAXIMUM_BUFFERED_BYTES = 8 << 20;
+
+    private static final int UNAVAILABLE_STATUS = 503;
+
+    /** The statuses with which a host itself, not a backend server, rejects a request that has not run. */
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(400, 401, 403, 404, 413, UNAVAILABLE_STATUS);
+
+    private final ExchangeContext context;
+
+    private final ProxyRequest request;
+
+    private final CallerResponse response;
+
+    /** How many backend servers the request may still be sent to. */
+    private final int remainingAttempts;
+
+    /** Whether the request may have run before it was passed on. */
+    private final boolean mayHaveRun;
+
+    /** The hosts that are not tried yet. */
+    private final List<NetworkAddress> hosts;
+
+    private int tried;
+
+    /** The host that is being tried; null before the first. */
+    private NetworkAddress current;
+
+    /** Null until a connection is established. */
+    private HttpClientRequest hostRequest;
+
+    /** Whether the request was sent to the current host. */
+    private boolean sent;
+
+    /** Whether the caller has received the start of a stream. */
+    private boolean streaming;
+
+    /** The last rejection with the promise that the request did not run. */
+    private Optional<MultiMap> rejection = Optional.empty();
+
+    private boolean ended;
+
+    private long deadlineTimer;
+
+    ForwardedRequest(
+            ExchangeContext context,
+            ProxyRequest request,
+            CallerResponse response,
+            int remainingAttempts,
+            boolean mayHaveRun) {
+        this.context = context;
+        this.request = request;
+        this.response = response;
+        this.remainingAttempts = remainingAttempts;
+        this.mayHaveRun = mayHaveRun;
+        this.hosts = new ArrayList<>(context.blackboard().helpers());
+        Collections.shuffle(hosts);
+    }
+
+    void start() {
+        context.blackboard().active().incrementAndGet();
+        response.onDisconnect(this::callerDisconnected);
+        deadlineTimer = context.vertx().setTimer(Math.max(1, remainingMillis()), fired -> expire());
+        tryNext();
+    }
+
+    private void tryNext() {
+        sent = false;
+        if (hosts.isEmpty() || tried == MAXIMUM_HOSTS) {
+            rejectUnavailable();
+            return;
+        }
+        tried++;
+        current = hosts.remove(hosts.size() - 1);
+        context.client().open(request, current).onSuccess(this::send).onFailure(failure -> {
+            if (!ended) {
+                tryNext();
+            }
+        });
+    }
+
+    private void send(HttpClientRequest opened) {
+        hostRequest = opened;
+        opened.exceptionHandler(failure -> failBroken());
+        if (ended) {
+            opened.reset();
+            return;
+        }
+        sent = true;
+        context.codec().copyRequest(request.headers(), opened.headers());
+        new Forwarding(Optional.of(context.host()), Math.max(1, remainingMillis() - RETURN_MILLIS), remainingAttempts)
+                .write(opened.headers());
+        opened.send(request.body()).onSuccess(this::read).onFailure(failure -> failBroken());
+    }
+
+    private void read(HttpClientResponse hostResponse) {
+        if (ended) {
+            return;
+        }
+        hostResponse.exceptionHandler(failure -> failBroken());
+        if (isRejection(hostResponse)) {
+            if (hostResponse.statusCode() == UNAVAILABLE_STATUS) {
+                rejection = Optional.of(hostResponse.headers());
+            }
+            tryNext();
+            return;
+        }
+        if (hostResponse.headers().contains(HttpHeaders.TRANSFER_ENCODING)) {
+            readStream(hostResponse);
+        } else {
+            readBuffered(hostResponse);
+        }
+    }
+
+    private boolean isRejection(HttpClientResponse hostResponse) {
+        return NOT_RUN_STATUSES.contains(hostResponse.statusCode())
+                && !context.codec()
+                        .decodeResponse(hostResponse.statusCode(), hostResponse.headers())
+                        .signature();
+    }
+
+    private void readBuffered(HttpClientResponse hostResponse) {
+        Buffer body = Buffer.buffer();
+        hostResponse.handler(bytes -> {
+            if (body.length() + bytes.length() > MAXIMUM_BUFFERED_BYTES) {
+                failBroken();
+                return;
+            }
+            body.appendBuffer(bytes);
+        });
+        hostResponse.endHandler(end -> {
+            if (!ended) {
+                response.forward(hostResponse.statusCode(), forwarded(hostResponse.headers()), body);
+                finish(hostResponse.statusCode());
+            }
+        });
+    }
+
+    private void readStream(HttpClientResponse hostResponse) {
+        streaming = true;
+        response.startStream(hostResponse.statusCode(), forwarded(hostResponse.headers()));
+        hostResponse.handler(bytes -> {
+            if (ended) {
+                return;
+            }
+            response.write(bytes);
+            if (response.isFull()) {
+                hostResponse.pause();
+                response.onDrained(drained -> hostResponse.resume());
+            }
+        });
+        hostResponse.endHandler(end -> {
+            if (!ended) {
+                response.endStream();
+                finish(hostResponse.statusCode());
+            }
+        });
+    }
+
+    private MultiMap forwarded(MultiMap headers) {
+        MultiMap forwarded = MultiMap.caseInsensitiveMultiMap();
+        context.codec().copyResponse(headers, forwarded);
+        return forwarded;
+    }
+
+    /** Ends the request because the connection to the other host broke, so that it may have run. */
+    private void failBroken() {
+        if (ended || !sent) {
+            return;
+        }
+        endUnknown(RejectReason.BACKEND_BROKE);
+    }
+
+    /** Ends the request at its deadline. */
+    private void expire() {
+        if (ended) {
+            return;
+        }
+        if (sent || mayHaveRun) {
+            endUnknown(RejectReason.TIMED_OUT);
+        } else {
+            reject(RejectReason.EXPIRED);
+        }
+    }
+
+    private void endUnknown(RejectReason reason) {
+        ended = true;
+        hostRequestReset();
+        if (streaming) {
+            response.abort();
+            finish(0);
+        } else {
+            reject(reason);
+        }
+    }
+
+    /** Rejects the request because no other host could serve it. */
+    private void rejectUnavailable() {
+        if (mayHaveRun) {
+            reject(RejectReason.BACKEND_BROKE);
+        } else if (rejection.isPresent()) {
+            response.forward(UNAVAILABLE_STATUS, forwarded(rejection.get()), Buffer.buffer());
+            finish(UNAVAILABLE_STATUS);
+        } else {
+            reject(RejectReason.NO_BACKEND);
+        }
+    }
+
+    private void reject(RejectReason reason) {
+        response.reject(reason.status(), reason.retryAfterMillis());
+        finish(reason.status());
+    }
+
+    private void callerDisconnected() {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        hostRequestReset();
+        finish(0);
+    }
+
+    private void hostRequestReset() {
+        if (hostRequest != null) {
+            hostRequest.reset();
+        }
+    }
+
+    /** @param status The status of the response; 0 if a connection was closed. */
+    private void finish(int status) {
+        ended = true;
+        context.vertx().cancelTimer(deadlineTimer);
+        context.blackboard().active().decrementAndGet();
+        context.events()
+                .emit(new ExchangeEvents.RequestForwarded(
+                        request.id(),
+                        current == null ? "-" : current.toString(),
+                        tried,
+                        status,
+                        context.time().monotonicMillis() - request.receivedMillis()));
+    }
+
+    private long remainingMillis() {
+        return request.deadlineMillis() - context.time().monotonicMillis();
+    }
+}
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Forwarding.java
@@ -0,0 +1,45 @@
+package org.cranberrygauge.proxy.exchange;
+
+import io.vertx.core.MultiMap;
+import java.util.Optional;
+
+/**
+ * How a request came to this host: from its caller, or from another host that reaches no backend server. Immutable.
+ *
+ * @param from The host that passed the request on; empty if the caller sent it.
+ * @param remainingMillis The time until the deadline in milliseconds, as that host knows it.
+ * @param remainingAttempts The number of backend servers to which the request may still be sent.
+ */
+record Forwarding(Optional<String> from, long remainingMillis, int remainingAttempts) {
+
+    static final Forwarding NONE = new Forwarding(Optional.empty(), Long.MAX_VALUE, Integer.MAX_VALUE);
+
+    private static final String FROM = "Cranberrygauge-Forwarded-From";
+
+    private static final String REMAINING_MILLIS = "Cranberrygauge-Remaining-Millis";
+
+    private static final String REMAINING_ATTEMPTS = "Cranberrygauge-Remaining-Attempts";
+
+    /** Writes this into the headers of a request to another host. */
+    void write(MultiMap headers) {
+        headers.set(FROM, from.orElse(""));
+        headers.set(REMAINING_MILLIS, Long.toString(remainingMillis));
+        headers.set(REMAINING_ATTEMPTS, Integer.toString(remainingAttempts));
+    }
+
+    /**
+     * Reads the headers of a request from another host and removes what it added to them.
+     *
+     * @throws IllegalArgumentException If a header is missing or no number.
+     */
+    static Forwarding take(MultiMap headers) {
+        Forwarding forwarding = new Forwarding(
+                Optional.of(String.valueOf(headers.get(FROM))),
+                Long.parseLong(String.valueOf(headers.get(REMAINING_MILLIS))),
+                Integer.parseInt(String.valueOf(headers.get(REMAINING_ATTEMPTS))));
+        headers.remove(FROM);
+        headers.remove(REMAINING_MILLIS);
+        headers.remove(REMAINING_ATTEMPTS);
+        return forwarding;
+    }
+}
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HeaderCodec.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HeaderCodec.java
@@ -30,6 +30,9 @@
      */
     void copyResponse(MultiMap responseHeaders, MultiMap target);
 
+    /** Copies the headers of a caller's request that another host needs, without those of one connection. */
+    void copyRequest(MultiMap callerHeaders, MultiMap target);
+
     /**
      * The decoded headers of a caller's request.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/IngressServer.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/IngressServer.java
@@ -1,14 +1,16 @@
 package org.cranberrygauge.proxy.exchange;
 
 import io.vertx.core.Future;
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.runtime.http.ExhaustiveReads;
 import org.cranberrygauge.runtime.http.StrictRequestDecoder;
 
-/** The HTTP server for callers. Thread-safe. */
+/** The HTTP server for callers, or for requests that other hosts pass on. Thread-safe. */
 public final class IngressServer {
 
     /** The maximum size of all request headers. */
@@ -21,7 +23,8 @@
 
     private final HttpServer server;
 
-    public IngressServer(Vertx vertx, CallerHandler handler) {
+    /** @param invalid Handles requests that can't be decoded. */
+    public IngressServer(Vertx vertx, Handler<HttpServerRequest> handler, Handler<HttpServerRequest> invalid) {
         HttpServerOptions options = new HttpServerOptions()
                 .setHttp2ClearTextEnabled(false)
                 .setTcpNoDelay(true)
@@ -34,7 +37,7 @@
                     StrictRequestDecoder.install(connection, options);
                     ExhaustiveReads.enable(connection);
                 })
-                .invalidRequestHandler(handler::handleInvalid)
+                .invalidRequestHandler(invalid)
                 .requestHandler(handler);
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
@@ -1,9 +1,11 @@
 package org.cranberrygauge.proxy.exchange;
 
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.cranberrygauge.decision.engine.EngineProfile;
+import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.proxy.backend.BackendSnapshot;
 import org.cranberrygauge.proxy.configuration.ConfigurationView;
 import org.cranberrygauge.proxy.routing.PeerLoads;
@@ -21,6 +23,9 @@
     /** The load caused by the other hosts. */
     private final AtomicReference<PeerLoads> peers = new AtomicReference<>(PeerLoads.NO_PEERS);
 
+    /** The addresses of the other hosts that reach backend servers. */
+    private final AtomicReference<List<NetworkAddress>> helpers = new AtomicReference<>(List.of());
+
     /** The speed of engines by pool, as this host's own requests show it. */
     private final AtomicReference<Map<String, EngineProfile>> engineProfiles = new AtomicReference<>(Map.of());
 
@@ -58,6 +63,15 @@
         peers.set(loads);
     }
 
+    /** Returns the addresses of the other hosts that reach backend servers. */
+    public List<NetworkAddress> helpers() {
+        return helpers.get();
+    }
+
+    public void publishHelpers(List<NetworkAddress> addresses) {
+        helpers.set(List.copyOf(addresses));
+    }
+
     /** Returns the speed of a pool's engines. */
     public EngineProfile engineProfile(String pool) {
         return engineProfiles.get().getOrDefault(pool, EngineProfile.INITIAL);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
@@ -21,6 +21,7 @@
  * @param urgency The urgency from 0, the most urgent, to 9.
  * @param receivedMillis The monotonic time at which the request headers were read, in milliseconds.
  * @param deadlineMillis The monotonic time at which the final response is due, in milliseconds.
+ * @param forwarded Whether another host passed the request on, so that this one must not.
  */
 public record ProxyRequest(
         String id,
@@ -35,7 +36,8 @@
         Optional<String> customer,
         int urgency,
         long receivedMillis,
-        long deadlineMillis) {
+        long deadlineMillis,
+        boolean forwarded) {
 
     /** The fraction of the time until its deadline that a request may be queued. */
     private static final double QUEUEING_FRACTION = 0.4;
