A host that is cut off, or whose servers are all gone, judges crashes afterwards by the list of servers

Cause: a host that reaches no server can't tell its own cut from crashes. It dropped what it saw, so that a request that crashes the last servers of a fleet, which has no others to examine, would not have been blamed. Change: what broke is kept until a server takes connections again; servers that are no longer listed by then have crashed.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendReachability.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendReachability.java
@@ -49,6 +49,9 @@
 
     private final Random random = new Random();
 
+    /** Those that wait until the host is not cut off. */
+    private final List<Runnable> waitingUntilReachable = new ArrayList<>();
+
     /** Those that wait for the examination in progress. */
     private final List<Consumer<Boolean>> waiting = new ArrayList<>();
 
@@ -119,6 +122,15 @@
         }
     }
 
+    /** Runs an action once the host is not cut off. */
+    public void whenReachable(Runnable action) {
+        if (cutOff) {
+            waitingUntilReachable.add(action);
+        } else {
+            action.run();
+        }
+    }
+
     private void examine() {
         List<Backend> listed = new ArrayList<>(backends.get().all());
         listed.removeIf(Backend::leaving);
@@ -143,7 +155,11 @@
         answered.forEach(done -> done.accept(unreachable));
         if (unreachable) {
             vertx.setTimer(CUT_OFF_INTERVAL_MILLIS, fired -> examine());
+            return;
         }
+        List<Runnable> due = List.copyOf(waitingUntilReachable);
+        waitingUntilReachable.clear();
+        due.forEach(Runnable::run);
     }
 
     private void recordChange(boolean unreachable) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CrashWatch.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CrashWatch.java
@@ -54,10 +54,10 @@
      * Records that the connection of a request broke.
      *
      * @param nowMillis The current monotonic time in milliseconds.
-     * @param parts The shared parts of the request's prompt.
+     * @param parts The request and the shared parts of its prompt.
      */
     void recordBroken(long nowMillis, Backend backend, List<SuspectPart> parts) {
-        if (parts.isEmpty() || !isToServe(backend)) {
+        if (!isToServe(backend)) {
             return;
         }
         Suspicion suspicion = suspicions.get(backend.incarnation());
@@ -83,12 +83,24 @@
                 connected.result().close();
                 return;
             }
-            reachability.check(cutOff -> {
-                if (!cutOff) {
-                    crashes.accept(
-                            new BackendCrash(backend.incarnation(), suspicion.atMillis(), suspicion.positions()));
-                }
-            });
+            BackendCrash crash = new BackendCrash(backend.incarnation(), suspicion.atMillis(), suspicion.positions());
+            reachability.check(cutOff -> judge(crash, cutOff));
+        });
+    }
+
+    /**
+     * Reports a crash. While this host is cut off, or all servers are gone, no connect tells the two apart; the list of
+     * servers does afterwards.
+     */
+    private void judge(BackendCrash crash, boolean cutOff) {
+        if (!cutOff) {
+            crashes.accept(crash);
+            return;
+        }
+        reachability.whenReachable(() -> {
+            if (!blackboard.backends().lists(crash.incarnation())) {
+                crashes.accept(crash);
+            }
         });
     }
 
