Whole requests that crash servers are blamed by the same evidence as parts of prompts

Change: a whole request counts as the last part of its prompt in CrashingParts; CrashTracker is gone, and its list in the reports stays empty for hosts of earlier releases.

--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/quarantine/CrashAttribution.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/quarantine/CrashAttribution.java
@@ -11,11 +11,11 @@
 import java.util.Set;
 
 /**
- * Attributes the crashes of backend servers to parts of prompts.
+ * Attributes the crashes of backend servers to parts of prompts, or to whole requests that are sent again.
  *
  * <p>A part that crashes servers ran on each of them and never completes, whatever else its requests hold. Sound parts
  * ran on some of them only, or complete elsewhere. So the part that accounts for the most crashes since it last completed
- * is blamed for them, and other parts only for the crashes that remain. Servers that crash at the same moment have one
+ * is blamed for them, and other parts only for the crashes that remain. A whole request counts as its last part. Servers that crash at the same moment have one
  * cause and count once. Stateless and thread-safe.
  */
 final class CrashAttribution {
@@ -134,7 +134,8 @@
         private boolean isRivalled(Tally other) {
             Set<Integer> others = new HashSet<>(other.moments);
             others.removeAll(moments);
-            return other != this
+            return position != SuspectPart.WHOLE_REQUEST
+                    && other != this
                     && other.count() == count()
                     && other.servers >= servers
                     && others.size() < MINIMUM_CRASHES;
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/quarantine/CrashingParts.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/quarantine/CrashingParts.java
@@ -12,7 +12,7 @@
 import java.util.function.Supplier;
 
 /**
- * Knows the parts of prompts that crash backend servers, from the crashes and completed requests of all hosts.
+ * Knows the parts of prompts, and the whole requests, that crash backend servers, from the crashes and completed requests of all hosts.
  *
  * <p>Hosts exchange what they saw, not what they conclude, so that all come to the same conclusion and revise it with what
  * they learn later. Invariants: the number of retained crashes is bounded; a part that completes is not blocked.
@@ -64,7 +64,7 @@
      * Records that a request has completed.
      *
      * @param nowMillis The current monotonic time in milliseconds.
-     * @param parts The shared parts of its prompt, which are determined only if any part is suspected.
+     * @param parts The request and the shared parts of its prompt, which are determined only if any part is suspected.
      */
     public void recordCompletion(long nowMillis, Supplier<List<SuspectPart>> parts) {
         if (suspected.isEmpty()) {
@@ -83,7 +83,7 @@
     /**
      * Tells whether a request must not be sent to any backend server.
      *
-     * @param parts The shared parts of its prompt, which are determined only if any part is blocked.
+     * @param parts The request and the shared parts of its prompt, which are determined only if any part is blocked.
      */
     public boolean isBlocked(Supplier<List<SuspectPart>> parts) {
         Set<Long> current = blocked;
--- a/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/quarantine/CrashingPartsTest.java
+++ b/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/quarantine/CrashingPartsTest.java
@@ -16,6 +16,8 @@
 
     private static final long SOUND = 3;
 
+    private static final long REQUEST = 4;
+
     private static final long SETTLED_MILLIS = 300;
 
     private final CrashingParts parts = new CrashingParts();
@@ -128,6 +130,34 @@
         assertThat(other.update(4_000)).containsExactly(CRASHING);
     }
 
+    @Test
+    void blocksARequestThatCrashedThreeServersRatherThanThePartsOfItsPrompt() {
+        Map<Long, Integer> request = Map.of(FIRST, 0, CRASHING, 1, REQUEST, SuspectPart.WHOLE_REQUEST);
+        crashWith(1_000, request);
+        crashWith(2_000, request);
+        assertThat(parts.update(2_000 + SETTLED_MILLIS)).isEmpty();
+        crashWith(3_000, request);
+        assertThat(parts.update(3_000 + SETTLED_MILLIS)).containsExactly(REQUEST);
+    }
+
+    @Test
+    void blocksThePartOnceAnotherRequestCrashesAServerByIt() {
+        for (int second = 1; second <= 3; second++) {
+            crashWith(1_000L * second, Map.of(FIRST, 0, CRASHING, 1, REQUEST, SuspectPart.WHOLE_REQUEST));
+        }
+        crashWith(4_000, Map.of(FIRST, 0, CRASHING, 1, REQUEST + 1, SuspectPart.WHOLE_REQUEST));
+        assertThat(parts.update(4_000 + SETTLED_MILLIS)).containsExactly(CRASHING);
+    }
+
+    @Test
+    void retainsABoundedNumberOfCrashes() {
+        for (int crash = 0; crash < 2_000; crash++) {
+            crash(100L * crash, SOUND + crash);
+        }
+        assertThat(parts.recentCrashes(200_000, Long.MAX_VALUE, Integer.MAX_VALUE))
+                .hasSize(256);
+    }
+
     @Test
     void forgetsCrashesThatNoPartAccountsFor() {
         crash(1_000, SOUND);
--- a/cranberrygauge-protocol/src/main/thrift/proxy.thrift
+++ b/cranberrygauge-protocol/src/main/thrift/proxy.thrift
@@ -9,7 +9,7 @@
   4: required i32 shortRunning
 }
 
-// The number of crashes of backend servers that one host has observed while they ran a request.
+// Unused; part of the reports of earlier releases.
 struct CrashCount {
   1: required i64 fingerprint
   2: required i32 crashes
@@ -31,7 +31,8 @@
   4: optional double perSecond
 }
 
-// The periodic status report of a host, sent to the others several times per second.
+// The periodic status report of a host, sent to the others several times per second. The list of crashes is always empty;
+// hosts of earlier releases require it.
 struct HostReport {
   1: required string host
   2: required i64 startedAtMillis
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -46,7 +46,6 @@
 import org.cranberrygauge.proxy.exchange.StatusServer;
 import org.cranberrygauge.proxy.leader.JumpTolerantTimeSource;
 import org.cranberrygauge.proxy.leader.UsageCounter;
-import org.cranberrygauge.proxy.retry.CrashTracker;
 import org.cranberrygauge.proxy.routing.BackendChooser;
 import org.cranberrygauge.proxy.routing.EngineProfiles;
 import org.cranberrygauge.proxy.routing.LoadTable;
@@ -142,11 +141,10 @@
     /** Starts the controllers, then the servers; completes when callers can connect. */
     public Future<Void> start() {
         AtomicReference<Map<String, Work>> ownWork = new AtomicReference<>(Map.of());
-        CrashTracker crashes = new CrashTracker();
         UsageCounter usage = new UsageCounter(settings.times().usageWindowMillis());
         Promise<Void> started = Promise.promise();
-        controlContext.runOnContext(run -> startControllers(ownWork, crashes, usage)
-                .onComplete(done -> requestContext.runOnContext(next -> startIngress(ownWork, crashes, usage)
+        controlContext.runOnContext(run -> startControllers(ownWork, usage)
+                .onComplete(done -> requestContext.runOnContext(next -> startIngress(ownWork, usage)
                         .onSuccess(listening -> events.emit(new ProxyEvents.ProxyStarted(
                                 settings.host(), settings.dataCentre(), Program.version())))
                         .onComplete(started))));
@@ -191,8 +189,7 @@
         return active;
     }
 
-    private Future<Void> startControllers(
-            AtomicReference<Map<String, Work>> ownWork, CrashTracker crashes, UsageCounter usage) {
+    private Future<Void> startControllers(AtomicReference<Map<String, Work>> ownWork, UsageCounter usage) {
         ProxySettings.Times times = settings.times();
         ControllerContext context = new ControllerContext(vertx, time, dependencies.log(), blackboard, events);
         String incarnation = Program.incarnation(settings.host(), time.wallMillis());
@@ -242,7 +239,6 @@
                         settings,
                         network,
                         time.wallMillis(),
-                        crashes,
                         placements,
                         statements,
                         permitExchange,
@@ -266,8 +262,7 @@
         controlContext.runOnContext(run -> crashExchange.record(crash));
     }
 
-    private Future<Void> startIngress(
-            AtomicReference<Map<String, Work>> ownWork, CrashTracker crashes, UsageCounter usage) {
+    private Future<Void> startIngress(AtomicReference<Map<String, Work>> ownWork, UsageCounter usage) {
         ProxySettings.Times times = settings.times();
         LoadTable loads = new LoadTable();
         EngineProfiles profiles = new EngineProfiles();
@@ -290,7 +285,6 @@
                 versions,
                 queues,
                 new PoolRetryBudgets(times.retryWindowMillis(), times.retryRatio(), times.retryAllowance()),
-                crashes,
                 crashingParts,
                 new CrashWatch(vertx, blackboard, statements, reachability, this::recordCrash),
                 reachability,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/CrashExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/CrashExchange.java
@@ -43,7 +43,7 @@
     private static final int REPEATED_HOSTS = 8;
 
     /** The maximum number of crashes in one message, so that it fits into a datagram. */
-    private static final int MAXIMUM_CRASHES = 16;
+    private static final int MAXIMUM_CRASHES = 12;
 
     private final TimeSource time;
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/CrashReports.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/CrashReports.java
@@ -18,7 +18,7 @@
 final class CrashReports {
 
     /** The maximum number of parts of one crash in a message, so that it fits into a datagram. */
-    private static final int MAXIMUM_PARTS = 64;
+    private static final int MAXIMUM_PARTS = 160;
 
     private CrashReports() {}
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
@@ -13,7 +13,6 @@
 import org.cranberrygauge.decision.backend.BackendStatements.Shared;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.protocol.generated.BackendWork;
-import org.cranberrygauge.protocol.generated.CrashCount;
 import org.cranberrygauge.protocol.generated.HostAddress;
 import org.cranberrygauge.protocol.generated.HostMessage;
 import org.cranberrygauge.protocol.generated.HostReport;
@@ -21,7 +20,6 @@
 import org.cranberrygauge.proxy.ProxySettings;
 import org.cranberrygauge.proxy.backend.BackendEvents;
 import org.cranberrygauge.proxy.backend.BackendReachability;
-import org.cranberrygauge.proxy.retry.CrashTracker;
 import org.cranberrygauge.proxy.routing.PeerLoads.Work;
 import org.cranberrygauge.proxy.routing.PlacedPart;
 import org.cranberrygauge.proxy.routing.PlacementExchange;
@@ -56,8 +54,6 @@
     /** The time of the process start in milliseconds since the epoch. */
     private final long startedAtMillis;
 
-    private final CrashTracker crashes;
-
     private final PlacementExchange placements;
 
     private final BackendStatements statements;
@@ -85,7 +81,6 @@
             ProxySettings settings,
             HostNetwork network,
             long startedAtMillis,
-            CrashTracker crashes,
             PlacementExchange placements,
             BackendStatements statements,
             PermitExchange permits,
@@ -95,7 +90,6 @@
         this.settings = settings;
         this.network = network;
         this.startedAtMillis = startedAtMillis;
-        this.crashes = crashes;
         this.placements = placements;
         this.statements = statements;
         this.permits = permits;
@@ -174,8 +168,6 @@
                 .forEach((incarnation, own) -> work.put(
                         incarnation,
                         new BackendWork(own.running(), own.unreadTokens(), own.heldTokens(), own.shortRunning())));
-        List<CrashCount> counts = new ArrayList<>();
-        crashes.local(now).forEach((fingerprint, count) -> counts.add(new CrashCount(fingerprint, count)));
         List<PartPlaced> parts = new ArrayList<>();
         placements
                 .recent(now)
@@ -187,7 +179,7 @@
                 startedAtMillis,
                 sequence,
                 work,
-                counts,
+                List.of(),
                 parts,
                 settings.dataCentre(),
                 network.relay().readsLog());
@@ -225,9 +217,6 @@
             context.log().era().observe(report.getEra());
         }
         mergeStatements(report);
-        Map<Long, Integer> counts = new HashMap<>();
-        report.getCrashes().forEach(count -> counts.put(count.getFingerprint(), count.getCrashes()));
-        crashes.replaceRemote(report.getHost(), counts);
         report.getPlaced()
                 .forEach(placed -> placements.receive(
                         new PlacedPart(placed.getIncarnation(), new PromptPart(placed.getPart(), placed.getTokens()))));
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -16,7 +16,6 @@
 import org.cranberrygauge.proxy.retry.RetryPolicy;
 import org.cranberrygauge.proxy.routing.BackendChooser.Choice;
 import org.cranberrygauge.proxy.routing.BackendLoad.Placement;
-import org.cranberrygauge.proxy.routing.Prompt;
 import org.cranberrygauge.proxy.stream.StreamOrigin;
 
 /**
@@ -137,8 +136,7 @@
 
     /** Tells whether the request, or a part of its prompt, has crashed several backend servers. */
     private boolean crashesBackends() {
-        return context.crashes().isBlocked(request::fingerprint)
-                || context.crashingParts().isBlocked(request.callerHeaders().prompt()::suspects);
+        return context.crashingParts().isBlocked(request::suspects);
     }
 
     @Override
@@ -212,8 +210,7 @@
         }
         if (!shownSound && now - firstEventMillis.getAsLong() >= SOUND_AFTER_MILLIS) {
             shownSound = true;
-            context.crashingParts()
-                    .recordCompletion(now, request.callerHeaders().prompt()::suspects);
+            context.crashingParts().recordCompletion(now, request::suspects);
         }
     }
 
@@ -222,11 +219,10 @@
      * it may have.
      */
     private void recordCompletion(boolean framed) {
-        Prompt prompt = request.callerHeaders().prompt();
         if (framed) {
-            context.crashingParts().recordCompletion(now(), prompt::suspects);
+            context.crashingParts().recordCompletion(now(), request::suspects);
         } else if (!shownSound) {
-            context.crashWatch().recordBroken(now(), attempt.backend(), prompt.suspects());
+            context.crashWatch().recordBroken(now(), attempt.backend(), request.suspects());
         }
     }
 
@@ -300,11 +296,8 @@
             recorder.recordStart();
         }
         if (outcome == AttemptOutcome.BROKEN || outcome == AttemptOutcome.STREAM_BROKEN) {
-            context.crashes().record(now, request.fingerprint());
             if (!shownSound) {
-                context.crashWatch()
-                        .recordBroken(
-                                now, backend, request.callerHeaders().prompt().suspects());
+                context.crashWatch().recordBroken(now, backend, request.suspects());
             }
         }
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
@@ -9,7 +9,6 @@
 import org.cranberrygauge.proxy.backend.VersionHistory;
 import org.cranberrygauge.proxy.configuration.Pool;
 import org.cranberrygauge.proxy.leader.UsageCounter;
-import org.cranberrygauge.proxy.retry.CrashTracker;
 import org.cranberrygauge.proxy.routing.BackendChooser;
 import org.cranberrygauge.proxy.routing.BackendLoad;
 import org.cranberrygauge.proxy.routing.EngineProfiles;
@@ -30,8 +29,7 @@
  * @param streams Tells where streams began.
  * @param versions The versions of software that served lately.
  * @param queues The requests that wait until a backend server is available and has capacity.
- * @param crashes The requests that broke the connections of backend servers.
- * @param crashingParts The parts of prompts that crash backend servers.
+ * @param crashingParts The parts of prompts, and the requests, that crash backend servers.
  * @param crashWatch Finds out which backend servers crashed.
  * @param reachability Tells whether this host is cut off from all backend servers.
  * @param usage Counts the requests that started running.
@@ -54,7 +52,6 @@
         VersionHistory versions,
         PoolWaitQueues queues,
         PoolRetryBudgets budgets,
-        CrashTracker crashes,
         CrashingParts crashingParts,
         CrashWatch crashWatch,
         BackendReachability reachability,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
@@ -3,7 +3,9 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import java.util.List;
 import java.util.Optional;
+import org.cranberrygauge.decision.quarantine.SuspectPart;
 import org.cranberrygauge.decision.topology.StableHash;
 import org.cranberrygauge.proxy.configuration.Pool;
 import org.cranberrygauge.proxy.configuration.Route;
@@ -59,8 +61,15 @@
                         || callerHeaders.lastEventId().isPresent());
     }
 
+    /** Returns what may crash a backend server that runs this request: the shared parts of its prompt, and all of it. */
+    List<SuspectPart> suspects() {
+        List<SuspectPart> suspects = callerHeaders.prompt().suspects();
+        suspects.add(new SuspectPart(fingerprint(), SuspectPart.WHOLE_REQUEST));
+        return suspects;
+    }
+
     /** Returns a hash of customer, URI and body, which identifies retries of the same request by the caller. */
-    public long fingerprint() {
+    private long fingerprint() {
         long hash = StableHash.update(StableHash.START, customer.orElse("") + '\n' + uri + '\n');
         for (int index = 0; index < body.length(); index++) {
             hash = StableHash.update(hash, body.getByte(index));
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/Prompt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/Prompt.java
@@ -25,7 +25,7 @@
         return parts.subList(0, Math.max(0, parts.size() - 1));
     }
 
-    /** Returns the shared parts as suspects of a crash of the backend server that runs the prompt. */
+    /** Returns the shared parts as suspects of a crash of the backend server that runs the prompt, in a new list. */
     public List<SuspectPart> suspects() {
         List<SuspectPart> suspects = new ArrayList<>();
         for (PromptPart part : sharedParts()) {
