A request passed on belongs to the host that has it; completions speak for a part though a crash is heard of later

Cause: (1) a connection to a host that had rejected a request, when it broke later, ended the request at the next host (review); (2) completions of parts that were not suspected yet were dropped, so that a host that heard of a crash late blamed sound parts; (3) a host that drains offered its help. Change: the request of the current host alone counts; the last 1,024 completions are kept; draining hosts help nobody.

--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/quarantine/CrashingParts.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/quarantine/CrashingParts.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -35,14 +34,20 @@
     /** The maximum number of retained crashes; the oldest are evicted. */
     private static final int MAXIMUM_CRASHES = 256;
 
+    /** The maximum number of parts whose completion is retained; the oldest are evicted. */
+    private static final int MAXIMUM_COMPLETED = 1_024;
+
     /** The maximum number of crashes that are shared for one blocked part. */
     private static final int SHARED_CRASHES = 8;
 
     /** By incarnation of the backend server, the oldest first. */
     private final Map<String, BackendCrash> crashes = new LinkedHashMap<>();
 
-    /** The monotonic time in milliseconds at which a suspected part last completed. */
-    private final Map<Long, Long> completed = new HashMap<>();
+    /**
+     * The monotonic time in milliseconds at which a part last completed, the oldest first. Parts that are not suspected
+     * are included, since a host may learn of a crash later than of what speaks for them.
+     */
+    private final Map<Long, Long> completed = new LinkedHashMap<>();
 
     /** The parts that ran on any crashed server. */
     private volatile Set<Long> suspected = Set.of();
@@ -64,19 +69,19 @@
      * Records that a request has completed.
      *
      * @param nowMillis The current monotonic time in milliseconds.
-     * @param parts The request and the shared parts of its prompt, which are determined only if any part is suspected.
+     * @param parts The request and the shared parts of its prompt.
      */
-    public void recordCompletion(long nowMillis, Supplier<List<SuspectPart>> parts) {
-        if (suspected.isEmpty()) {
-            return;
-        }
-        parts.get().forEach(part -> recordCompletion(new PartCompletion(part.part(), nowMillis)));
+    public void recordCompletion(long nowMillis, List<SuspectPart> parts) {
+        parts.forEach(part -> recordCompletion(new PartCompletion(part.part(), nowMillis)));
     }
 
     /** Records a completion that this or another host saw. */
     public synchronized void recordCompletion(PartCompletion completion) {
-        if (suspected.contains(completion.part())) {
-            completed.merge(completion.part(), completion.atMillis(), Math::max);
+        Long previous = completed.remove(completion.part());
+        long newest = previous == null ? completion.atMillis() : Math.max(previous, completion.atMillis());
+        completed.put(completion.part(), newest);
+        if (completed.size() > MAXIMUM_COMPLETED) {
+            completed.remove(completed.keySet().iterator().next());
         }
     }
 
@@ -107,7 +112,6 @@
         crashes.values().removeIf(crash -> isExpired(nowMillis, crash, blamed.keySet()));
         Set<Long> parts = new HashSet<>();
         crashes.values().forEach(crash -> parts.addAll(crash.parts().keySet()));
-        completed.keySet().retainAll(parts);
         suspected = Set.copyOf(parts);
         Set<Long> active = new HashSet<>();
         blamed.forEach((part, lastMillis) -> {
@@ -134,14 +138,14 @@
     }
 
     /**
-     * Returns the completions up to an age.
+     * Returns the completions of suspected parts up to an age.
      *
      * @param nowMillis The current monotonic time in milliseconds.
      */
     public synchronized List<PartCompletion> recentCompletions(long nowMillis, long maximumAgeMillis) {
         List<PartCompletion> recent = new ArrayList<>();
         completed.forEach((part, atMillis) -> {
-            if (nowMillis - atMillis <= maximumAgeMillis) {
+            if (nowMillis - atMillis <= maximumAgeMillis && suspected.contains(part)) {
                 recent.add(new PartCompletion(part, atMillis));
             }
         });
--- a/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/quarantine/CrashingPartsTest.java
+++ b/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/quarantine/CrashingPartsTest.java
@@ -62,11 +62,18 @@
         assertThat(parts.update(4_000)).isEmpty();
     }
 
+    @Test
+    void doesNotBlameAPartThatCompletedBeforeThisHostLearnedOfTheCrashes() {
+        parts.recordCompletion(new PartCompletion(SOUND, 3_100));
+        crashThrice(SOUND);
+        assertThat(parts.update(4_000)).isEmpty();
+    }
+
     @Test
     void releasesAPartThatCompletes() {
         crashThrice(SOUND);
         assertThat(parts.update(4_000)).containsExactly(SOUND);
-        parts.recordCompletion(4_100, () -> List.of(new SuspectPart(SOUND, 1)));
+        parts.recordCompletion(4_100, List.of(new SuspectPart(SOUND, 1)));
         assertThat(parts.update(4_200)).isEmpty();
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/CrashExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/CrashExchange.java
@@ -37,7 +37,7 @@
     private static final long REPEATED_COMPLETION_MILLIS = 1_000;
 
     /** The number of updates between two repetitions of the crashes of blocked parts. */
-    private static final int BLOCKED_UPDATES = 5;
+    private static final int BLOCKED_UPDATES = 6;
 
     /** The number of other hosts to which a host repeats what it knows. */
     private static final int REPEATED_HOSTS = 8;
@@ -105,7 +105,7 @@
         transport.send(HostMessage.crashes(report), peers.addresses(now));
     }
 
-    /** Judges the known crashes, and repeats them to some other hosts. */
+    /** Judges the known crashes, and repeats what is known to some other hosts. */
     public void update() {
         long now = time.monotonicMillis();
         asking |= now - lastUpdateMillis > SUSPENDED_MILLIS;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
@@ -190,7 +190,8 @@
                 .configuration()
                 .configuration()
                 .ifPresent(inForce -> report.setConfigurationVersion(inForce.version()));
-        report.setReachesBackends(reachability.reaches(now));
+        boolean draining = context.blackboard().draining();
+        report.setReachesBackends(reachability.reaches(now) && !draining);
         Map<String, Shared> shared = statements.shared(now, present);
         return shared.isEmpty() ? report : report.setStated(StatementReports.write(now, shared));
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -210,7 +210,7 @@
         }
         if (!shownSound && now - firstEventMillis.getAsLong() >= SOUND_AFTER_MILLIS) {
             shownSound = true;
-            context.crashingParts().recordCompletion(now, request::suspects);
+            context.crashingParts().recordCompletion(now, request.suspects());
         }
     }
 
@@ -220,7 +220,7 @@
      */
     private void recordCompletion(boolean framed) {
         if (framed) {
-            context.crashingParts().recordCompletion(now(), request::suspects);
+            context.crashingParts().recordCompletion(now(), request.suspects());
         } else if (!shownSound) {
             context.crashWatch().recordBroken(now(), attempt.backend(), request.suspects());
         }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
@@ -111,7 +111,7 @@
 
     private void send(HttpClientRequest opened) {
         hostRequest = opened;
-        opened.exceptionHandler(failure -> failBroken());
+        opened.exceptionHandler(failure -> failBroken(opened));
         if (ended) {
             opened.reset();
             return;
@@ -120,14 +120,14 @@
         context.codec().copyRequest(request.headers(), opened.headers());
         new Forwarding(Optional.of(context.host()), Math.max(1, remainingMillis() - RETURN_MILLIS), remainingAttempts)
                 .write(opened.headers());
-        opened.send(request.body()).onSuccess(this::read).onFailure(failure -> failBroken());
+        opened.send(request.body()).onSuccess(this::read).onFailure(failure -> failBroken(opened));
     }
 
     private void read(HttpClientResponse hostResponse) {
-        if (ended) {
+        if (ended || hostResponse.request() != hostRequest) {
             return;
         }
-        hostResponse.exceptionHandler(failure -> failBroken());
+        hostResponse.exceptionHandler(failure -> failBroken(hostResponse.request()));
         if (isRejection(hostResponse)) {
             if (hostResponse.statusCode() == UNAVAILABLE_STATUS) {
                 rejection = Optional.of(hostResponse.headers());
@@ -153,7 +153,7 @@
         Buffer body = Buffer.buffer();
         hostResponse.handler(bytes -> {
             if (body.length() + bytes.length() > MAXIMUM_BUFFERED_BYTES) {
-                failBroken();
+                failBroken(hostResponse.request());
                 return;
             }
             body.appendBuffer(bytes);
@@ -193,9 +193,9 @@
         return forwarded;
     }
 
-    /** Ends the request because the connection to the other host broke, so that it may have run. */
-    private void failBroken() {
-        if (ended || !sent) {
+    /** Ends the request because the connection to the host that has it broke, so that it may have run. */
+    private void failBroken(HttpClientRequest broken) {
+        if (ended || !sent || broken != hostRequest) {
             return;
         }
         endUnknown(RejectReason.BACKEND_BROKE);
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/CrashingFleet.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/CrashingFleet.java
@@ -270,7 +270,7 @@
                     running.remove(run);
                 }
                 if (now() >= run.endMillis() || run.isShownSound(now())) {
-                    run.host.host.whenAwake(() -> run.host.crashingParts.recordCompletion(now(), run::parts));
+                    run.host.host.whenAwake(() -> run.host.crashingParts.recordCompletion(now(), run.parts()));
                 }
             }
         }
