--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/quarantine/CrashAttribution.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/quarantine/CrashAttribution.java
@@ -15,8 +15,8 @@
  *
  * <p>A part that crashes servers ran on each of them and never completes, whatever else its requests hold. Sound parts
  * ran on some of them only, or complete elsewhere. So the part that accounts for the most crashes since it last completed
- * is blamed for them, and other parts only for the crashes that remain. A whole request counts as its last part. Servers that crash at the same moment have one
- * cause and count once. Stateless and thread-safe.
+ * is blamed for them, and other parts only for the crashes that remain. A whole request counts as its last part. Servers
+ * that crash at the same moment have one cause and count once. Stateless and thread-safe.
  */
 final class CrashAttribution {
 
--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/quarantine/CrashingParts.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/quarantine/CrashingParts.java
@@ -11,10 +11,11 @@
 import java.util.function.Supplier;
 
 /**
- * Knows the parts of prompts, and the whole requests, that crash backend servers, from the crashes and completed requests of all hosts.
+ * Knows the parts of prompts, and the whole requests, that crash backend servers, from the crashes and completed
+ * requests of all hosts.
  *
- * <p>Hosts exchange what they saw, not what they conclude, so that all come to the same conclusion and revise it with what
- * they learn later. Invariants: the number of retained crashes is bounded; a part that completes is not blocked.
+ * <p>Hosts exchange what they saw, not what they conclude, so that all come to the same conclusion and revise it with
+ * what they learn later. Invariants: the number of retained crashes is bounded; a part that completes is not blocked.
  * Thread-safe; requests read immutable sets without a lock.
  */
 public final class CrashingParts {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
@@ -111,8 +111,8 @@
     public record PromptPartBlocked(String part) implements Event {}
 
     /**
-     * Requests with a part in their prompts are no longer rejected: one completed, other parts account for the crashes, or
-     * the last crash is old.
+     * Requests with a part in their prompts are no longer rejected: one completed, other parts account for the crashes,
+     * or the last crash is old.
      *
      * @param part The hash of the part's identifier in hexadecimal.
      */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/CrashExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/CrashExchange.java
@@ -19,8 +19,8 @@
 /**
  * Exchanges with the other hosts which parts of prompts ran on crashed backend servers, and which completed.
  *
- * <p>A host tells all others of a crash that it saw, once. Every host repeats what is recent to a few others, so that lost
- * messages and partitions delay it only. A host that has started or was suspended asks the others. Not thread-safe.
+ * <p>A host tells all others of a crash that it saw, once. Every host repeats what is recent to a few others, so that
+ * lost messages and partitions delay it only. A host that has started or was suspended asks the others. Not thread-safe.
  */
 public final class CrashExchange {
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -26,12 +26,6 @@
  */
 final class Exchange implements BackendAttempt.Listener {
 
-    /**
-     * The time after the first event of a stream from which its request does not crash the backend server: one that does
-     * crashes it as soon as it begins to write.
-     */
-    private static final long SOUND_AFTER_MILLIS = 1_000;
-
     /** The time without a response after which this host examines whether it is cut off. */
     private static final long SILENCE_MILLIS = 700;
 
@@ -45,6 +39,8 @@
 
     private final BackendSelection selection;
 
+    private final CrashEvidence evidence;
+
     private AttemptHistory history = AttemptHistory.NONE;
 
     /** The outcome of the last failed attempt; null before. */
@@ -64,12 +60,6 @@
     /** The monotonic time at which the attempt in progress started. */
     private long attemptStartMillis;
 
-    /** The monotonic time of the first event in the attempt in progress; empty before it. */
-    private OptionalLong firstEventMillis = OptionalLong.empty();
-
-    /** Whether the attempt in progress has shown that the request does not crash its backend server. */
-    private boolean shownSound;
-
     /** Whether the attempt in progress has a connection, so that the request may run. */
     private boolean sent;
 
@@ -89,6 +79,7 @@
         this.request = request;
         this.response = response;
         this.selection = new BackendSelection(context, request);
+        this.evidence = new CrashEvidence(context, request);
         this.recorder = new ExchangeRecorder(context, request);
         this.lastEventId = request.callerHeaders().lastEventId();
     }
@@ -124,7 +115,7 @@
 
     /** @param otherwise The reason for the rejection if there is no backend server. */
     private void attemptFirst(RejectReason otherwise) {
-        if (crashesBackends()) {
+        if (evidence.isBlocked()) {
             reject(RejectReason.CRASHES_BACKENDS);
             return;
         }
@@ -134,11 +125,6 @@
         }
     }
 
-    /** Tells whether the request, or a part of its prompt, has crashed several backend servers. */
-    private boolean crashesBackends() {
-        return context.crashingParts().isBlocked(request::suspects);
-    }
-
     @Override
     public void onSent() {
         sent = true;
@@ -165,7 +151,7 @@
         beginStream(status, headers);
         lastEventId = lastId.or(() -> lastEventId);
         context.reachability().recordHeard(now());
-        recordProgress();
+        evidence.recordEvents(now());
         response.write(events);
         if (response.isFull()) {
             BackendAttempt reading = attempt;
@@ -177,7 +163,7 @@
     @Override
     public void onStreamEnd(int status, MultiMap headers, boolean framed) {
         beginStream(status, headers);
-        recordCompletion(framed);
+        evidence.recordResponse(now(), attempt.backend(), framed);
         context.load(selection.pool(), attempt.backend()).recordSuccess();
         context.profiles().recordEnd(selection.pool().name(), placement, now() - attemptStartMillis);
         response.endStream();
@@ -193,7 +179,7 @@
             return;
         }
         context.load(selection.pool(), attempt.backend()).recordSuccess();
-        recordCompletion(buffered.isFramed());
+        evidence.recordResponse(now(), attempt.backend(), buffered.isFramed());
         if (history.streaming()) {
             abort("resumed_with_status");
             return;
@@ -202,30 +188,6 @@
         forward(buffered, "served");
     }
 
-    /** Records that the request does not crash its backend server once events have arrived for a while. */
-    private void recordProgress() {
-        long now = now();
-        if (firstEventMillis.isEmpty()) {
-            firstEventMillis = OptionalLong.of(now);
-        }
-        if (!shownSound && now - firstEventMillis.getAsLong() >= SOUND_AFTER_MILLIS) {
-            shownSound = true;
-            context.crashingParts().recordCompletion(now, request.suspects());
-        }
-    }
-
-    /**
-     * Records that the request did not crash its backend server; if only the end of the connection ended the response,
-     * it may have.
-     */
-    private void recordCompletion(boolean framed) {
-        if (framed) {
-            context.crashingParts().recordCompletion(now(), request.suspects());
-        } else if (!shownSound) {
-            context.crashWatch().recordBroken(now(), attempt.backend(), request.suspects());
-        }
-    }
-
     @Override
     public void onFailure(AttemptOutcome reported, String detail) {
         AttemptOutcome outcome =
@@ -296,15 +258,13 @@
             recorder.recordStart();
         }
         if (outcome == AttemptOutcome.BROKEN || outcome == AttemptOutcome.STREAM_BROKEN) {
-            if (!shownSound) {
-                context.crashWatch().recordBroken(now, backend, request.suspects());
-            }
+            evidence.recordBroken(now, backend);
         }
     }
 
     /** Checks the crash tracker and the retry budget for another attempt. */
     private boolean mayRetry(AttemptOutcome outcome, long now) {
-        if (crashesBackends()) {
+        if (evidence.isBlocked()) {
             return false;
         }
         if (outcome == AttemptOutcome.NOT_CONNECTED) {
@@ -374,7 +334,7 @@
 
     /** Sends a queued request if a server is available by now and has capacity. */
     DispatchResult tryDispatch() {
-        if (crashesBackends()) {
+        if (evidence.isBlocked()) {
             waiting = false;
             endBlocked();
             return DispatchResult.ENDED;
@@ -432,8 +392,7 @@
                 .record(now, backend.incarnation(), request.callerHeaders().prompt());
         attempt = new BackendAttempt(context.codec(), request, backend, this);
         attemptStartMillis = now;
-        firstEventMillis = OptionalLong.empty();
-        shownSound = false;
+        evidence.recordAttempt();
         sent = false;
         attempt.start(context.client(), request.deadlineMillis() - now, lastEventId);
     }
