--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendSelection.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendSelection.java
@@ -10,6 +10,7 @@
 import org.cranberrygauge.decision.backend.Availability.Kind;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.configuration.Pool;
+import org.cranberrygauge.proxy.configuration.RouteKind;
 import org.cranberrygauge.proxy.routing.BackendChooser.Choice;
 import org.cranberrygauge.proxy.stream.StreamOrigin;
 
@@ -45,9 +46,16 @@
         return pool;
     }
 
-    /** Confines the selection to the version of a server that has begun a stream. */
-    void confineTo(Backend began) {
+    /**
+     * Confines the selection to the version of a server that has begun a stream, and records where a resumable one began,
+     * before the caller can resume it.
+     */
+    void begin(Backend began) {
         version = Optional.of(began.version());
+        if (request.route().kind() == RouteKind.RESUMABLE_STREAM) {
+            String first = request.callerHeaders().firstRequestId().orElse(request.id());
+            context.streams().record(first, StreamOrigin.of(began));
+        }
     }
 
     /**
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -3,11 +3,9 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.cranberrygauge.proxy.admission.RejectReason;
 import org.cranberrygauge.proxy.admission.WaitQueue.Entry;
 import org.cranberrygauge.proxy.backend.Backend;
-import org.cranberrygauge.proxy.configuration.RouteKind;
 import org.cranberrygauge.proxy.exchange.BackendAttempt.BufferedResponse;
 import org.cranberrygauge.proxy.exchange.HeaderCodec.BackendResponseHeaders;
 import org.cranberrygauge.proxy.retry.AttemptHistory;
@@ -16,7 +14,6 @@
 import org.cranberrygauge.proxy.retry.RetryPolicy;
 import org.cranberrygauge.proxy.routing.BackendChooser.Choice;
 import org.cranberrygauge.proxy.routing.BackendLoad.Placement;
-import org.cranberrygauge.proxy.stream.StreamOrigin;
 
 /**
  * The lifecycle of one request, from admission to the final response.
@@ -41,6 +38,10 @@
 
     private final CrashEvidence evidence;
 
+    private final RetryGate retryGate;
+
+    private final FinalResponse end;
+
     private AttemptHistory history = AttemptHistory.NONE;
 
     /** The outcome of the last failed attempt; null before. */
@@ -80,6 +81,8 @@
         this.response = response;
         this.selection = new BackendSelection(context, request);
         this.evidence = new CrashEvidence(context, request);
+        this.retryGate = new RetryGate(context, request, selection, evidence);
+        this.end = new FinalResponse(context, response, selection, this::finish);
         this.recorder = new ExchangeRecorder(context, request);
         this.lastEventId = request.callerHeaders().lastEventId();
     }
@@ -90,7 +93,7 @@
         context.blackboard().active().incrementAndGet();
         response.onDisconnect(this::callerDisconnected);
         if (request.deadlineMillis() <= now) {
-            reject(RejectReason.EXPIRED);
+            end.reject(RejectReason.EXPIRED);
             return;
         }
         deadlineTimer = context.vertx().setTimer(request.deadlineMillis() - now, fired -> expire());
@@ -107,7 +110,7 @@
             return;
         }
         if (rejection.isPresent()) {
-            reject(rejection.get());
+            end.reject(rejection.get());
         } else {
             attemptFirst(RejectReason.NO_BACKEND_OF_VERSION);
         }
@@ -116,12 +119,12 @@
     /** @param otherwise The reason for the rejection if there is no backend server. */
     private void attemptFirst(RejectReason otherwise) {
         if (evidence.isBlocked()) {
-            reject(RejectReason.CRASHES_BACKENDS);
+            end.reject(RejectReason.CRASHES_BACKENDS);
             return;
         }
         context.budgets().of(selection.pool().name()).recordRequest(now());
         if (!attemptNext()) {
-            rejectUnavailable(otherwise);
+            end.rejectUnavailable(now(), otherwise);
         }
     }
 
@@ -181,11 +184,11 @@
         context.load(selection.pool(), attempt.backend()).recordSuccess();
         evidence.recordResponse(now(), attempt.backend(), buffered.isFramed());
         if (history.streaming()) {
-            abort("resumed_with_status");
+            end.abort("resumed_with_status");
             return;
         }
         recorder.recordFirstEvent(now());
-        forward(buffered, "served");
+        end.forward(buffered, "served");
     }
 
     @Override
@@ -215,11 +218,7 @@
         long now = now();
         Backend backend = attempt.backend();
         long remaining = request.deadlineMillis() - now;
-        NextStep next = RetryPolicy.next(request.route(), history, outcome, remaining);
-        boolean retry = next == NextStep.TRY_ANOTHER && mayRetry(outcome, now);
-        if (next == NextStep.TRY_ANOTHER && !retry) {
-            next = RetryPolicy.withoutRetry(history, outcome);
-        }
+        NextStep next = retryGate.next(now, history, outcome);
         recorder.recordFailedAttempt(backend, outcome, detail, next, history, remaining, now - attemptStartMillis);
         proceed(next, outcome);
     }
@@ -235,10 +234,11 @@
         }
         switch (next) {
             case REFUSE ->
-                rejectUnavailable(
+                end.rejectUnavailable(
+                        now(),
                         outcome == AttemptOutcome.NOT_RUN ? RejectReason.BACKENDS_FULL : RejectReason.NO_BACKEND);
-            case PASS_ON -> forward(serverError.orElseThrow(), "server_error");
-            case CUT -> abort("stream_broken");
+            case PASS_ON -> end.forward(serverError.orElseThrow(), "server_error");
+            case CUT -> end.abort("stream_broken");
             default -> forwardOrReject();
         }
     }
@@ -246,9 +246,9 @@
     /** Forwards an earlier server error, or reports that the request may have run. */
     private void forwardOrReject() {
         if (serverError.isPresent()) {
-            forward(serverError.get(), "server_error");
+            end.forward(serverError.get(), "server_error");
         } else {
-            reject(RejectReason.BACKEND_BROKE);
+            end.reject(RejectReason.BACKEND_BROKE);
         }
     }
 
@@ -262,19 +262,6 @@
         }
     }
 
-    /** Checks the crash tracker and the retry budget for another attempt. */
-    private boolean mayRetry(AttemptOutcome outcome, long now) {
-        if (evidence.isBlocked()) {
-            return false;
-        }
-        if (outcome == AttemptOutcome.NOT_CONNECTED) {
-            return true;
-        }
-        return context.budgets()
-                .of(selection.pool().name())
-                .tryAcquire(now, context.blackboard().peers().hosts());
-    }
-
     /**
      * Sends the request to the next backend server, or queues it if that server is saturated or those that are left
      * become available in time.
@@ -282,7 +269,7 @@
      * @return Whether there is another backend server.
      */
     private boolean attemptNext() {
-        if (mayForward()) {
+        if (retryGate.mayForward(history)) {
             forwardToHost();
             return true;
         }
@@ -302,16 +289,6 @@
         return true;
     }
 
-    /** Tells whether this host is cut off from all backend servers, and another one may serve the request. */
-    private boolean mayForward() {
-        return context.reachability().isCutOff()
-                && !request.forwarded()
-                && !history.streaming()
-                && (!history.mayHaveRun() || request.route().kind().mayRetry())
-                && history.sent() < request.route().maximumAttempts()
-                && !context.blackboard().helpers().isEmpty();
-    }
-
     /** Ends this exchange and passes the request on to another host. */
     private void forwardToHost() {
         finish("forwarded", 0);
@@ -339,7 +316,7 @@
             endBlocked();
             return DispatchResult.ENDED;
         }
-        if (mayForward()) {
+        if (retryGate.mayForward(history)) {
             waiting = false;
             forwardToHost();
             return DispatchResult.ENDED;
@@ -365,7 +342,7 @@
             return;
         }
         boolean unavailable = selection.chooseOpen(now()).isEmpty();
-        rejectUnavailable(unavailable ? RejectReason.BACKENDS_LIMITED : RejectReason.BACKENDS_FULL);
+        end.rejectUnavailable(now(), unavailable ? RejectReason.BACKENDS_LIMITED : RejectReason.BACKENDS_FULL);
     }
 
     /** Ends a queued request that turns out to crash backend servers. */
@@ -373,7 +350,7 @@
         if (lastOutcome != null) {
             proceed(RetryPolicy.withoutRetry(history, lastOutcome), lastOutcome);
         } else {
-            reject(RejectReason.CRASHES_BACKENDS);
+            end.reject(RejectReason.CRASHES_BACKENDS);
         }
     }
 
@@ -405,7 +382,7 @@
             return;
         }
         history = history.withStart();
-        recordOrigin();
+        selection.begin(attempt.backend());
         context.profiles().recordFirstEvent(selection.pool().name(), placement, now() - attemptStartMillis);
         recorder.recordFirstEvent(now());
         MultiMap forwarded = MultiMap.caseInsensitiveMultiMap();
@@ -413,57 +390,6 @@
         response.startStream(status, forwarded);
     }
 
-    /** Records where a resumable stream began, before the caller can resume it. */
-    private void recordOrigin() {
-        selection.confineTo(attempt.backend());
-        if (request.route().kind() == RouteKind.RESUMABLE_STREAM) {
-            String first = request.callerHeaders().firstRequestId().orElse(request.id());
-            context.streams().record(first, StreamOrigin.of(attempt.backend()));
-        }
-    }
-
-    /**
-     * Forwards a complete response.
-     *
-     * @param outcome The outcome of the request.
-     */
-    private void forward(BufferedResponse buffered, String outcome) {
-        MultiMap forwarded = MultiMap.caseInsensitiveMultiMap();
-        context.codec().copyResponse(buffered.headers(), forwarded);
-        response.forward(buffered.status(), forwarded, buffered.body());
-        finish(outcome, buffered.status());
-    }
-
-    /**
-     * Rejects a request that has not run and that no server takes.
-     *
-     * @param otherwise The reason unless all servers pause, in which case the rejection tells when the first one ends.
-     */
-    private void rejectUnavailable(RejectReason otherwise) {
-        long now = now();
-        OptionalLong fromMillis = selection.availableFromMillis(now);
-        if (fromMillis.isPresent() && fromMillis.getAsLong() > now) {
-            reject(RejectReason.BACKENDS_PAUSED, OptionalLong.of(fromMillis.getAsLong() - now));
-        } else {
-            reject(otherwise);
-        }
-    }
-
-    private void reject(RejectReason reason) {
-        reject(reason, reason.retryAfterMillis());
-    }
-
-    private void reject(RejectReason reason, OptionalLong retryAfterMillis) {
-        response.reject(reason.status(), retryAfterMillis);
-        finish(reason.name(), reason.status());
-    }
-
-    /** Closes the connection to the caller within a stream. */
-    private void abort(String outcome) {
-        response.abort();
-        finish(outcome, 0);
-    }
-
     /** Ends the request at its deadline. */
     private void expire() {
         if (ended) {
@@ -472,10 +398,10 @@
         boolean mayHaveRun = history.mayHaveRun() || sent;
         abandonAttempt();
         if (history.streaming()) {
-            abort("timed_out_midway");
+            end.abort("timed_out_midway");
             return;
         }
-        reject(mayHaveRun ? RejectReason.TIMED_OUT : RejectReason.EXPIRED);
+        end.reject(mayHaveRun ? RejectReason.TIMED_OUT : RejectReason.EXPIRED);
     }
 
     /** Cancels the attempt in progress; if it was sent, its request may have run. */
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/FinalResponse.java
@@ -0,0 +1,70 @@
+package org.cranberrygauge.proxy.exchange;
+
+import io.vertx.core.MultiMap;
+import java.util.OptionalLong;
+import java.util.function.ObjIntConsumer;
+import org.cranberrygauge.proxy.admission.RejectReason;
+import org.cranberrygauge.proxy.exchange.BackendAttempt.BufferedResponse;
+
+/** Gives the final response to the caller, and ends the exchange with it. Not thread-safe. */
+final class FinalResponse {
+
+    private final ExchangeContext context;
+
+    private final CallerResponse response;
+
+    private final BackendSelection selection;
+
+    /** Ends the exchange; receives its outcome, and the status of the response or 0 if the connection was closed. */
+    private final ObjIntConsumer<String> end;
+
+    FinalResponse(
+            ExchangeContext context, CallerResponse response, BackendSelection selection, ObjIntConsumer<String> end) {
+        this.context = context;
+        this.response = response;
+        this.selection = selection;
+        this.end = end;
+    }
+
+    /**
+     * Forwards a complete response.
+     *
+     * @param outcome The outcome of the request.
+     */
+    void forward(BufferedResponse buffered, String outcome) {
+        MultiMap forwarded = MultiMap.caseInsensitiveMultiMap();
+        context.codec().copyResponse(buffered.headers(), forwarded);
+        response.forward(buffered.status(), forwarded, buffered.body());
+        end.accept(outcome, buffered.status());
+    }
+
+    /**
+     * Rejects a request that has not run and that no server takes.
+     *
+     * @param nowMillis The current monotonic time in milliseconds.
+     * @param otherwise The reason unless all servers pause, in which case the rejection tells when the first one ends.
+     */
+    void rejectUnavailable(long nowMillis, RejectReason otherwise) {
+        OptionalLong fromMillis = selection.availableFromMillis(nowMillis);
+        if (fromMillis.isPresent() && fromMillis.getAsLong() > nowMillis) {
+            reject(RejectReason.BACKENDS_PAUSED, OptionalLong.of(fromMillis.getAsLong() - nowMillis));
+        } else {
+            reject(otherwise);
+        }
+    }
+
+    void reject(RejectReason reason) {
+        reject(reason, reason.retryAfterMillis());
+    }
+
+    private void reject(RejectReason reason, OptionalLong retryAfterMillis) {
+        response.reject(reason.status(), retryAfterMillis);
+        end.accept(reason.name(), reason.status());
+    }
+
+    /** Closes the connection to the caller within a stream. */
+    void abort(String outcome) {
+        response.abort();
+        end.accept(outcome, 0);
+    }
+}
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/RetryGate.java
@@ -0,0 +1,59 @@
+package org.cranberrygauge.proxy.exchange;
+
+import org.cranberrygauge.proxy.retry.AttemptHistory;
+import org.cranberrygauge.proxy.retry.AttemptOutcome;
+import org.cranberrygauge.proxy.retry.NextStep;
+import org.cranberrygauge.proxy.retry.RetryPolicy;
+
+/** Tells whether a request may be sent again, here or by another host. Not thread-safe. */
+final class RetryGate {
+
+    private final ExchangeContext context;
+
+    private final ProxyRequest request;
+
+    private final BackendSelection selection;
+
+    private final CrashEvidence evidence;
+
+    RetryGate(ExchangeContext context, ProxyRequest request, BackendSelection selection, CrashEvidence evidence) {
+        this.context = context;
+        this.request = request;
+        this.selection = selection;
+        this.evidence = evidence;
+    }
+
+    /**
+     * Decides what follows a failed attempt; another attempt is taken from the retry budget.
+     *
+     * @param nowMillis The current monotonic time in milliseconds.
+     */
+    NextStep next(long nowMillis, AttemptHistory history, AttemptOutcome outcome) {
+        NextStep next = RetryPolicy.next(request.route(), history, outcome, request.deadlineMillis() - nowMillis);
+        boolean retry = next == NextStep.TRY_ANOTHER && mayRetry(nowMillis, outcome);
+        return next == NextStep.TRY_ANOTHER && !retry ? RetryPolicy.withoutRetry(history, outcome) : next;
+    }
+
+    /** Checks the blame for crashes and the retry budget for another attempt. */
+    private boolean mayRetry(long nowMillis, AttemptOutcome outcome) {
+        if (evidence.isBlocked()) {
+            return false;
+        }
+        if (outcome == AttemptOutcome.NOT_CONNECTED) {
+            return true;
+        }
+        return context.budgets()
+                .of(selection.pool().name())
+                .tryAcquire(nowMillis, context.blackboard().peers().hosts());
+    }
+
+    /** Tells whether this host is cut off from all backend servers, and another one may serve the request. */
+    boolean mayForward(AttemptHistory history) {
+        return context.reachability().isCutOff()
+                && !request.forwarded()
+                && !history.streaming()
+                && (!history.mayHaveRun() || request.route().kind().mayRetry())
+                && history.sent() < request.route().maximumAttempts()
+                && !context.blackboard().helpers().isEmpty();
+    }
+}
