A request that ends without an attempt cancels no timer of others

What callers saw: nothing yet; found on reading the diff. Cause: an exchange cancelled its silence timer also when none was set, and with it the timer of number 0, the first one of its process. The same stood in the path of requests that arrive after their deadline. Evidence: RejectedRequestTest failed before (a periodic timer of number 0 stopped after one rejected request), passes now with PlatformEndToEndTest. Change: ExchangeTimers cancels only what was set.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -23,9 +23,6 @@
  */
 final class Exchange implements BackendAttempt.Listener {
 
-    /** The time without a response after which this host examines whether it is cut off. */
-    private static final long SILENCE_MILLIS = 700;
-
     private final ExchangeContext context;
 
     private final ProxyRequest request;
@@ -42,6 +39,8 @@
 
     private final FinalResponse end;
 
+    private final ExchangeTimers timers;
+
     private AttemptHistory history = AttemptHistory.NONE;
 
     /** The outcome of the last failed attempt; null before. */
@@ -70,11 +69,6 @@
     /** Whether the final response was given. */
     private boolean ended;
 
-    private long deadlineTimer;
-
-    /** Fires if the backend server stays silent. */
-    private long silenceTimer;
-
     Exchange(ExchangeContext context, ProxyRequest request, CallerResponse response) {
         this.context = context;
         this.request = request;
@@ -83,6 +77,7 @@
         this.evidence = new CrashEvidence(context, request);
         this.retryGate = new RetryGate(context, request, selection, evidence);
         this.end = new FinalResponse(context, response, selection, this::finish);
+        this.timers = new ExchangeTimers(context.vertx());
         this.recorder = new ExchangeRecorder(context, request);
         this.lastEventId = request.callerHeaders().lastEventId();
     }
@@ -96,7 +91,7 @@
             end.reject(RejectReason.EXPIRED);
             return;
         }
-        deadlineTimer = context.vertx().setTimer(request.deadlineMillis() - now, fired -> expire());
+        timers.startDeadline(request.deadlineMillis() - now, this::expire);
         if (request.resumesStream()) {
             new StreamResumption(context, request, selection).resolve(this::resume);
             return;
@@ -131,15 +126,14 @@
     @Override
     public void onSent() {
         sent = true;
-        silenceTimer = context.vertx()
-                .setTimer(SILENCE_MILLIS, fired -> context.reachability().checkSilence(now()));
+        timers.startSilence(() -> context.reachability().checkSilence(now()));
     }
 
     @Override
     public void onHeaders(BackendResponseHeaders headers) {
         Backend backend = attempt.backend();
         long now = now();
-        context.vertx().cancelTimer(silenceTimer);
+        timers.cancelSilence();
         context.reachability().recordHeard(now);
         context.statements()
                 .observe(now, backend.incarnation(), headers.statement())
@@ -202,7 +196,7 @@
         history = history.withOutcome(outcome);
         lastOutcome = outcome;
         sent = false;
-        context.vertx().cancelTimer(silenceTimer);
+        timers.cancelSilence();
         if (outcome == AttemptOutcome.NOT_CONNECTED || outcome == AttemptOutcome.BROKEN) {
             context.reachability().check(cutOff -> continueAfter(outcome, detail));
         } else {
@@ -430,8 +424,7 @@
      */
     private void finish(String outcome, int status) {
         ended = true;
-        context.vertx().cancelTimer(deadlineTimer);
-        context.vertx().cancelTimer(silenceTimer);
+        timers.cancelAll();
         context.blackboard().active().decrementAndGet();
         if (waiting) {
             context.queues().of(selection.pool().name()).remove(this);
