A host that forwards a request reads its rejection only where the other host says that it has not run

What callers saw: nothing yet; found on reading the diff. A request that must run at most once, forwarded by a host without servers, could run once at each of three hosts. Cause: an answer without a signature and with one of six statuses counted as the rejection of a host, also when a backend server had given it. Evidence: CutOffHostTest.aRequestThatRanIsNotSentToAnotherHostWhateverItsAnswerSays failed before (503 in place of the server's 404, after further hosts were tried), passes now with the other cases, RejectedRequestTest and PlatformEndToEndTest. Change: rejections to forwarding hosts carry a mark of their own, which no answer of a backend server keeps; RejectReason tells which ones state that a request has not run.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -303,7 +303,7 @@
             publishMetrics(hostMetrics, queues.size());
         });
         CallerHandler handler = new CallerHandler(context, admission);
-        return new IngressServer(vertx, handler::handleForwarded, handler::handleInvalid)
+        return new IngressServer(vertx, handler::handleForwarded, handler::handleInvalidForwarded)
                 .listen(settings.peers())
                 .compose(
                         listening -> new IngressServer(vertx, handler, handler::handleInvalid).listen(settings.front()))
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RejectReason.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RejectReason.java
@@ -35,7 +35,7 @@
     NO_BACKEND_OF_VERSION(503, 500),
     /** The caller resumes a stream, and no host knows at which version it began. */
     UNKNOWN_STREAM(503, 0),
-    /** The request has crashed several backend servers. */
+    /** The request, or a part of its prompt, has crashed several backend servers. */
     CRASHES_BACKENDS(503, 30_000),
     /** The deadline passed and the request has certainly not run. */
     EXPIRED(503, 0),
@@ -53,6 +53,11 @@
         this.retryAfterMillis = retryAfterMillis;
     }
 
+    /** Tells whether a rejection for this reason states that the request has not run and never will. */
+    public boolean isNotRun() {
+        return this != TIMED_OUT && this != BACKEND_BROKE;
+    }
+
     public int status() {
         return status;
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
@@ -29,7 +29,7 @@
     private static final int REDIRECT_STATUS = 300;
 
     /** The maximum size of a response body that is buffered. */
-    private static final int MAXIMUM_BUFFERED_BYTES = 8 << 20;
+    static final int MAXIMUM_BUFFERED_BYTES = 8 << 20;
 
     private final HeaderCodec codec;
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
@@ -53,7 +53,7 @@
         try {
             handle(request, Forwarding.take(request.headers()));
         } catch (IllegalArgumentException exception) {
-            handleInvalid(request);
+            handleInvalidForwarded(request);
         }
     }
 
@@ -81,7 +81,8 @@
     }
 
     private void process(HttpServerRequest request, Forwarding forwarding, long now) {
-        CallerResponse response = new CallerResponse(request, context.blackboard()::draining);
+        CallerResponse response = new CallerResponse(
+                request, context.blackboard()::draining, forwarding.from().isPresent());
         CallerHeaders callerHeaders = context.codec().decodeCaller(request.headers());
         ConfigurationView view = context.blackboard().configuration();
         String host = request.getHeader("Host");
@@ -142,7 +143,16 @@
 
     /** Rejects a malformed request. The connection is closed, since the start of the next request on it is unknown. */
     public void handleInvalid(HttpServerRequest request) {
-        CallerResponse response = new CallerResponse(request, context.blackboard()::draining);
+        rejectInvalid(request, false);
+    }
+
+    /** Rejects a malformed request of another host. */
+    public void handleInvalidForwarded(HttpServerRequest request) {
+        rejectInvalid(request, true);
+    }
+
+    private void rejectInvalid(HttpServerRequest request, boolean forwarded) {
+        CallerResponse response = new CallerResponse(request, context.blackboard()::draining, forwarded);
         response.closeAfterResponse();
         CallerHeaders callerHeaders = context.codec().decodeCaller(request.headers());
         reject(context.time().monotonicMillis(), request, response, callerHeaders, RejectReason.BAD_REQUEST);
@@ -183,7 +193,7 @@
             RejectReason reason) {
         ConfigurationView view = context.blackboard().configuration();
         request.exceptionHandler(failure -> {});
-        response.reject(reason.status(), reason.retryAfterMillis());
+        response.reject(reason, reason.retryAfterMillis());
         context.metrics().recordEnd(ABSENT, ABSENT, reason.name());
         context.events()
                 .emit(new ExchangeEvents.RequestRejected(
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
+import org.cranberrygauge.proxy.admission.RejectReason;
 
 /**
  * Writes the response to a caller.
@@ -26,12 +27,17 @@
 
     private final BooleanSupplier draining;
 
+    /** Whether the caller is another host that forwards the request. */
+    private final boolean forwarded;
+
     private boolean closeAfter;
 
-    public CallerResponse(HttpServerRequest request, BooleanSupplier draining) {
+    /** @param forwarded Whether the caller is another host that forwards the request. */
+    public CallerResponse(HttpServerRequest request, BooleanSupplier draining, boolean forwarded) {
         this.request = request;
         this.response = request.response();
         this.draining = draining;
+        this.forwarded = forwarded;
     }
 
     /** Sets the callback for a connection that the caller closes before the response is complete. */
@@ -50,8 +56,11 @@
      *
      * @param retryAfterMillis How long the caller should wait before a retry, in milliseconds.
      */
-    public void reject(int status, OptionalLong retryAfterMillis) {
-        response.setStatusCode(status);
+    public void reject(RejectReason reason, OptionalLong retryAfterMillis) {
+        response.setStatusCode(reason.status());
+        if (forwarded) {
+            Forwarding.markNotRun(response.headers(), reason.isNotRun());
+        }
         retryAfterMillis.ifPresent(millis -> response.putHeader(
                 HttpHeaders.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", millis / MILLIS_PER_SECOND)));
         end(Buffer.buffer());
@@ -61,6 +70,9 @@
     public void forward(int status, MultiMap headers, Buffer body) {
         response.setStatusCode(status);
         response.headers().addAll(headers);
+        if (forwarded) {
+            Forwarding.markNotRun(response.headers(), false);
+        }
         end(body);
     }
 
@@ -68,6 +80,9 @@
     public void startStream(int status, MultiMap headers) {
         response.setStatusCode(status);
         response.headers().addAll(headers);
+        if (forwarded) {
+            Forwarding.markNotRun(response.headers(), false);
+        }
         response.setChunked(true);
         announceClose();
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/FinalResponse.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/FinalResponse.java
@@ -58,7 +58,7 @@
     }
 
     private void reject(RejectReason reason, OptionalLong retryAfterMillis) {
-        response.reject(reason.status(), retryAfterMillis);
+        response.reject(reason, retryAfterMillis);
         end.accept(reason.name(), reason.status());
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
@@ -9,7 +9,6 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.proxy.admission.RejectReason;
 
@@ -25,17 +24,11 @@
     /** The number of other hosts that are tried. */
     private static final int MAXIMUM_HOSTS = 3;
 
-    /** The part of the remaining time that is left for the way back from the other host, in milliseconds. */
+    /** The time that is reserved for the way of the response from the other host to this one, in milliseconds. */
     private static final long RETURN_MILLIS = 20;
 
-    /** The maximum size of a response that is no stream. */
-    private static final int MAXIMUM_BUFFERED_BYTES = 8 << 20;
-
     private static final int UNAVAILABLE_STATUS = 503;
 
-    /** The statuses with which a host itself, not a backend server, rejects a request that has not run. */
-    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(400, 401, 403, 404, 413, UNAVAILABLE_STATUS);
-
     private final ExchangeContext context;
 
     private final ProxyRequest request;
@@ -65,7 +58,7 @@
     /** Whether the caller has received the start of a stream. */
     private boolean streaming;
 
-    /** The last rejection with the promise that the request did not run. */
+    /** The headers of the last rejection that tells the caller when to come back. */
     private Optional<MultiMap> rejection = Optional.empty();
 
     private boolean ended;
@@ -128,7 +121,7 @@
             return;
         }
         hostResponse.exceptionHandler(failure -> failBroken(hostResponse.request()));
-        if (isRejection(hostResponse)) {
+        if (Forwarding.takeNotRun(hostResponse.headers())) {
             if (hostResponse.statusCode() == UNAVAILABLE_STATUS) {
                 rejection = Optional.of(hostResponse.headers());
             }
@@ -142,17 +135,10 @@
         }
     }
 
-    private boolean isRejection(HttpClientResponse hostResponse) {
-        return NOT_RUN_STATUSES.contains(hostResponse.statusCode())
-                && !context.codec()
-                        .decodeResponse(hostResponse.statusCode(), hostResponse.headers())
-                        .signature();
-    }
-
     private void readBuffered(HttpClientResponse hostResponse) {
         Buffer body = Buffer.buffer();
         hostResponse.handler(bytes -> {
-            if (body.length() + bytes.length() > MAXIMUM_BUFFERED_BYTES) {
+            if (body.length() + bytes.length() > BackendAttempt.MAXIMUM_BUFFERED_BYTES) {
                 failBroken(hostResponse.request());
                 return;
             }
@@ -215,7 +201,7 @@
 
     private void endUnknown(RejectReason reason) {
         ended = true;
-        hostRequestReset();
+        resetHostRequest();
         if (streaming) {
             response.abort();
             finish(0);
@@ -237,7 +223,7 @@
     }
 
     private void reject(RejectReason reason) {
-        response.reject(reason.status(), reason.retryAfterMillis());
+        response.reject(reason, reason.retryAfterMillis());
         finish(reason.status());
     }
 
@@ -246,11 +232,11 @@
             return;
         }
         ended = true;
-        hostRequestReset();
+        resetHostRequest();
         finish(0);
     }
 
-    private void hostRequestReset() {
+    private void resetHostRequest() {
         if (hostRequest != null) {
             hostRequest.reset();
         }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Forwarding.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Forwarding.java
@@ -20,6 +20,9 @@
 
     private static final String REMAINING_ATTEMPTS = "Cranberrygauge-Remaining-Attempts";
 
+    /** On a rejection by the host that a request was forwarded to: the request has not run and never will. */
+    private static final String NOT_RUN = "Cranberrygauge-Not-Run";
+
     /** Writes this into the headers of a request to another host. */
     void write(MultiMap headers) {
         headers.set(FROM, from.orElse(""));
@@ -27,6 +30,22 @@
         headers.set(REMAINING_ATTEMPTS, Integer.toString(remainingAttempts));
     }
 
+    /** Marks a response to a forwarded request as a rejection of one that has not run, or as any other. */
+    static void markNotRun(MultiMap responseHeaders, boolean notRun) {
+        if (notRun) {
+            responseHeaders.set(NOT_RUN, "1");
+        } else {
+            responseHeaders.remove(NOT_RUN);
+        }
+    }
+
+    /** Reads and removes the mark that a request has not run. */
+    static boolean takeNotRun(MultiMap responseHeaders) {
+        boolean notRun = responseHeaders.contains(NOT_RUN);
+        responseHeaders.remove(NOT_RUN);
+        return notRun;
+    }
+
     /**
      * Reads the headers of a request from another host and removes what it added to them.
      *
