--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendEvents.java
@@ -33,7 +33,7 @@
     }
 
     /**
-     * None of several backend servers takes a connection of this host; requests are passed on to other hosts.
+     * None of several backend servers takes a connection of this host; requests are forwarded to other hosts.
      *
      * @param listed The number of listed backend servers.
      */
@@ -42,7 +42,7 @@
     /**
      * A backend server takes connections of this host again.
      *
-     * @param afterMillis The time since the host was cut off, in milliseconds.
+     * @param afterMillis The time since the host was isolated, in milliseconds.
      */
     public record BackendsReachable(long afterMillis) implements Event {}
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendReachability.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendReachability.java
@@ -13,9 +13,9 @@
 import org.cranberrygauge.runtime.time.TimeSource;
 
 /**
- * Tells whether this host is cut off from all backend servers: whether none of several takes a connection.
+ * Tells whether this host is isolated from all backend servers: whether none of several takes a connection.
  *
- * <p>Servers are examined only after a failure, and while the host is cut off. The examination belongs to the event loop
+ * <p>Servers are examined only after a failure, and while the host is isolated. The examination belongs to the event loop
  * of requests; the results are read by any thread.
  */
 public final class BackendReachability {
@@ -26,11 +26,11 @@
     /** The number of servers that are examined at a time. */
     private static final int EXAMINED_SERVERS = 3;
 
-    /** The interval between examinations while the host is cut off. */
-    private static final long CUT_OFF_INTERVAL_MILLIS = 250;
+    /** The interval between examinations while the host is isolated. */
+    private static final long ISOLATED_INTERVAL_MILLIS = 250;
 
-    /** The time without a response of any server from which silence is examined. */
-    private static final long SILENCE_MILLIS = 500;
+    /** The age up to which a response of any server shows that the host is not isolated. */
+    private static final long RECENT_RESPONSE_MILLIS = 500;
 
     /** The time since the last response of any server within which this host tells others that it reaches some. */
     private static final long REACHING_MILLIS = 10_000;
@@ -49,19 +49,19 @@
 
     private final Random random = new Random();
 
-    /** Those that wait until the host is not cut off. */
+    /** The actions that wait until the host is not isolated. */
     private final List<Runnable> waitingUntilReachable = new ArrayList<>();
 
-    /** Those that wait for the examination in progress. */
+    /** The receivers of the result of the examination in progress. */
     private final List<Consumer<Boolean>> waiting = new ArrayList<>();
 
-    private volatile boolean cutOff;
+    private volatile boolean isolated;
 
     private volatile long lastHeardMillis = NEVER;
 
     private boolean examining;
 
-    private long cutOffSinceMillis;
+    private long isolatedSinceMillis;
 
     /** @param backends Returns the servers that are listed now. */
     public BackendReachability(Vertx vertx, TimeSource time, Supplier<BackendSnapshot> backends, EventLog events) {
@@ -72,18 +72,18 @@
         this.events = events;
     }
 
-    /** Tells whether the host was cut off when this was examined last. */
-    public boolean isCutOff() {
-        return cutOff;
+    /** Tells whether the host was isolated when this was examined last. */
+    public boolean isIsolated() {
+        return isolated;
     }
 
     /**
-     * Tells whether the host has reached a server lately, so that it can help one that is cut off.
+     * Tells whether the host has reached a server lately, so that an isolated one can forward requests to it.
      *
      * @param nowMillis The current monotonic time in milliseconds.
      */
     public boolean reaches(long nowMillis) {
-        return !cutOff && nowMillis - lastHeardMillis <= REACHING_MILLIS;
+        return !isolated && nowMillis - lastHeardMillis <= REACHING_MILLIS;
     }
 
     /**
@@ -96,23 +96,23 @@
     }
 
     /**
-     * Examines whether the host is cut off because a server does not respond, unless any has responded lately.
+     * Examines whether the host is isolated because a server does not respond, unless any has responded lately.
      *
      * @param nowMillis The current monotonic time in milliseconds.
      */
     public void checkSilence(long nowMillis) {
-        if (nowMillis - lastHeardMillis > SILENCE_MILLIS) {
+        if (nowMillis - lastHeardMillis > RECENT_RESPONSE_MILLIS) {
             check(result -> {});
         }
     }
 
     /**
-     * Examines whether the host is cut off.
+     * Examines whether the host is isolated.
      *
      * @param done Receives the result.
      */
     public void check(Consumer<Boolean> done) {
-        if (cutOff) {
+        if (isolated) {
             done.accept(true);
             return;
         }
@@ -122,9 +122,9 @@
         }
     }
 
-    /** Runs an action once the host is not cut off. */
+    /** Runs an action once the host is not isolated. */
     public void whenReachable(Runnable action) {
-        if (cutOff) {
+        if (isolated) {
             waitingUntilReachable.add(action);
         } else {
             action.run();
@@ -146,15 +146,15 @@
 
     private void end(boolean unreachable) {
         examining = false;
-        if (unreachable != cutOff) {
+        if (unreachable != isolated) {
             recordChange(unreachable);
         }
-        cutOff = unreachable;
+        isolated = unreachable;
         List<Consumer<Boolean>> answered = List.copyOf(waiting);
         waiting.clear();
         answered.forEach(done -> done.accept(unreachable));
         if (unreachable) {
-            vertx.setTimer(CUT_OFF_INTERVAL_MILLIS, fired -> examine());
+            vertx.setTimer(ISOLATED_INTERVAL_MILLIS, fired -> examine());
             return;
         }
         List<Runnable> due = List.copyOf(waitingUntilReachable);
@@ -165,11 +165,11 @@
     private void recordChange(boolean unreachable) {
         long now = time.monotonicMillis();
         if (unreachable) {
-            cutOffSinceMillis = now;
+            isolatedSinceMillis = now;
             events.emit(
                     new BackendEvents.BackendsUnreachable(backends.get().all().size()));
         } else {
-            events.emit(new BackendEvents.BackendsReachable(now - cutOffSinceMillis));
+            events.emit(new BackendEvents.BackendsReachable(now - isolatedSinceMillis));
         }
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
@@ -99,22 +99,22 @@
      * A backend server broke connections of requests and takes no new one.
      *
      * @param backend The incarnation of the backend server.
-     * @param parts The number of shared prompt parts that this host's requests ran there.
+     * @param parts The number of shared prompt parts and of requests that this host ran there.
      */
     public record BackendCrashSeen(String backend, int parts) implements Event {}
 
     /**
-     * Requests with a part in their prompts are rejected from now on, since the part crashes backend servers.
+     * Requests with a part in their prompts, or one request that is sent again and again, are rejected from now on, since
+     * they crash backend servers.
      *
-     * @param part The hash of the part's identifier in hexadecimal.
+     * @param part The hash of the part's identifier, or of the request, in hexadecimal.
      */
     public record PromptPartBlocked(String part) implements Event {}
 
     /**
-     * Requests with a part in their prompts are no longer rejected: one completed, other parts account for the crashes,
-     * or the last crash is old.
+     * Such requests are no longer rejected: one completed, other parts account for the crashes, or the last crash is old.
      *
-     * @param part The hash of the part's identifier in hexadecimal.
+     * @param part The hash of the part's identifier, or of the request, in hexadecimal.
      */
     public record PromptPartReleased(String part) implements Event {}
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
@@ -223,7 +223,7 @@
      *
      * @param nowMillis The current monotonic time in milliseconds.
      */
-    List<NetworkAddress> helpers(long nowMillis) {
+    List<NetworkAddress> forwardingTargets(long nowMillis) {
         return peers.values().stream()
                 .filter(peer -> peer.reachesBackends() && isHeard(nowMillis, peer))
                 .map(Peer::address)
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
@@ -157,7 +157,7 @@
         network.channel()
                 .send(HostMessage.report(buildReport(now)), network.peers().addresses(now));
         context.blackboard().publish(network.peers().loads(now));
-        context.blackboard().publishHelpers(network.peers().helpers(now));
+        context.blackboard().publishForwardingTargets(network.peers().forwardingTargets(now));
     }
 
     private HostReport buildReport(long now) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CrashEvidence.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CrashEvidence.java
@@ -6,14 +6,14 @@
 /**
  * What the attempts of one request show of whether it crashes the backend servers that run it.
  *
- * <p>Invariant: of one attempt it is either recorded that the request is sound, or that it may have crashed the server. Not
- * thread-safe.
+ * <p>Invariant: of one attempt it is recorded either that the request is sound or that it may have crashed the server.
+ * Not thread-safe.
  */
 final class CrashEvidence {
 
     /**
-     * The time after the first event of a stream from which its request does not crash the backend server: one that does
-     * crashes it as soon as it begins to write.
+     * The time after the first event of a stream from which its request counts as sound: one that crashes the backend
+     * server does so as soon as the server begins to write.
      */
     private static final long SOUND_AFTER_MILLIS = 1_000;
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CrashWatch.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CrashWatch.java
@@ -15,7 +15,7 @@
 
 /**
  * Finds out whether backend servers whose connections broke have crashed: a server that was to serve and takes no new
- * connection has, unless this host is cut off from all. One that leaves, or whose connections were only reset, has not.
+ * connection has, unless this host is isolated from all. One that leaves, or whose connections were only reset, has not.
  * Not thread-safe.
  */
 public final class CrashWatch {
@@ -84,16 +84,16 @@
                 return;
             }
             BackendCrash crash = new BackendCrash(backend.incarnation(), suspicion.atMillis(), suspicion.positions());
-            reachability.check(cutOff -> judge(crash, cutOff));
+            reachability.check(isolated -> judge(crash, isolated));
         });
     }
 
     /**
-     * Reports a crash. While this host is cut off, or all servers are gone, no connect tells the two apart; the list of
+     * Reports a crash. While this host is isolated, or all servers are gone, no connect tells the two apart; the list of
      * servers does afterwards.
      */
-    private void judge(BackendCrash crash, boolean cutOff) {
-        if (!cutOff) {
+    private void judge(BackendCrash crash, boolean isolated) {
+        if (!isolated) {
             crashes.accept(crash);
             return;
         }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -37,7 +37,7 @@
 
     private final RetryGate retryGate;
 
-    private final FinalResponse end;
+    private final FinalResponse finalResponse;
 
     private final ExchangeTimers timers;
 
@@ -76,7 +76,7 @@
         this.selection = new BackendSelection(context, request);
         this.evidence = new CrashEvidence(context, request);
         this.retryGate = new RetryGate(context, request, selection, evidence);
-        this.end = new FinalResponse(context, response, selection, this::finish);
+        this.finalResponse = new FinalResponse(context, response, selection, this::finish);
         this.timers = new ExchangeTimers(context.vertx());
         this.recorder = new ExchangeRecorder(context, request);
         this.lastEventId = request.callerHeaders().lastEventId();
@@ -88,7 +88,7 @@
         context.blackboard().active().incrementAndGet();
         response.onDisconnect(this::callerDisconnected);
         if (request.deadlineMillis() <= now) {
-            end.reject(RejectReason.EXPIRED);
+            finalResponse.reject(RejectReason.EXPIRED);
             return;
         }
         timers.startDeadline(request.deadlineMillis() - now, this::expire);
@@ -105,7 +105,7 @@
             return;
         }
         if (rejection.isPresent()) {
-            end.reject(rejection.get());
+            finalResponse.reject(rejection.get());
         } else {
             attemptFirst(RejectReason.NO_BACKEND_OF_VERSION);
         }
@@ -114,12 +114,12 @@
     /** @param otherwise The reason for the rejection if there is no backend server. */
     private void attemptFirst(RejectReason otherwise) {
         if (evidence.isBlocked()) {
-            end.reject(RejectReason.CRASHES_BACKENDS);
+            finalResponse.reject(RejectReason.CRASHES_BACKENDS);
             return;
         }
         context.budgets().of(selection.pool().name()).recordRequest(now());
         if (!attemptNext()) {
-            end.rejectUnavailable(now(), otherwise);
+            finalResponse.rejectUnavailable(now(), otherwise);
         }
     }
 
@@ -178,11 +178,11 @@
         context.load(selection.pool(), attempt.backend()).recordSuccess();
         evidence.recordResponse(now(), attempt.backend(), buffered.isFramed());
         if (history.streaming()) {
-            end.abort("resumed_with_status");
+            finalResponse.abort("resumed_with_status");
             return;
         }
         recorder.recordFirstEvent(now());
-        end.forward(buffered, "served");
+        finalResponse.forward(buffered, "served");
     }
 
     @Override
@@ -198,13 +198,13 @@
         sent = false;
         timers.cancelSilence();
         if (outcome == AttemptOutcome.NOT_CONNECTED || outcome == AttemptOutcome.BROKEN) {
-            context.reachability().check(cutOff -> continueAfter(outcome, detail));
+            context.reachability().check(isolated -> continueAfter(outcome, detail));
         } else {
             continueAfter(outcome, detail);
         }
     }
 
-    /** Decides what follows a failed attempt, once it is known whether this host is cut off. */
+    /** Decides what follows a failed attempt, once it is known whether this host is isolated. */
     private void continueAfter(AttemptOutcome outcome, String detail) {
         if (ended) {
             return;
@@ -228,11 +228,11 @@
         }
         switch (next) {
             case REFUSE ->
-                end.rejectUnavailable(
+                finalResponse.rejectUnavailable(
                         now(),
                         outcome == AttemptOutcome.NOT_RUN ? RejectReason.BACKENDS_FULL : RejectReason.NO_BACKEND);
-            case PASS_ON -> end.forward(serverError.orElseThrow(), "server_error");
-            case CUT -> end.abort("stream_broken");
+            case PASS_ON -> finalResponse.forward(serverError.orElseThrow(), "server_error");
+            case CUT -> finalResponse.abort("stream_broken");
             default -> forwardOrReject();
         }
     }
@@ -240,9 +240,9 @@
     /** Forwards an earlier server error, or reports that the request may have run. */
     private void forwardOrReject() {
         if (serverError.isPresent()) {
-            end.forward(serverError.get(), "server_error");
+            finalResponse.forward(serverError.get(), "server_error");
         } else {
-            end.reject(RejectReason.BACKEND_BROKE);
+            finalResponse.reject(RejectReason.BACKEND_BROKE);
         }
     }
 
@@ -336,7 +336,8 @@
             return;
         }
         boolean unavailable = selection.chooseOpen(now()).isEmpty();
-        end.rejectUnavailable(now(), unavailable ? RejectReason.BACKENDS_LIMITED : RejectReason.BACKENDS_FULL);
+        finalResponse.rejectUnavailable(
+                now(), unavailable ? RejectReason.BACKENDS_LIMITED : RejectReason.BACKENDS_FULL);
     }
 
     /** Ends a queued request that turns out to crash backend servers. */
@@ -344,7 +345,7 @@
         if (lastOutcome != null) {
             proceed(RetryPolicy.withoutRetry(history, lastOutcome), lastOutcome);
         } else {
-            end.reject(RejectReason.CRASHES_BACKENDS);
+            finalResponse.reject(RejectReason.CRASHES_BACKENDS);
         }
     }
 
@@ -392,10 +393,10 @@
         boolean mayHaveRun = history.mayHaveRun() || sent;
         abandonAttempt();
         if (history.streaming()) {
-            end.abort("timed_out_midway");
+            finalResponse.abort("timed_out_midway");
             return;
         }
-        end.reject(mayHaveRun ? RejectReason.TIMED_OUT : RejectReason.EXPIRED);
+        finalResponse.reject(mayHaveRun ? RejectReason.TIMED_OUT : RejectReason.EXPIRED);
     }
 
     /** Cancels the attempt in progress; if it was sent, its request may have run. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
@@ -31,7 +31,7 @@
  * @param queues The requests that wait until a backend server is available and has capacity.
  * @param crashingParts The parts of prompts, and the requests, that crash backend servers.
  * @param crashWatch Finds out which backend servers crashed.
- * @param reachability Tells whether this host is cut off from all backend servers.
+ * @param reachability Tells whether this host is isolated from all backend servers.
  * @param usage Counts the requests that started running.
  * @param usageTime The clocks by which usage is counted.
  */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
@@ -76,7 +76,7 @@
         this.response = response;
         this.remainingAttempts = remainingAttempts;
         this.mayHaveRun = mayHaveRun;
-        this.hosts = new ArrayList<>(context.blackboard().helpers());
+        this.hosts = new ArrayList<>(context.blackboard().forwardingTargets());
         Collections.shuffle(hosts);
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
@@ -24,7 +24,7 @@
     private final AtomicReference<PeerLoads> peers = new AtomicReference<>(PeerLoads.NO_PEERS);
 
     /** The addresses of the other hosts that reach backend servers. */
-    private final AtomicReference<List<NetworkAddress>> helpers = new AtomicReference<>(List.of());
+    private final AtomicReference<List<NetworkAddress>> forwardingTargets = new AtomicReference<>(List.of());
 
     /** The speed of engines by pool, as this host's own requests show it. */
     private final AtomicReference<Map<String, EngineProfile>> engineProfiles = new AtomicReference<>(Map.of());
@@ -64,12 +64,12 @@
     }
 
     /** Returns the addresses of the other hosts that reach backend servers. */
-    public List<NetworkAddress> helpers() {
-        return helpers.get();
+    public List<NetworkAddress> forwardingTargets() {
+        return forwardingTargets.get();
     }
 
-    public void publishHelpers(List<NetworkAddress> addresses) {
-        helpers.set(List.copyOf(addresses));
+    public void publishForwardingTargets(List<NetworkAddress> addresses) {
+        forwardingTargets.set(List.copyOf(addresses));
     }
 
     /** Returns the speed of a pool's engines. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/RetryGate.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/RetryGate.java
@@ -47,13 +47,13 @@
                 .tryAcquire(nowMillis, context.blackboard().peers().hosts());
     }
 
-    /** Tells whether this host is cut off from all backend servers, and another one may serve the request. */
+    /** Tells whether this host is isolated from all backend servers, and another one may serve the request. */
     boolean mayForward(AttemptHistory history) {
-        return context.reachability().isCutOff()
+        return context.reachability().isIsolated()
                 && !request.forwarded()
                 && !history.streaming()
                 && (!history.mayHaveRun() || request.route().kind().mayRetry())
                 && history.sent() < request.route().maximumAttempts()
-                && !context.blackboard().helpers().isEmpty();
+                && !context.blackboard().forwardingTargets().isEmpty();
     }
 }
