--- a/cranberrygauge-protocol/src/main/thrift/proxy.thrift
+++ b/cranberrygauge-protocol/src/main/thrift/proxy.thrift
@@ -46,6 +46,12 @@
   10: optional i64 era
   11: optional i64 configurationVersion
   12: optional bool reachesBackends
+  // The tokens that customers were given lately, by customer; only those with the most.
+  13: optional map<string, i64> customerUse
+  // The observed time of backend servers in percent of their pool's, by incarnation; only those that differ.
+  14: optional map<string, i32> serverSpeedPercent
+  // The smoothed delay of the event loop that serves requests.
+  15: optional i32 loopDelayMillis
 }
 
 // Requests the records of a topic, starting at an offset, from a host that reads the shared log.
