Evacuated data centres, limits for cold backend servers, regions of routes and customers

Cause: no code knew an evacuation, a cold server or a region. Change: evacuations are read with the configuration and leave the servers of a data centre out of those that take requests. Cold servers have a limit for a time, shared by the permits that hosts already exchange. Requests stay in the regions that route and customer both name.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -11,7 +11,9 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import org.cranberrygauge.decision.backend.BackendLimits;
 import org.cranberrygauge.decision.backend.BackendStatements;
+import org.cranberrygauge.decision.backend.ColdServers;
 import org.cranberrygauge.decision.backend.HeldPermits;
 import org.cranberrygauge.decision.quarantine.BackendCrash;
 import org.cranberrygauge.decision.quarantine.CrashingParts;
@@ -20,11 +22,13 @@
 import org.cranberrygauge.proxy.backend.BackendReachability;
 import org.cranberrygauge.proxy.backend.VersionHistory;
 import org.cranberrygauge.proxy.configuration.ConfigurationView;
+import org.cranberrygauge.proxy.configuration.Pool;
 import org.cranberrygauge.proxy.control.BackendFollower;
 import org.cranberrygauge.proxy.control.ConfigurationFollower;
 import org.cranberrygauge.proxy.control.ControlEvents;
 import org.cranberrygauge.proxy.control.ControllerContext;
 import org.cranberrygauge.proxy.control.CrashExchange;
+import org.cranberrygauge.proxy.control.EvacuationFollower;
 import org.cranberrygauge.proxy.control.FleetController;
 import org.cranberrygauge.proxy.control.HostNetwork;
 import org.cranberrygauge.proxy.control.LeaderElection;
@@ -95,6 +99,11 @@
     /** What backend servers state of themselves. */
     private final BackendStatements statements = new BackendStatements();
 
+    /** The backend servers that are cold. */
+    private final ColdServers cold = new ColdServers(this::coldPerSecond);
+
+    private final BackendLimits limits = new BackendLimits(statements, cold);
+
     private final HeldPermits permits = new HeldPermits();
 
     private final PoolWaitQueues queues = new PoolWaitQueues();
@@ -205,6 +214,7 @@
                         dependencies.configurationKey(),
                         dependencies.configurations(),
                         network.peers()::configurationVersion,
+                        new EvacuationFollower(context, dependencies.evacuationKeyPrefix(), cold),
                         times.configurationMillis())
                 .start();
         new BackendFollower(
@@ -213,6 +223,7 @@
                         dependencies.backendTopic(),
                         dependencies.backends(),
                         statements::isLeaving,
+                        cold,
                         times.leavingMillis())
                 .start();
         election = new LeaderElection(context, network.relay(), incarnation, times.leaseMillis());
@@ -225,7 +236,7 @@
                 .start();
         new FleetController(context, election, dependencies.controlPlane(), ownWork).start();
         permitExchange =
-                new PermitExchange(time, network.peers(), network.channel(), statements, permits, this::dispatchQueued);
+                new PermitExchange(time, network.peers(), network.channel(), limits, permits, this::dispatchQueued);
         streams = new StreamOriginExchange(
                 time,
                 (millis, action) -> vertx.setTimer(millis, fired -> action.run()),
@@ -247,6 +258,16 @@
                 .start();
     }
 
+    /** Returns the requests per second that a cold server of a pool takes; 0 if it takes any rate or is unknown. */
+    private double coldPerSecond(String pool) {
+        return blackboard
+                .configuration()
+                .configuration()
+                .map(known -> known.pools().get(pool))
+                .map(Pool::coldPerSecond)
+                .orElse(0.0);
+    }
+
     /** Requests permits for a backend server on the event loop of the controllers. */
     private void requestPermit(String incarnation) {
         controlContext.runOnContext(run -> permitExchange.request(incarnation));
@@ -272,6 +293,7 @@
                 vertx,
                 time,
                 settings.host(),
+                settings.regions(),
                 blackboard,
                 new BackendClient(vertx),
                 dependencies.codec(),
@@ -279,7 +301,7 @@
                 loads,
                 profiles,
                 statements,
-                new BackendGate(statements, permits, this::requestPermit),
+                new BackendGate(limits, permits, this::requestPermit),
                 placements,
                 new EventLoopStreamDirectory(),
                 versions,
@@ -321,6 +343,7 @@
                 blackboard.backends().all().size(),
                 blackboard.peers().hosts(),
                 ready());
+        metrics.recordRestrictions(blackboard.evacuated().size(), cold.count(time.monotonicMillis()));
     }
 
     /** Returns the age of the configuration up to which keys are honoured. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxyDependencies.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxyDependencies.java
@@ -11,6 +11,8 @@
  * The external systems of a proxy process and the codecs for their data.
  *
  * @param configurationKey The key under which the configuration is stored.
+ * @param evacuationKeyPrefix The start of the keys in the same topic under which evacuated data centres are stored; the
+ *     name of the data centre follows.
  * @param hostTopic The topic in which hosts publish their addresses.
  * @param backendTopic The topic in which backend servers register.
  * @param controlPlane The control-plane calls of the leader.
@@ -19,6 +21,7 @@
         SharedLog log,
         String configurationTopic,
         String configurationKey,
+        String evacuationKeyPrefix,
         RecordReader<ProxyConfiguration> configurations,
         String hostTopic,
         String backendTopic,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxySettings.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxySettings.java
@@ -1,5 +1,6 @@
 package org.cranberrygauge.proxy;
 
+import java.util.Map;
 import org.cranberrygauge.model.backend.NetworkAddress;
 
 /**
@@ -7,6 +8,7 @@
  *
  * @param host The name of the host.
  * @param dataCentre The data centre of the host.
+ * @param regions The region of each data centre, by the name of the data centre.
  * @param front The address for callers.
  * @param status The address for the load balancer and for metrics.
  * @param peers The address for messages of other hosts.
@@ -16,12 +18,17 @@
 public record ProxySettings(
         String host,
         String dataCentre,
+        Map<String, String> regions,
         NetworkAddress front,
         NetworkAddress status,
         NetworkAddress peers,
         String readyPath,
         Times times) {
 
+    public ProxySettings {
+        regions = Map.copyOf(regions);
+    }
+
     /**
      * Time limits and bounds.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RejectReason.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RejectReason.java
@@ -17,6 +17,8 @@
     NO_KEY(401, 0),
     /** No customer owns the key. */
     UNKNOWN_KEY(401, 0),
+    /** The route and the customer name regions and have none in common, so that no server may run the request. */
+    NO_COMMON_HOME(503, 30_000),
     /** The message framing is ambiguous or a required header is missing. */
     BAD_REQUEST(400, 0),
     /** The body exceeds the configured limit. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RequestAdmission.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RequestAdmission.java
@@ -1,7 +1,9 @@
 package org.cranberrygauge.proxy.admission;
 
 import java.util.Optional;
+import java.util.Set;
 import org.cranberrygauge.proxy.configuration.ConfigurationView;
+import org.cranberrygauge.proxy.configuration.Homes;
 import org.cranberrygauge.proxy.configuration.KeyOwner;
 import org.cranberrygauge.proxy.configuration.ProxyConfiguration;
 import org.cranberrygauge.proxy.configuration.Route;
@@ -51,7 +53,7 @@
             return Decision.rejected(confirmed ? RejectReason.UNKNOWN_ROUTE : RejectReason.STALE_CONFIGURATION);
         }
         if (!configuration.needsKey(route.get())) {
-            return Decision.admitted(route.get(), Optional.empty(), urgency(route.get(), Optional.empty()));
+            return Decision.admitted(route.get(), Optional.empty());
         }
         if (!view.isFresh(nowMillis, nowWallMillis, maximumKeyAgeMillis)) {
             return Decision.rejected(RejectReason.STALE_CONFIGURATION);
@@ -63,14 +65,15 @@
         if (owner.isEmpty()) {
             return Decision.rejected(confirmed ? RejectReason.UNKNOWN_KEY : RejectReason.STALE_CONFIGURATION);
         }
-        return Decision.admitted(route.get(), owner.map(KeyOwner::customer), urgency(route.get(), owner));
+        Decision admitted = Decision.admitted(route.get(), owner);
+        return admitted.homes().isNowhere() ? Decision.rejected(RejectReason.NO_COMMON_HOME) : admitted;
     }
 
     /**
      * Computes the urgency that is sent to backend servers: the customer's priority first, then the route's. 0 is the
      * most urgent, 9 the least.
      */
-    private static int urgency(Route route, Optional<KeyOwner> owner) {
+    private static int urgencyOf(Route route, Optional<KeyOwner> owner) {
         int priority = owner.map(KeyOwner::priority)
                 .filter(value -> value.isPresent())
                 .map(value -> value.getAsInt())
@@ -85,17 +88,29 @@
      * @param route The matched route; empty if the request is rejected.
      * @param customer The customer; empty if the request is rejected or its route requires no key.
      * @param urgency The urgency from 0, the most urgent, to 9.
+     * @param homes The regions that the request may be sent to.
      * @param rejection The reason for a rejection; empty if the request is admitted.
      */
     public record Decision(
-            Optional<Route> route, Optional<String> customer, int urgency, Optional<RejectReason> rejection) {
+            Optional<Route> route,
+            Optional<String> customer,
+            int urgency,
+            Homes homes,
+            Optional<RejectReason> rejection) {
 
-        static Decision admitted(Route route, Optional<String> customer, int urgency) {
-            return new Decision(Optional.of(route), customer, urgency, Optional.empty());
+        static Decision admitted(Route route, Optional<KeyOwner> owner) {
+            Homes homes = Homes.of(route.homes(), owner.map(KeyOwner::homes).orElse(Set.of()));
+            return new Decision(
+                    Optional.of(route),
+                    owner.map(KeyOwner::customer),
+                    urgencyOf(route, owner),
+                    homes,
+                    Optional.empty());
         }
 
         static Decision rejected(RejectReason reason) {
-            return new Decision(Optional.empty(), Optional.empty(), LOWEST_URGENCY, Optional.of(reason));
+            return new Decision(
+                    Optional.empty(), Optional.empty(), LOWEST_URGENCY, Homes.ANYWHERE, Optional.of(reason));
         }
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/Backend.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/Backend.java
@@ -13,6 +13,7 @@
  * @param slots The number of requests that it runs at once.
  * @param leaving Whether it drains and accepts no new requests.
  * @param supply Whether it is regular or cheap, reclaimable capacity.
+ * @param coldMillis The time for which it stays cold, in milliseconds, counted from its entry; 0 if it is not cold.
  */
 public record Backend(
         String id,
@@ -23,11 +24,17 @@
         String version,
         int slots,
         boolean leaving,
-        Supply supply) {
+        Supply supply,
+        long coldMillis) {
 
     /** Returns this backend server as one that drains. */
     public Backend withLeaving() {
-        return new Backend(id, startedMillis, pool, address, dataCentre, version, slots, true, supply);
+        return new Backend(id, startedMillis, pool, address, dataCentre, version, slots, true, supply, coldMillis);
+    }
+
+    /** Returns this backend server without the time for which it stays cold, which changes with each entry. */
+    public Backend withoutColdTime() {
+        return new Backend(id, startedMillis, pool, address, dataCentre, version, slots, leaving, supply, 0);
     }
 
     /** Returns a name that is unique to this start of the server. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendGate.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendGate.java
@@ -4,25 +4,29 @@
 import java.util.function.Consumer;
 import org.cranberrygauge.decision.backend.Availability;
 import org.cranberrygauge.decision.backend.Availability.Kind;
+import org.cranberrygauge.decision.backend.BackendLimits;
 import org.cranberrygauge.decision.backend.BackendStatements;
 import org.cranberrygauge.decision.backend.HeldPermits;
 
 /**
- * Tells whether this host may send a request to a backend server now, by all that the server has stated of itself.
+ * Tells whether this host may send a request to a backend server now, by all that is known of the server.
  *
- * <p>Invariant: each request to a server that states a limit uses a permit of its own. Thread-safe.
+ * <p>Invariant: each request to a server with a limit uses a permit of its own. Thread-safe.
  */
 public final class BackendGate {
 
     private final BackendStatements statements;
 
+    private final BackendLimits limits;
+
     private final HeldPermits permits;
 
     /** Requests permits for an incarnation from the host that issues them. */
     private final Consumer<String> permitRequests;
 
-    public BackendGate(BackendStatements statements, HeldPermits permits, Consumer<String> permitRequests) {
-        this.statements = statements;
+    public BackendGate(BackendLimits limits, HeldPermits permits, Consumer<String> permitRequests) {
+        this.statements = limits.statements();
+        this.limits = limits;
         this.permits = permits;
         this.permitRequests = permitRequests;
     }
@@ -38,9 +42,12 @@
             return new Availability(Kind.OTHER_VERSION, Long.MAX_VALUE);
         }
         Availability stated = statements.availability(nowMillis, backend.incarnation());
-        return stated.kind() == Kind.NEEDS_PERMIT && permits.has(nowMillis, backend.incarnation())
-                ? new Availability(Kind.OPEN, nowMillis)
-                : stated;
+        if (!stated.isOpen()
+                || limits.perSecond(nowMillis, backend.incarnation()).isEmpty()) {
+            return stated;
+        }
+        Kind kind = permits.has(nowMillis, backend.incarnation()) ? Kind.OPEN : Kind.NEEDS_PERMIT;
+        return new Availability(kind, nowMillis);
     }
 
     /**
@@ -63,13 +70,13 @@
     }
 
     /**
-     * Records that a request is about to be sent, and uses a permit if the server states a limit.
+     * Records that a request is about to be sent, and uses a permit if the server has a limit.
      *
      * @param nowMillis The current monotonic time in milliseconds.
      */
     public void pass(long nowMillis, Backend backend) {
         statements.recordSent(backend.incarnation());
-        if (statements.limit(backend.incarnation()).isPresent()) {
+        if (limits.perSecond(nowMillis, backend.incarnation()).isPresent()) {
             permits.use(nowMillis, backend.incarnation());
         }
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendSnapshot.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendSnapshot.java
@@ -17,22 +17,31 @@
     /** By incarnation. */
     private final Map<String, Backend> all = new HashMap<>();
 
-    /** Those that accept new requests, by pool. */
+    /** Those that accept new requests and are in no evacuated data centre, by pool. */
     private final Map<String, List<Backend>> ready = new HashMap<>();
 
     private final boolean known;
 
     /** @param known Whether the entries have been read at least once. */
     public BackendSnapshot(Collection<Backend> backends, boolean known) {
+        this(backends, known, Set.of());
+    }
+
+    private BackendSnapshot(Collection<Backend> backends, boolean known, Set<String> evacuated) {
         this.known = known;
         for (Backend backend : backends) {
             all.put(backend.incarnation(), backend);
-            if (!backend.leaving()) {
+            if (!backend.leaving() && !evacuated.contains(backend.dataCentre())) {
                 ready.computeIfAbsent(backend.pool(), pool -> new ArrayList<>()).add(backend);
             }
         }
     }
 
+    /** Returns this snapshot, in which the backend servers of some data centres accept no new requests. */
+    public BackendSnapshot withEvacuated(Set<String> dataCentres) {
+        return new BackendSnapshot(all.values(), known, dataCentres);
+    }
+
     /** Tells whether the entries have been read at least once. */
     public boolean known() {
         return known;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/configuration/FleetLimits.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/configuration/FleetLimits.java
@@ -1,6 +1,8 @@
 package org.cranberrygauge.proxy.configuration;
 
+import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * How many backend servers of a pool may be ordered, and their prices. Immutable.
@@ -17,4 +19,11 @@
     public FleetLimits {
         dataCentrePrices = Map.copyOf(dataCentrePrices);
     }
+
+    /** Returns these limits without some data centres, in which none may be ordered. */
+    public FleetLimits without(Set<String> dataCentres) {
+        Map<String, Double> remaining = new HashMap<>(dataCentrePrices);
+        remaining.keySet().removeAll(dataCentres);
+        return new FleetLimits(minimum, maximum, bootMillis, cheapPrice, remaining);
+    }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/configuration/Route.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/configuration/Route.java
@@ -1,6 +1,7 @@
 package org.cranberrygauge.proxy.configuration;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * The requests of one host and path prefix, and the pools that serve them. Immutable.
@@ -14,6 +15,7 @@
  * @param pools The pools that share the requests; at least one.
  * @param maximumAttempts The maximum number of backend servers to which one request is sent.
  * @param open Whether requests require no key.
+ * @param homes The regions that requests may be sent to; empty if any.
  */
 public record Route(
         String name,
@@ -25,17 +27,30 @@
         int priority,
         List<WeightedPool> pools,
         int maximumAttempts,
-        boolean open) {
+        boolean open,
+        Set<String> homes) {
 
     public Route {
         pools = List.copyOf(pools);
+        homes = Set.copyOf(homes);
     }
 
     /** Returns this route with at most a number of attempts for each request. */
     public Route withMaximumAttempts(int maximum) {
         return maximum >= maximumAttempts
                 ? this
-                : new Route(name, host, pathPrefix, kind, timeoutMillis, targetMillis, priority, pools, maximum, open);
+                : new Route(
+                        name,
+                        host,
+                        pathPrefix,
+                        kind,
+                        timeoutMillis,
+                        targetMillis,
+                        priority,
+                        pools,
+                        maximum,
+                        open,
+                        homes);
     }
 
     /**
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/BackendFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/BackendFollower.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.cranberrygauge.decision.backend.ColdServers;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.backend.BackendRegistry;
 import org.cranberrygauge.proxy.backend.BackendSnapshot;
@@ -40,6 +41,8 @@
     /** Tells by incarnation whether a server has stated in a response that it leaves, whatever its entry says. */
     private final Predicate<String> statedLeaving;
 
+    private final ColdServers cold;
+
     private final TopicRelay relay;
 
     private final long drainBoundMillis;
@@ -54,6 +57,7 @@
 
     /**
      * @param statedLeaving Tells by incarnation whether a server has stated in a response that it leaves.
+     * @param cold Receives how long backend servers stay cold.
      * @param drainBoundMillis The time in milliseconds within which a draining backend server must receive no more
      *     requests.
      */
@@ -63,12 +67,14 @@
             String topic,
             RecordReader<Backend> reader,
             Predicate<String> statedLeaving,
+            ColdServers cold,
             long drainBoundMillis) {
         this.relay = relay;
         this.context = context;
         this.topic = topic;
         this.reader = reader;
         this.statedLeaving = statedLeaving;
+        this.cold = cold;
         this.drainBoundMillis = drainBoundMillis;
     }
 
@@ -89,7 +95,9 @@
         Map<String, Backend> listed = new HashMap<>();
         values.forEach((key, value) -> {
             try {
-                listed.put(key, reader.read(key, value));
+                Backend backend = reader.read(key, value);
+                listed.put(key, backend);
+                observeCold(backend);
             } catch (UnreadableRecordException exception) {
                 registry.discard(key);
                 logUnreadable(key, exception);
@@ -107,7 +115,9 @@
             return;
         }
         try {
-            registry.put(reader.read(record.key(), record.value().get()));
+            Backend backend = reader.read(record.key(), record.value().get());
+            registry.put(backend);
+            observeCold(backend);
         } catch (UnreadableRecordException exception) {
             registry.discard(record.key());
             logUnreadable(record.key(), exception);
@@ -131,7 +141,8 @@
         BackendSnapshot snapshot = registry.snapshot(now, statedLeaving);
         context.blackboard().publish(snapshot);
         Map<String, Backend> present = new HashMap<>();
-        for (Backend backend : snapshot.all()) {
+        for (Backend listed : snapshot.all()) {
+            Backend backend = listed.withoutColdTime();
             present.put(backend.id(), backend);
             if (!backend.equals(lastLogged.get(backend.id()))) {
                 context.events()
@@ -149,6 +160,20 @@
             }
         }
         lastLogged = present;
+        cold.retain(snapshot.incarnations());
+    }
+
+    /** Records how long a backend server stays cold, and logs when that begins and ends. */
+    private void observeCold(Backend backend) {
+        long now = context.time().monotonicMillis();
+        if (!cold.observe(now, backend.pool(), backend.incarnation(), backend.coldMillis())) {
+            return;
+        }
+        context.events()
+                .emit(
+                        backend.coldMillis() > 0
+                                ? new ControlEvents.BackendCold(backend.incarnation(), backend.coldMillis())
+                                : new ControlEvents.BackendWarm(backend.incarnation()));
     }
 
     /** Logs an unreadable entry, once for each key. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ConfigurationFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ConfigurationFollower.java
@@ -1,5 +1,6 @@
 package org.cranberrygauge.proxy.control;
 
+import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
 import org.cranberrygauge.proxy.configuration.ProxyConfiguration;
@@ -39,12 +40,16 @@
     /** Supplies the highest version that another host has in force. */
     private final LongSupplier versionElsewhere;
 
+    /** Receives the same records. */
+    private final TopicFollower.Listener evacuations;
+
     /** The version that the log held at the last read. */
     private long loggedVersion = Long.MIN_VALUE;
 
     /**
      * @param key The key under which the configuration is stored.
      * @param versionElsewhere Supplies the highest version that another host has in force.
+     * @param evacuations Receives the evacuations, which the operator writes to the same topic.
      * @param applyBoundMillis The time in milliseconds within which a new configuration must be in force.
      */
     public ConfigurationFollower(
@@ -54,6 +59,7 @@
             String key,
             RecordReader<ProxyConfiguration> reader,
             LongSupplier versionElsewhere,
+            EvacuationFollower evacuations,
             long applyBoundMillis) {
         this.relay = relay;
         this.context = context;
@@ -61,13 +67,15 @@
         this.key = key;
         this.reader = reader;
         this.versionElsewhere = versionElsewhere;
+        this.evacuations = evacuations;
         this.applyBoundMillis = applyBoundMillis;
     }
 
     public void start() {
         PollSettings settings = new PollSettings(
                 (long) (applyBoundMillis * WAIT_FRACTION), 0, (long) (applyBoundMillis * RELAYED_AGE_FRACTION));
-        new TopicFollower(context, relay, topic, settings, this).poll();
+        TopicFollower.Listener both = new TopicFollower.Listener.Compound(List.of(this, evacuations));
+        new TopicFollower(context, relay, topic, settings, both).poll();
     }
 
     @Override
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
@@ -44,6 +44,36 @@
      */
     public record BackendGone(String backend) implements Event {}
 
+    /**
+     * The operator has evacuated a data centre: its backend servers get no requests.
+     *
+     * @param dataCentre The name of the data centre.
+     * @param backends The number of its backend servers that are listed; 0 may show that there is no such data centre.
+     */
+    public record DataCentreEvacuated(String dataCentre, int backends) implements Event {}
+
+    /**
+     * The evacuation of a data centre has ended: its backend servers get requests again.
+     *
+     * @param dataCentre The name of the data centre.
+     */
+    public record DataCentreRestored(String dataCentre) implements Event {}
+
+    /**
+     * A backend server is cold: it takes a limited rate of requests from all hosts together.
+     *
+     * @param backend The incarnation of the backend server.
+     * @param forMillis The time for which it stays cold, in milliseconds.
+     */
+    public record BackendCold(String backend, long forMillis) implements Event {}
+
+    /**
+     * A backend server is not cold any more.
+     *
+     * @param backend The incarnation of the backend server.
+     */
+    public record BackendWarm(String backend) implements Event {}
+
     /**
      * The shared log has come back from an older copy and lost what it had acknowledged lately. This host writes its
      * usage counts and, if it is new, its address again, and reads all topics anew.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/FleetController.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/FleetController.java
@@ -71,12 +71,18 @@
                 .ifPresent(pools -> pools.values().forEach(pool -> evaluate(pool, token)));
     }
 
-    /** Updates the plan of a pool, and sends its orders if this host is the leader. */
+    /**
+     * Updates the plan of a pool, and sends its orders if this host is the leader. Evacuated data centres get no orders, and
+     * their servers do not count.
+     */
     private void evaluate(Pool pool, OptionalLong token) {
         if (pool.fleet().isEmpty()) {
             return;
         }
-        FleetLimits limits = pool.fleet().get();
+        FleetLimits limits = pool.fleet().get().without(context.blackboard().evacuated());
+        if (limits.dataCentrePrices().isEmpty()) {
+            return;
+        }
         long now = context.time().monotonicMillis();
         List<Backend> ready = context.blackboard().backends().ready(pool.name());
         FleetPlan plan = plans.computeIfAbsent(pool.name(), FleetPlan::new);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
@@ -13,6 +13,7 @@
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.protocol.generated.BackendWork;
 import org.cranberrygauge.protocol.generated.HostReport;
+import org.cranberrygauge.proxy.exchange.ForwardingTarget;
 import org.cranberrygauge.proxy.routing.PeerLoads;
 import org.cranberrygauge.proxy.routing.PeerLoads.Work;
 
@@ -219,14 +220,14 @@
     }
 
     /**
-     * Returns the addresses of the hosts that were heard recently and reach backend servers.
+     * Returns the hosts that were heard recently and reach backend servers.
      *
      * @param nowMillis The current monotonic time in milliseconds.
      */
-    List<NetworkAddress> forwardingTargets(long nowMillis) {
+    List<ForwardingTarget> forwardingTargets(long nowMillis) {
         return peers.values().stream()
                 .filter(peer -> peer.reachesBackends() && isHeard(nowMillis, peer))
-                .map(Peer::address)
+                .map(peer -> new ForwardingTarget(peer.address(), peer.dataCentre()))
                 .toList();
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PermitExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PermitExchange.java
@@ -6,7 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
-import org.cranberrygauge.decision.backend.BackendStatements;
+import org.cranberrygauge.decision.backend.BackendLimits;
 import org.cranberrygauge.decision.backend.HeldPermits;
 import org.cranberrygauge.decision.backend.PermitIssuer;
 import org.cranberrygauge.model.backend.NetworkAddress;
@@ -16,7 +16,7 @@
 import org.cranberrygauge.runtime.time.TimeSource;
 
 /**
- * Shares the limits that backend servers state among all hosts: for each server, one host issues the permits to send
+ * Shares the limits of backend servers, stated ones and those of cold servers, among all hosts: for each server, one host issues the permits to send
  * requests to it.
  *
  * <p>All hosts that hear of each other agree on that host without coordination. One that does not consider itself the
@@ -28,6 +28,12 @@
     /** The time for which the permits of one request should suffice, in seconds. */
     private static final double REQUESTED_SECONDS = 0.2;
 
+    /**
+     * The time after the start in which a host that knows no others issues no permits. Many hosts that restart together would
+     * else each take themselves for the only issuer.
+     */
+    private static final long LISTENING_MILLIS = 1_000;
+
     /** The maximum number of permits in a request. */
     private static final int MAXIMUM_REQUESTED = 5;
 
@@ -37,10 +43,13 @@
 
     private final MessageTransport transport;
 
-    private final BackendStatements statements;
+    private final BackendLimits limits;
 
     private final HeldPermits permits;
 
+    /** The monotonic time of the start. */
+    private final long startedMillis;
+
     /** Called after permits were issued to this host. */
     private final Runnable onPermits;
 
@@ -55,13 +64,14 @@
             TimeSource time,
             PeerDirectory peers,
             MessageTransport transport,
-            BackendStatements statements,
+            BackendLimits limits,
             HeldPermits permits,
             Runnable onPermits) {
         this.time = time;
         this.peers = peers;
         this.transport = transport;
-        this.statements = statements;
+        this.limits = limits;
+        this.startedMillis = time.monotonicMillis();
         this.permits = permits;
         this.onPermits = onPermits;
         transport.onMessage(
@@ -69,10 +79,10 @@
         transport.onMessage(HostMessage._Fields.PERMIT_ANSWER, (message, sender) -> receive(message.getPermitAnswer()));
     }
 
-    /** Requests permits for a server that states a limit; they are added to those that this host holds. */
+    /** Requests permits for a server with a limit; they are added to those that this host holds. */
     public void request(String incarnation) {
         long now = time.monotonicMillis();
-        OptionalDouble perSecond = statements.limit(incarnation);
+        OptionalDouble perSecond = limits.perSecond(now, incarnation);
         if (perSecond.isEmpty()) {
             return;
         }
@@ -113,10 +123,11 @@
         transport.send(HostMessage.permitAnswer(new PermitAnswer(question.getNumber(), issued)), List.of(sender));
     }
 
-    /** Issues permits; none for a server of whose limit this host does not know. */
+    /** Issues permits; none for a server of whose limit this host does not know, and none before it knows other hosts. */
     private int issue(long now, String incarnation, int count) {
-        OptionalDouble perSecond = statements.limit(incarnation);
-        return perSecond.isEmpty()
+        OptionalDouble perSecond = limits.perSecond(now, incarnation);
+        boolean alone = peers.members(now) == 1 && now - startedMillis < LISTENING_MILLIS;
+        return perSecond.isEmpty() || alone
                 ? 0
                 : issuer.issue(now, incarnation, perSecond.getAsDouble(), peers.heardShare(now), count);
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
@@ -1,5 +1,6 @@
 package org.cranberrygauge.proxy.control;
 
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import org.cranberrygauge.proxy.store.Confirmation;
@@ -151,5 +152,29 @@
 
         /** Called when a read failed. */
         default void onReadFailure() {}
+
+        /** Passes what a follower reads to several listeners, in their order. */
+        record Compound(List<Listener> listeners) implements Listener {
+
+            @Override
+            public void onSnapshot(Map<String, byte[]> values) {
+                listeners.forEach(listener -> listener.onSnapshot(values));
+            }
+
+            @Override
+            public void onRecord(KeyedRecord record, long offset) {
+                listeners.forEach(listener -> listener.onRecord(record, offset));
+            }
+
+            @Override
+            public void onConfirmed(Confirmation confirmation) {
+                listeners.forEach(listener -> listener.onConfirmed(confirmation));
+            }
+
+            @Override
+            public void onReadFailure() {
+                listeners.forEach(Listener::onReadFailure);
+            }
+        }
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendSelection.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendSelection.java
@@ -106,6 +106,7 @@
      */
     OptionalLong availableFromMillis(long now) {
         return context.blackboard().backends().ready(pool.name()).stream()
+                .filter(this::isHome)
                 .map(backend -> availability(now, backend))
                 .filter(Availability::isEverOpen)
                 .mapToLong(Availability::fromMillis)
@@ -135,6 +136,11 @@
         return context.gate().availability(now, backend, version);
     }
 
+    /** Tells whether the request may be sent to the region of a server. */
+    private boolean isHome(Backend backend) {
+        return request.homes().allows(backend.dataCentre(), context.regions());
+    }
+
     private boolean shouldRequestPermit(long now, Backend backend) {
         return availability(now, backend).kind() == Kind.NEEDS_PERMIT
                 && context.gate().mayRequestPermit(now, backend);
@@ -153,7 +159,7 @@
                         now,
                         pool,
                         context.blackboard().backends().ready(pool.name()),
-                        backend -> !tried.contains(backend.incarnation()) && eligible.test(backend),
+                        backend -> !tried.contains(backend.incarnation()) && isHome(backend) && eligible.test(backend),
                         request.callerHeaders().prompt(),
                         context.blackboard().peers());
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
@@ -136,6 +136,7 @@
                     decision.urgency(),
                     now,
                     deadlineMillis,
+                    decision.homes(),
                     forwarding.from().isPresent());
             new Exchange(context, admitted, response).start();
         });
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
@@ -1,6 +1,7 @@
 package org.cranberrygauge.proxy.exchange;
 
 import io.vertx.core.Vertx;
+import java.util.Map;
 import org.cranberrygauge.decision.backend.BackendStatements;
 import org.cranberrygauge.decision.quarantine.CrashingParts;
 import org.cranberrygauge.proxy.backend.Backend;
@@ -22,6 +23,7 @@
  * What all exchanges use.
  *
  * @param host The name of this host.
+ * @param regions The region of each data centre, by the name of the data centre.
  * @param loads The load caused by this host's own requests.
  * @param profiles The speed of engines, as this host's own requests show it.
  * @param statements What backend servers state of themselves.
@@ -39,6 +41,7 @@
         Vertx vertx,
         TimeSource time,
         String host,
+        Map<String, String> regions,
         ProxyBlackboard blackboard,
         BackendClient client,
         HeaderCodec codec,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
@@ -76,8 +76,19 @@
         this.response = response;
         this.remainingAttempts = remainingAttempts;
         this.mayHaveRun = mayHaveRun;
-        this.hosts = new ArrayList<>(context.blackboard().forwardingTargets());
-        Collections.shuffle(hosts);
+        this.hosts = targets(context, request);
+    }
+
+    /** Returns the addresses of the hosts, in a random order, that may receive the request by the regions it may be sent to. */
+    private static List<NetworkAddress> targets(ExchangeContext context, ProxyRequest request) {
+        List<NetworkAddress> allowed = new ArrayList<>();
+        for (ForwardingTarget target : context.blackboard().forwardingTargets()) {
+            if (request.homes().allows(target.dataCentre(), context.regions())) {
+                allowed.add(target.address());
+            }
+        }
+        Collections.shuffle(allowed);
+        return allowed;
     }
 
     void start() {
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardingTarget.java
@@ -0,0 +1,11 @@
+package org.cranberrygauge.proxy.exchange;
+
+import org.cranberrygauge.model.backend.NetworkAddress;
+
+/**
+ * Another host to which this one can forward requests. Immutable.
+ *
+ * @param address The address at which it takes forwarded requests.
+ * @param dataCentre Its data centre.
+ */
+public record ForwardingTarget(NetworkAddress address, String dataCentre) {}
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HostMetrics.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HostMetrics.java
@@ -24,6 +24,10 @@
 
     private final Gauge ready;
 
+    private final Gauge evacuated;
+
+    private final Gauge cold;
+
     public HostMetrics(PrometheusRegistry registry) {
         active = gauge(registry, "active_requests", "Requests in progress.");
         waiting = gauge(registry, "waiting_requests", "Requests that wait for room at an engine.");
@@ -32,6 +36,9 @@
         backends = gauge(registry, "backends", "Backend servers that are listed.");
         hosts = gauge(registry, "hosts", "Hosts that share the budget of repeats, this one included.");
         ready = gauge(registry, "ready", "1 while this host takes requests, else 0.");
+        evacuated = gauge(registry, "evacuated_data_centres", "Data centres that the operator has evacuated.");
+        cold = gauge(
+                registry, "cold_backends", "Backend servers that take a limited rate of requests since they are cold.");
     }
 
     /** Updates the metrics of requests. */
@@ -59,6 +66,12 @@
         ready.set(takesRequests ? 1 : 0);
     }
 
+    /** Updates the metrics of restrictions on backend servers. */
+    public void recordRestrictions(int evacuatedDataCentres, int coldBackends) {
+        evacuated.set(evacuatedDataCentres);
+        cold.set(coldBackends);
+    }
+
     private static Gauge gauge(PrometheusRegistry registry, String name, String help) {
         return Gauge.builder().name("cranberrygauge_proxy_" + name).help(help).register(registry);
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
@@ -2,10 +2,10 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.cranberrygauge.decision.engine.EngineProfile;
-import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.proxy.backend.BackendSnapshot;
 import org.cranberrygauge.proxy.configuration.ConfigurationView;
 import org.cranberrygauge.proxy.routing.PeerLoads;
@@ -20,11 +20,14 @@
 
     private final AtomicReference<BackendSnapshot> backends = new AtomicReference<>(BackendSnapshot.UNKNOWN);
 
+    /** The data centres whose backend servers get no requests by the operator's order. */
+    private final AtomicReference<Set<String>> evacuated = new AtomicReference<>(Set.of());
+
     /** The load caused by the other hosts. */
     private final AtomicReference<PeerLoads> peers = new AtomicReference<>(PeerLoads.NO_PEERS);
 
-    /** The addresses of the other hosts that reach backend servers. */
-    private final AtomicReference<List<NetworkAddress>> forwardingTargets = new AtomicReference<>(List.of());
+    /** The other hosts that reach backend servers. */
+    private final AtomicReference<List<ForwardingTarget>> forwardingTargets = new AtomicReference<>(List.of());
 
     /** The speed of engines by pool, as this host's own requests show it. */
     private final AtomicReference<Map<String, EngineProfile>> engineProfiles = new AtomicReference<>(Map.of());
@@ -51,8 +54,20 @@
         return backends.get();
     }
 
-    public void publish(BackendSnapshot snapshot) {
-        backends.set(snapshot);
+    /** Publishes the listed backend servers; those in evacuated data centres accept no new requests. */
+    public synchronized void publish(BackendSnapshot snapshot) {
+        backends.set(snapshot.withEvacuated(evacuated.get()));
+    }
+
+    /** Returns the data centres whose backend servers get no requests by the operator's order. */
+    public Set<String> evacuated() {
+        return evacuated.get();
+    }
+
+    /** Publishes the evacuated data centres, which takes effect at once. */
+    public synchronized void publishEvacuated(Set<String> dataCentres) {
+        evacuated.set(Set.copyOf(dataCentres));
+        backends.set(backends.get().withEvacuated(evacuated.get()));
     }
 
     public PeerLoads peers() {
@@ -63,13 +78,13 @@
         peers.set(loads);
     }
 
-    /** Returns the addresses of the other hosts that reach backend servers. */
-    public List<NetworkAddress> forwardingTargets() {
+    /** Returns the other hosts that reach backend servers. */
+    public List<ForwardingTarget> forwardingTargets() {
         return forwardingTargets.get();
     }
 
-    public void publishForwardingTargets(List<NetworkAddress> addresses) {
-        forwardingTargets.set(List.copyOf(addresses));
+    public void publishForwardingTargets(List<ForwardingTarget> targets) {
+        forwardingTargets.set(List.copyOf(targets));
     }
 
     /** Returns the speed of a pool's engines. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.cranberrygauge.decision.quarantine.SuspectPart;
 import org.cranberrygauge.decision.topology.StableHash;
+import org.cranberrygauge.proxy.configuration.Homes;
 import org.cranberrygauge.proxy.configuration.Pool;
 import org.cranberrygauge.proxy.configuration.Route;
 import org.cranberrygauge.proxy.configuration.RouteKind;
@@ -23,6 +24,7 @@
  * @param urgency The urgency from 0, the most urgent, to 9.
  * @param receivedMillis The monotonic time at which the request headers were read, in milliseconds.
  * @param deadlineMillis The monotonic time at which the final response is due, in milliseconds.
+ * @param homes The regions that the request may be sent to.
  * @param forwarded Whether another host passed the request on, so that this one must not.
  */
 public record ProxyRequest(
@@ -39,6 +41,7 @@
         int urgency,
         long receivedMillis,
         long deadlineMillis,
+        Homes homes,
         boolean forwarded) {
 
     /** The fraction of the time until its deadline that a request may be queued. */
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/ProxyFixtures.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/ProxyFixtures.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.model.backend.Supply;
 import org.cranberrygauge.proxy.backend.Backend;
@@ -23,10 +24,10 @@
 
     /** A pool of engines. */
     public static final Pool ENGINES =
-            new Pool("engines", Optional.of(new EngineLimits(64, 500_000)), Optional.empty());
+            new Pool("engines", Optional.of(new EngineLimits(64, 500_000)), Optional.empty(), 0);
 
     /** A pool of a plain service. */
-    public static final Pool LEDGER = new Pool("ledger", Optional.empty(), Optional.empty());
+    public static final Pool LEDGER = new Pool("ledger", Optional.empty(), Optional.empty(), 0);
 
     private ProxyFixtures() {}
 
@@ -35,7 +36,7 @@
     }
 
     public static Backend backend(String id, String pool, String dataCentre, boolean leaving, Supply supply) {
-        return new Backend(id, 1, pool, new NetworkAddress("127.0.0.1", 1), dataCentre, "v1", 64, leaving, supply);
+        return new Backend(id, 1, pool, new NetworkAddress("127.0.0.1", 1), dataCentre, "v1", 64, leaving, supply, 0);
     }
 
     public static Route route(RouteKind kind, int attempts) {
@@ -53,7 +54,8 @@
                 1,
                 List.of(new WeightedPool("engines", 1)),
                 attempts,
-                open);
+                open,
+                Set.of());
     }
 
     public static ProxyConfiguration configuration(long version, Route... routes) {
@@ -62,7 +64,7 @@
                 List.of(routes),
                 Map.of("engines", ENGINES, "ledger", LEDGER),
                 new CallerLimits(1_000, 15_000),
-                Map.of("key-1", new KeyOwner("customer-1", OptionalInt.of(0))),
+                Map.of("key-1", new KeyOwner("customer-1", OptionalInt.of(0), Set.of())),
                 true);
     }
 
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/backend/VersionHistoryTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/backend/VersionHistoryTest.java
@@ -37,6 +37,6 @@
 
     private static Backend backend(String id, String version) {
         NetworkAddress address = new NetworkAddress("127.0.0.1", 1);
-        return new Backend(id, 1, "engines", address, "east-a", version, 64, false, Supply.REGULAR);
+        return new Backend(id, 1, "engines", address, "east-a", version, 64, false, Supply.REGULAR, 0);
     }
 }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/configuration/ProxyConfigurationTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/configuration/ProxyConfigurationTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Set;
 import org.cranberrygauge.proxy.ProxyFixtures;
 import org.junit.jupiter.api.Test;
 
@@ -55,7 +56,8 @@
                 0,
                 List.of(new WeightedPool("old", 90), new WeightedPool("new", 10), new WeightedPool("none", 0)),
                 1,
-                true);
+                true,
+                Set.of());
         int[] counts = new int[2];
         for (int hash = 0; hash < 1_000; hash++) {
             counts[split.poolFor(hash).equals("old") ? 0 : 1]++;
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/LimitedFleet.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/LimitedFleet.java
@@ -9,9 +9,11 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
+import org.cranberrygauge.decision.backend.BackendLimits;
 import org.cranberrygauge.decision.backend.BackendStatement;
 import org.cranberrygauge.decision.backend.BackendStatements;
 import org.cranberrygauge.decision.backend.BackendStatements.Shared;
+import org.cranberrygauge.decision.backend.ColdServers;
 import org.cranberrygauge.decision.backend.HeldPermits;
 import org.cranberrygauge.decision.backend.RateStatement;
 import org.cranberrygauge.model.backend.NetworkAddress;
@@ -251,7 +253,8 @@
             permits = new HeldPermits();
             peers = new PeerDirectory("host-" + number, "east");
             handlers = new EnumMap<>(HostMessage._Fields.class);
-            exchange = new PermitExchange(timeline, peers, new Transport(this), statements, permits, () -> {});
+            BackendLimits limits = new BackendLimits(statements, new ColdServers(pool -> 0));
+            exchange = new PermitExchange(timeline, peers, new Transport(this), limits, permits, () -> {});
             handlers.put(HostMessage._Fields.REPORT, this::receiveReport);
         }
 
