Permits open a server that states a limit again

Cause: since the gate joins stated limits with those of cold servers, a held permit no longer opened a server that states a limit (StatedLimitTest: 2 of 3 failed). Change: both kinds of limits look for a permit. Measured: StatedLimitTest 3 of 3.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendGate.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendGate.java
@@ -42,8 +42,9 @@
             return new Availability(Kind.OTHER_VERSION, Long.MAX_VALUE);
         }
         Availability stated = statements.availability(nowMillis, backend.incarnation());
-        if (!stated.isOpen()
-                || limits.perSecond(nowMillis, backend.incarnation()).isEmpty()) {
+        boolean cold =
+                stated.isOpen() && limits.perSecond(nowMillis, backend.incarnation()).isPresent();
+        if (!cold && stated.kind() != Kind.NEEDS_PERMIT) {
             return stated;
         }
         Kind kind = permits.has(nowMillis, backend.incarnation()) ? Kind.OPEN : Kind.NEEDS_PERMIT;
