--- a/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/engine/ManyShortPromptsPatternTest.java
+++ b/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/engine/ManyShortPromptsPatternTest.java
@@ -24,7 +24,7 @@
             shortTokens += isLong ? 0 : tokens;
             longTokens += isLong ? tokens : 0;
         }
-        assertThat(prefillRatio(shortTokens, longTokens, mix.shortEngineFraction()))
+        assertThat(prefillRatio(shortTokens, longTokens, mix.tokens().shortEngineFraction()))
                 .isBetween(0.4, 0.6);
         assertThat(prefillRatio(shortTokens, longTokens, FIXED_FRACTION)).isGreaterThan(3);
     }
--- a/cranberrygauge-protocol/src/main/thrift/proxy.thrift
+++ b/cranberrygauge-protocol/src/main/thrift/proxy.thrift
@@ -31,6 +31,12 @@
   4: optional double perSecond
 }
 
+// The uncached prompt tokens of recent requests with short and with long prompts, older ones counting less.
+struct PrefillWork {
+  1: required i64 shortTokens
+  2: required i64 longTokens
+}
+
 // The periodic status report of a host, sent to the others several times per second. The list of crashes is always empty;
 // hosts of earlier releases require it.
 struct HostReport {
@@ -52,6 +58,8 @@
   14: optional map<string, i32> serverSpeedPercent
   // The smoothed delay of the event loop that serves requests.
   15: optional i32 loopDelayMillis
+  // The recent prefill work of this host, by pool.
+  16: optional map<string, PrefillWork> prefill
 }
 
 // Requests the records of a topic, starting at an offset, from a host that reads the shared log.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -321,6 +321,7 @@
             versions.record(time.monotonicMillis(), blackboard.backends());
             ownWork.set(loads.work());
             blackboard.publish(profiles.snapshot());
+            blackboard.publishPrefill(profiles.prefill());
             loads.removeUnlisted(blackboard.backends());
             publishMetrics(hostMetrics, queues.size());
         });
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import org.cranberrygauge.decision.engine.PrefillTokens;
 import org.cranberrygauge.decision.topology.RendezvousHash;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.protocol.generated.BackendWork;
@@ -68,7 +69,7 @@
     void addHost(long nowMillis, String name, NetworkAddress address) {
         Peer current = peers.get(name);
         if (current == null) {
-            peers.put(name, new Peer(address, 0, 0, Map.of(), "", false, false, nowMillis, Long.MIN_VALUE / 2));
+            peers.put(name, new Peer(address, 0, 0, Map.of(), Map.of(), "", false, false, nowMillis, Long.MIN_VALUE / 2));
             hostFound.accept(address);
         }
     }
@@ -97,6 +98,7 @@
                         report.getStartedAtMillis(),
                         report.getSequence(),
                         work,
+                        prefill(report),
                         report.getDataCentre(),
                         report.isReadsLog(),
                         report.isReachesBackends(),
@@ -127,12 +129,14 @@
      */
     PeerLoads loads(long nowMillis) {
         Map<String, Work> total = new HashMap<>();
+        Map<String, PrefillTokens> prefill = new HashMap<>();
         for (Peer peer : peers.values()) {
             if (nowMillis - peer.lastReportMillis() < WORK_VALIDITY_MILLIS) {
                 peer.work().forEach((incarnation, work) -> total.merge(incarnation, work, Work::plus));
+                peer.prefill().forEach((pool, tokens) -> prefill.merge(pool, tokens, PrefillTokens::plus));
             }
         }
-        return new PeerLoads(total, members(nowMillis));
+        return new PeerLoads(total, members(nowMillis), prefill);
     }
 
     /** Returns the highest version of the configuration that another host had in force, or the lowest number. */
@@ -261,6 +265,17 @@
         return report.getSequence() <= current.sequence();
     }
 
+    /** Returns the prefill work in a report; none if its host does not report it. */
+    private static Map<String, PrefillTokens> prefill(HostReport report) {
+        Map<String, PrefillTokens> prefill = new HashMap<>();
+        if (report.isSetPrefill()) {
+            report.getPrefill()
+                    .forEach((pool, work) ->
+                            prefill.put(pool, new PrefillTokens(work.getShortTokens(), work.getLongTokens())));
+        }
+        return prefill;
+    }
+
     private static Work work(BackendWork entry) {
         return new Work(entry.getRunning(), entry.getUnreadTokens(), entry.getHeldTokens(), entry.getShortRunning());
     }
@@ -272,6 +287,7 @@
      * @param startedAtMillis The time of its start in milliseconds since the epoch.
      * @param sequence The sequence number of its last report.
      * @param work Its load by incarnation of the backend server.
+     * @param prefill Its recent prefill work by pool.
      * @param dataCentre Its data centre; empty before its first report.
      * @param readsLog Whether it can read the shared log for others.
      * @param reachesBackends Whether it reaches backend servers.
@@ -283,6 +299,7 @@
             long startedAtMillis,
             long sequence,
             Map<String, Work> work,
+            Map<String, PrefillTokens> prefill,
             String dataCentre,
             boolean readsLog,
             boolean reachesBackends,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
@@ -17,6 +17,7 @@
 import org.cranberrygauge.protocol.generated.HostMessage;
 import org.cranberrygauge.protocol.generated.HostReport;
 import org.cranberrygauge.protocol.generated.PartPlaced;
+import org.cranberrygauge.protocol.generated.PrefillWork;
 import org.cranberrygauge.proxy.ProxySettings;
 import org.cranberrygauge.proxy.backend.BackendEvents;
 import org.cranberrygauge.proxy.backend.BackendReachability;
@@ -192,10 +193,20 @@
                 .ifPresent(inForce -> report.setConfigurationVersion(inForce.version()));
         boolean draining = context.blackboard().draining();
         report.setReachesBackends(reachability.reaches(now) && !draining);
+        report.setPrefill(prefillWork());
         Map<String, Shared> shared = statements.shared(now, present);
         return shared.isEmpty() ? report : report.setStated(StatementReports.write(now, shared));
     }
 
+    private Map<String, PrefillWork> prefillWork() {
+        Map<String, PrefillWork> work = new HashMap<>();
+        context.blackboard()
+                .prefill()
+                .forEach((pool, tokens) ->
+                        work.put(pool, new PrefillWork((long) tokens.shortTokens(), (long) tokens.longTokens())));
+        return work;
+    }
+
     /** Applies what another host knows of backend servers. */
     private void mergeStatements(HostReport report) {
         if (!report.isSetStated()) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.cranberrygauge.decision.engine.EngineProfile;
+import org.cranberrygauge.decision.engine.PrefillTokens;
 import org.cranberrygauge.proxy.backend.BackendSnapshot;
 import org.cranberrygauge.proxy.configuration.ConfigurationView;
 import org.cranberrygauge.proxy.routing.PeerLoads;
@@ -32,6 +33,9 @@
     /** The speed of engines by pool, as this host's own requests show it. */
     private final AtomicReference<Map<String, EngineProfile>> engineProfiles = new AtomicReference<>(Map.of());
 
+    /** The recent prefill work that this host caused, by pool. */
+    private final AtomicReference<Map<String, PrefillTokens>> prefill = new AtomicReference<>(Map.of());
+
     /** The number of requests in progress. */
     private final AtomicInteger active = new AtomicInteger();
 
@@ -96,6 +100,15 @@
         engineProfiles.set(profiles);
     }
 
+    /** Returns the recent prefill work that this host caused, by pool. */
+    public Map<String, PrefillTokens> prefill() {
+        return prefill.get();
+    }
+
+    public void publishPrefill(Map<String, PrefillTokens> tokensByPool) {
+        prefill.set(Map.copyOf(tokensByPool));
+    }
+
     /** Returns the live counter of requests in progress. */
     public AtomicInteger active() {
         return active;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
@@ -160,7 +160,7 @@
 
     /** Returns the cost function for engines. */
     private ToDoubleFunction<Backend> engineCosts(Pool pool, List<Backend> ready, Prompt prompt, PeerLoads peers) {
-        List<Backend> partition = EnginePartition.split(ready, profiles.shortEngineFraction(pool.name()))
+        List<Backend> partition = EnginePartition.split(ready, profiles.shortEngineFraction(pool.name(), peers))
                 .of(prompt);
         List<Backend> affinityRanking = affinityRanking(partition, prompt);
         return backend -> {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/EngineProfiles.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/EngineProfiles.java
@@ -5,6 +5,7 @@
 import org.cranberrygauge.decision.engine.EngineProfile;
 import org.cranberrygauge.decision.engine.EngineProfileEstimator;
 import org.cranberrygauge.decision.engine.PrefillMix;
+import org.cranberrygauge.decision.engine.PrefillTokens;
 import org.cranberrygauge.proxy.routing.BackendLoad.Placement;
 
 /** Learns the profiles of engines by pool, from this host's own requests. Not thread-safe. */
@@ -20,9 +21,12 @@
         return estimator == null ? EngineProfile.INITIAL : estimator.profile();
     }
 
-    /** Returns the fraction of a pool's engines, from 0 to 1, that requests with short prompts need for themselves. */
-    double shortEngineFraction(String pool) {
-        return mix(pool).shortEngineFraction();
+    /**
+     * Returns the fraction of a pool's engines, from 0 to 1, that requests with short prompts need for themselves. It follows
+     * from the requests of all hosts: hosts with different fractions would send chats and long prompts to the same engines.
+     */
+    double shortEngineFraction(String pool, PeerLoads peers) {
+        return mix(pool).tokens().plus(peers.prefill(pool)).shortEngineFraction();
     }
 
     /** Records a request that is sent to an engine. */
@@ -55,6 +59,13 @@
         return Map.copyOf(profiles);
     }
 
+    /** Returns the recent prefill work that this host caused, by pool. */
+    public Map<String, PrefillTokens> prefill() {
+        Map<String, PrefillTokens> tokens = new HashMap<>();
+        mixes.forEach((pool, mix) -> tokens.put(pool, mix.tokens()));
+        return Map.copyOf(tokens);
+    }
+
     private PrefillMix mix(String pool) {
         return mixes.computeIfAbsent(pool, name -> new PrefillMix());
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/PeerLoads.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/PeerLoads.java
@@ -1,25 +1,33 @@
 package org.cranberrygauge.proxy.routing;
 
 import java.util.Map;
+import org.cranberrygauge.decision.engine.PrefillTokens;
 
 /**
  * The load that the other hosts cause at backend servers, by their last reports. Immutable.
  *
  * @param byBackend The work by incarnation of the backend server.
  * @param hosts The number of hosts that accept requests, including this one.
+ * @param prefillByPool The recent prefill work by pool.
  */
-public record PeerLoads(Map<String, Work> byBackend, int hosts) {
+public record PeerLoads(Map<String, Work> byBackend, int hosts, Map<String, PrefillTokens> prefillByPool) {
 
-    public static final PeerLoads NO_PEERS = new PeerLoads(Map.of(), 1);
+    public static final PeerLoads NO_PEERS = new PeerLoads(Map.of(), 1, Map.of());
 
     public PeerLoads {
         byBackend = Map.copyOf(byBackend);
+        prefillByPool = Map.copyOf(prefillByPool);
     }
 
     public Work at(String incarnation) {
         return byBackend.getOrDefault(incarnation, Work.NONE);
     }
 
+    /** Returns the recent prefill work of a pool. */
+    PrefillTokens prefill(String pool) {
+        return prefillByPool.getOrDefault(pool, PrefillTokens.NONE);
+    }
+
     /**
      * The requests in flight at a backend server.
      *
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendChooserTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendChooserTest.java
@@ -43,7 +43,7 @@
     void aDocumentStaysWhereItIsCachedWhileThatEngineIsModeratelyLoaded() {
         Prompt prompt = ProxyFixtures.longPrompt("document");
         Backend preferred = choose(chooser, prompt, PeerLoads.NO_PEERS).backend();
-        PeerLoads busy = new PeerLoads(Map.of(preferred.incarnation(), new Work(6, 10_000, 20_000, 0)), 4);
+        PeerLoads busy = new PeerLoads(Map.of(preferred.incarnation(), new Work(6, 10_000, 20_000, 0)), 4, Map.of());
         loads.of(preferred.incarnation(), MEMORY).place(prompt, Work.NONE).end();
         assertThat(choose(chooser, prompt, busy).backend()).isEqualTo(preferred);
     }
@@ -53,7 +53,7 @@
         Prompt prompt = ProxyFixtures.longPrompt("document");
         Backend preferred = choose(chooser, prompt, PeerLoads.NO_PEERS).backend();
         loads.of(preferred.incarnation(), MEMORY).place(prompt, Work.NONE).end();
-        PeerLoads overloaded = new PeerLoads(Map.of(preferred.incarnation(), new Work(40, 200_000, 400_000, 0)), 4);
+        PeerLoads overloaded = new PeerLoads(Map.of(preferred.incarnation(), new Work(40, 200_000, 400_000, 0)), 4, Map.of());
         assertThat(choose(chooser, prompt, overloaded).backend()).isNotEqualTo(preferred);
     }
 
@@ -76,7 +76,7 @@
         EnginePartition partition = EnginePartition.split(engines, 0.15);
         partition.longPrompts().forEach(engine -> work.put(engine.incarnation(), new Work(8, 30_000, 60_000, 0)));
         partition.shortPrompts().forEach(engine -> work.put(engine.incarnation(), new Work(12, 1_000, 15_000, 12)));
-        PeerLoads peers = new PeerLoads(work, 4);
+        PeerLoads peers = new PeerLoads(work, 4, Map.of());
         for (int session = 0; session < 20; session++) {
             assertThat(partition.shortPrompts())
                     .contains(choose(chooser, ProxyFixtures.shortPrompt("session-" + session), peers)
@@ -116,7 +116,7 @@
         for (int index = 0; index < many.size(); index++) {
             work.put(many.get(index).incarnation(), new Work(10, 1_000, 14_000 + index * 10L, 10));
         }
-        PeerLoads peers = new PeerLoads(work, 32);
+        PeerLoads peers = new PeerLoads(work, 32, Map.of());
         Map<Backend, Integer> chosen = new HashMap<>();
         for (int host = 0; host < 32; host++) {
             BackendChooser other =
@@ -141,7 +141,7 @@
     void longPromptsAreQueuedOnceAllEnginesAreSaturated() {
         Map<String, Work> work = new HashMap<>();
         engines.forEach(engine -> work.put(engine.incarnation(), new Work(10, 40_000, 89_000, 0)));
-        PeerLoads full = new PeerLoads(work, 4);
+        PeerLoads full = new PeerLoads(work, 4, Map.of());
         assertThat(choose(chooser, ProxyFixtures.longPrompt("document"), full).saturated())
                 .isTrue();
         assertThat(choose(chooser, ProxyFixtures.shortPrompt("session"), full).saturated())
@@ -202,7 +202,7 @@
         assertThat(chooser.choose(1_000, ProxyFixtures.LEDGER, both, backend -> true, Prompt.NONE, PeerLoads.NO_PEERS)
                         .map(Choice::backend))
                 .contains(near);
-        PeerLoads busy = new PeerLoads(Map.of(near.incarnation(), new Work(20, 0, 0, 20)), 4);
+        PeerLoads busy = new PeerLoads(Map.of(near.incarnation(), new Work(20, 0, 0, 20)), 4, Map.of());
         assertThat(chooser.choose(1_000, ProxyFixtures.LEDGER, both, backend -> true, Prompt.NONE, busy)
                         .map(Choice::backend))
                 .contains(far);
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/EngineProfilesTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/EngineProfilesTest.java
@@ -39,11 +39,11 @@
 
     @Test
     void manyShortPromptsGetMoreEnginesThanTheInitialMix() {
-        double initial = profiles.shortEngineFraction("engines");
+        double initial = profiles.shortEngineFraction("engines", PeerLoads.NO_PEERS);
         for (int request = 0; request < 1_000; request++) {
             profiles.recordSent("engines", ProxyFixtures.shortPrompt("session"), 1_400);
         }
-        assertThat(profiles.shortEngineFraction("engines")).isGreaterThan(initial * 2);
+        assertThat(profiles.shortEngineFraction("engines", PeerLoads.NO_PEERS)).isGreaterThan(initial * 2);
     }
 
     private void recordFirstEvent(String pool, int request, double tokensPerMilli) {
