--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -15,6 +15,7 @@
 import org.cranberrygauge.decision.backend.BackendStatements;
 import org.cranberrygauge.decision.backend.ColdServers;
 import org.cranberrygauge.decision.backend.HeldPermits;
+import org.cranberrygauge.decision.capacity.ServerCapacity;
 import org.cranberrygauge.decision.quarantine.BackendCrash;
 import org.cranberrygauge.decision.quarantine.CrashingParts;
 import org.cranberrygauge.proxy.admission.RequestAdmission;
@@ -47,6 +48,7 @@
 import org.cranberrygauge.proxy.exchange.PoolRetryBudgets;
 import org.cranberrygauge.proxy.exchange.PoolWaitQueues;
 import org.cranberrygauge.proxy.exchange.ProxyBlackboard;
+import org.cranberrygauge.proxy.exchange.SpeedReporter;
 import org.cranberrygauge.proxy.exchange.StatusServer;
 import org.cranberrygauge.proxy.leader.JumpTolerantTimeSource;
 import org.cranberrygauge.proxy.leader.UsageCounter;
@@ -287,8 +289,10 @@
         ProxySettings.Times times = settings.times();
         LoadTable loads = new LoadTable();
         EngineProfiles profiles = new EngineProfiles();
+        ServerCapacity capacity = new ServerCapacity();
         ExchangeMetrics metrics = new ExchangeMetrics(registry);
         HostMetrics hostMetrics = new HostMetrics(registry);
+        SpeedReporter speeds = new SpeedReporter(capacity, blackboard, hostMetrics, events);
         ExchangeContext context = new ExchangeContext(
                 vertx,
                 time,
@@ -297,9 +301,10 @@
                 blackboard,
                 new BackendClient(vertx),
                 dependencies.codec(),
-                new BackendChooser(settings.dataCentre(), loads, profiles, new SplittableRandom()),
+                new BackendChooser(settings.dataCentre(), loads, profiles, capacity, new SplittableRandom()),
                 loads,
                 profiles,
+                capacity,
                 statements,
                 new BackendGate(limits, permits, this::requestPermit),
                 placements,
@@ -322,6 +327,7 @@
             ownWork.set(loads.work());
             blackboard.publish(profiles.snapshot());
             loads.removeUnlisted(blackboard.backends());
+            speeds.publish(time.monotonicMillis());
             publishMetrics(hostMetrics, queues.size());
         });
         CallerHandler handler = new CallerHandler(context, admission);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendEvents.java
@@ -32,6 +32,18 @@
                 : new BackendStatementUnreadable(incarnation, source);
     }
 
+    /**
+     * A backend server was found slower or faster than its pool, or typical of it again; logged at most once in 10 s for
+     * each server.
+     *
+     * @param backend The incarnation of the backend server.
+     * @param pool The name of its pool.
+     * @param standing How it compares with its pool.
+     * @param ratioPercent The time that it takes, in percent of the time that its pool takes.
+     */
+    public record BackendSpeedChanged(String backend, String pool, String standing, long ratioPercent)
+            implements Event {}
+
     /**
      * None of several backend servers takes a connection of this host; requests are forwarded to other hosts.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
@@ -37,6 +37,11 @@
     /** The maximum age of the last report of a host that is queried for reads or permits. */
     private static final long HEARD_MILLIS = 1_000;
 
+    /** The maximum number of speed ratios that are read of one report. */
+    private static final int MAXIMUM_SPEEDS = 64;
+
+    private static final double PERCENT = 100;
+
     private final String host;
 
     private final String dataCentre;
@@ -68,7 +73,8 @@
     void addHost(long nowMillis, String name, NetworkAddress address) {
         Peer current = peers.get(name);
         if (current == null) {
-            peers.put(name, new Peer(address, 0, 0, Map.of(), "", false, false, nowMillis, Long.MIN_VALUE / 2));
+            peers.put(
+                    name, new Peer(address, 0, 0, Map.of(), Map.of(), "", false, false, nowMillis, Long.MIN_VALUE / 2));
             hostFound.accept(address);
         }
     }
@@ -97,6 +103,7 @@
                         report.getStartedAtMillis(),
                         report.getSequence(),
                         work,
+                        speeds(report),
                         report.getDataCentre(),
                         report.isReadsLog(),
                         report.isReachesBackends(),
@@ -127,12 +134,16 @@
      */
     PeerLoads loads(long nowMillis) {
         Map<String, Work> total = new HashMap<>();
+        Map<String, List<Double>> speeds = new HashMap<>();
         for (Peer peer : peers.values()) {
             if (nowMillis - peer.lastReportMillis() < WORK_VALIDITY_MILLIS) {
                 peer.work().forEach((incarnation, work) -> total.merge(incarnation, work, Work::plus));
+                peer.speeds()
+                        .forEach((incarnation, ratio) -> speeds.computeIfAbsent(incarnation, name -> new ArrayList<>())
+                                .add(ratio));
             }
         }
-        return new PeerLoads(total, members(nowMillis));
+        return new PeerLoads(total, members(nowMillis), speeds);
     }
 
     /** Returns the highest version of the configuration that another host had in force, or the lowest number. */
@@ -265,6 +276,18 @@
         return new Work(entry.getRunning(), entry.getUnreadTokens(), entry.getHeldTokens(), entry.getShortRunning());
     }
 
+    /** Returns the speed ratios of a report, without values that no host computes. */
+    private static Map<String, Double> speeds(HostReport report) {
+        Map<String, Double> speeds = new HashMap<>();
+        if (report.isSetServerSpeedPercent()) {
+            report.getServerSpeedPercent().entrySet().stream()
+                    .filter(entry -> entry.getValue() > 0)
+                    .limit(MAXIMUM_SPEEDS)
+                    .forEach(entry -> speeds.put(entry.getKey(), entry.getValue() / PERCENT));
+        }
+        return speeds;
+    }
+
     /**
      * Another host.
      *
@@ -272,6 +295,7 @@
      * @param startedAtMillis The time of its start in milliseconds since the epoch.
      * @param sequence The sequence number of its last report.
      * @param work Its load by incarnation of the backend server.
+     * @param speeds The time of backend servers relative to their pool, as it observed them, by incarnation.
      * @param dataCentre Its data centre; empty before its first report.
      * @param readsLog Whether it can read the shared log for others.
      * @param reachesBackends Whether it reaches backend servers.
@@ -283,6 +307,7 @@
             long startedAtMillis,
             long sequence,
             Map<String, Work> work,
+            Map<String, Double> speeds,
             String dataCentre,
             boolean readsLog,
             boolean reachesBackends,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
@@ -191,6 +191,7 @@
                 .configuration()
                 .ifPresent(inForce -> report.setConfigurationVersion(inForce.version()));
         boolean draining = context.blackboard().draining();
+        report.setServerSpeedPercent(context.blackboard().serverSpeedPercent());
         report.setReachesBackends(reachability.reaches(now) && !draining);
         Map<String, Shared> shared = statements.shared(now, present);
         return shared.isEmpty() ? report : report.setStated(StatementReports.write(now, shared));
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/DispatchResult.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/DispatchResult.java
@@ -6,7 +6,7 @@
     SENT,
     /** The request has ended, since it must not be sent any more. */
     ENDED,
-    /** No engine has capacity for its prompt. */
+    /** No server has capacity for it. */
     NO_CAPACITY,
     /** No server that it may be sent to takes a request of this host now. */
     NOT_AVAILABLE
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -51,6 +51,9 @@
     /** The load that the attempt in progress causes. */
     private Placement placement;
 
+    /** The observation of the server's speed by the attempt in progress. */
+    private SpeedObservation observation;
+
     /** The identifier of the last event that was forwarded, or at first the one that the caller sent. */
     private Optional<String> lastEventId;
 
@@ -149,10 +152,12 @@
         lastEventId = lastId.or(() -> lastEventId);
         context.reachability().recordHeard(now());
         evidence.recordEvents(now());
+        observation.recordEvents(now());
         response.write(events);
         if (response.isFull()) {
             BackendAttempt reading = attempt;
             reading.pause();
+            observation.recordPause();
             response.onDrained(drained -> reading.resume());
         }
     }
@@ -162,6 +167,7 @@
         beginStream(status, headers);
         evidence.recordResponse(now(), attempt.backend(), framed);
         context.load(selection.pool(), attempt.backend()).recordSuccess();
+        observation.recordStreamEnd(now());
         context.profiles().recordEnd(selection.pool().name(), placement, now() - attemptStartMillis);
         response.endStream();
         finish("served", status);
@@ -176,6 +182,7 @@
             return;
         }
         context.load(selection.pool(), attempt.backend()).recordSuccess();
+        observation.recordResponse(now(), buffered);
         evidence.recordResponse(now(), attempt.backend(), buffered.isFramed());
         if (history.streaming()) {
             finalResponse.abort("resumed_with_status");
@@ -192,6 +199,8 @@
         long now = now();
         Backend backend = attempt.backend();
         placement.end();
+        observation.recordFailure(now, outcome);
+        dispatchQueued();
         recordFailure(backend, outcome, now);
         history = history.withOutcome(outcome);
         lastOutcome = outcome;
@@ -275,7 +284,7 @@
                     .map(this::enqueue)
                     .isPresent();
         }
-        if (choice.get().saturated() && history.sent() == 0) {
+        if (mustWait(now, choice.get())) {
             enqueue(choice.get());
             return true;
         }
@@ -283,6 +292,27 @@
         return true;
     }
 
+    /** Tells whether the request has to wait until the chosen server has capacity. */
+    private boolean mustWait(long now, Choice choice) {
+        return choice.saturated() && history.sent() == 0 && (choice.full() || !mustStart(now));
+    }
+
+    /** Tells whether the request can't wait any longer and still be answered in time; never for engines. */
+    boolean mustStart(long now) {
+        return selection.pool().engine().isEmpty()
+                && now
+                        >= request.startsByMillis(context.capacity()
+                                .responseMillis(selection.pool().name()));
+    }
+
+    /** Sends the requests that wait for the capacity that this one has released, unless none waits. */
+    private void dispatchQueued() {
+        String pool = selection.pool().name();
+        if (context.queues().of(pool).size() > 0) {
+            context.vertx().runOnContext(run -> context.queues().dispatch(now(), pool));
+        }
+    }
+
     /** Ends this exchange and passes the request on to another host. */
     private void forwardToHost() {
         finish("forwarded", 0);
@@ -320,7 +350,7 @@
         if (choice.isEmpty()) {
             return DispatchResult.NOT_AVAILABLE;
         }
-        if (choice.get().saturated() && history.sent() == 0) {
+        if (mustWait(now, choice.get())) {
             return DispatchResult.NO_CAPACITY;
         }
         waiting = false;
@@ -364,6 +394,7 @@
                 .record(now, backend.incarnation(), request.callerHeaders().prompt());
         attempt = new BackendAttempt(context.codec(), request, backend, this);
         attemptStartMillis = now;
+        observation = new SpeedObservation(context, selection.pool(), backend, placement, now);
         evidence.recordAttempt();
         sent = false;
         attempt.start(context.client(), request.deadlineMillis() - now, lastEventId);
@@ -432,6 +463,7 @@
         }
         if (placement != null) {
             placement.end();
+            dispatchQueued();
         }
         String backend = attempt == null ? "-" : attempt.backend().id();
         recorder.recordEnd(now(), outcome, status, backend, history.sent() + (sent ? 1 : 0));
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import java.util.Map;
 import org.cranberrygauge.decision.backend.BackendStatements;
+import org.cranberrygauge.decision.capacity.ServerCapacity;
 import org.cranberrygauge.decision.quarantine.CrashingParts;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.backend.BackendGate;
@@ -26,6 +27,7 @@
  * @param regions The region of each data centre, by the name of the data centre.
  * @param loads The load caused by this host's own requests.
  * @param profiles The speed of engines, as this host's own requests show it.
+ * @param capacity The measured speed and concurrency limits of backend servers.
  * @param statements What backend servers state of themselves.
  * @param gate Tells whether a request may be sent to a backend server now.
  * @param streams Tells where streams began.
@@ -48,6 +50,7 @@
         BackendChooser chooser,
         LoadTable loads,
         EngineProfiles profiles,
+        ServerCapacity capacity,
         BackendStatements statements,
         BackendGate gate,
         PlacementExchange placements,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HostMetrics.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HostMetrics.java
@@ -28,6 +28,10 @@
 
     private final Gauge cold;
 
+    private final Gauge slow;
+
+    private final Gauge fast;
+
     public HostMetrics(PrometheusRegistry registry) {
         active = gauge(registry, "active_requests", "Requests in progress.");
         waiting = gauge(registry, "waiting_requests", "Requests that wait for room at an engine.");
@@ -39,6 +43,9 @@
         evacuated = gauge(registry, "evacuated_data_centres", "Data centres that the operator has evacuated.");
         cold = gauge(
                 registry, "cold_backends", "Backend servers that take a limited rate of requests since they are cold.");
+        slow = gauge(
+                registry, "slow_backends", "Backend servers that take 1.5 times as long as their pool, or longer.");
+        fast = gauge(registry, "fast_backends", "Backend servers that take at most two thirds as long as their pool.");
     }
 
     /** Updates the metrics of requests. */
@@ -72,6 +79,12 @@
         cold.set(coldBackends);
     }
 
+    /** Updates the metrics of the speed of backend servers. */
+    public void recordSpeeds(int slowBackends, int fastBackends) {
+        slow.set(slowBackends);
+        fast.set(fastBackends);
+    }
+
     private static Gauge gauge(PrometheusRegistry registry, String name, String help) {
         return Gauge.builder().name("cranberrygauge_proxy_" + name).help(help).register(registry);
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/PoolWaitQueues.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/PoolWaitQueues.java
@@ -18,7 +18,8 @@
 
     /**
      * Sends the requests that can be sent by now, and rejects the expired ones. A request without capacity holds back
-     * those behind it; one without an available server does not, since others may have one.
+     * those behind it, except those that can't wait any longer; one without an available server holds back none, since
+     * others may have one.
      *
      * @param nowMillis The current monotonic time in milliseconds.
      */
@@ -29,16 +30,30 @@
         }
     }
 
+    /**
+     * Sends the requests of one pool that can be sent by now.
+     *
+     * @param nowMillis The current monotonic time in milliseconds.
+     */
+    void dispatch(long nowMillis, String pool) {
+        dispatch(nowMillis, of(pool));
+    }
+
     private static void dispatch(long nowMillis, WaitQueue<Exchange> queue) {
         int unavailable = 0;
+        boolean full = false;
         for (Exchange next : queue.inOrder(nowMillis)) {
+            if (full && !next.mustStart(nowMillis)) {
+                continue;
+            }
             DispatchResult result = next.tryDispatch();
             if (result == DispatchResult.SENT || result == DispatchResult.ENDED) {
                 queue.remove(next);
                 continue;
             }
             unavailable++;
-            if (result == DispatchResult.NO_CAPACITY || unavailable == MAXIMUM_UNAVAILABLE) {
+            full |= result == DispatchResult.NO_CAPACITY;
+            if (unavailable == MAXIMUM_UNAVAILABLE) {
                 return;
             }
         }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
@@ -32,6 +32,9 @@
     /** The speed of engines by pool, as this host's own requests show it. */
     private final AtomicReference<Map<String, EngineProfile>> engineProfiles = new AtomicReference<>(Map.of());
 
+    /** The time of backend servers relative to their pool in percent, as this host's own requests show it. */
+    private final AtomicReference<Map<String, Integer>> serverSpeedPercent = new AtomicReference<>(Map.of());
+
     /** The number of requests in progress. */
     private final AtomicInteger active = new AtomicInteger();
 
@@ -96,6 +99,15 @@
         engineProfiles.set(profiles);
     }
 
+    /** Returns this host's own ratios of backend servers by incarnation, for its report to the other hosts. */
+    public Map<String, Integer> serverSpeedPercent() {
+        return serverSpeedPercent.get();
+    }
+
+    public void publishServerSpeeds(Map<String, Integer> percent) {
+        serverSpeedPercent.set(Map.copyOf(percent));
+    }
+
     /** Returns the live counter of requests in progress. */
     public AtomicInteger active() {
         return active;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
@@ -47,11 +47,28 @@
     /** The fraction of the time until its deadline that a request may be queued. */
     private static final double QUEUEING_FRACTION = 0.4;
 
+    /** The multiple of the usual response time that a request keeps in reserve when it waits; few take longer. */
+    private static final double RESERVED_RESPONSES = 4;
+
+    /** The fraction of the time until the target latency that a request may wait for a plain service. */
+    private static final double WAITING_FRACTION = 0.5;
+
     /** Returns the monotonic time until which the first event meets the route's target latency, in milliseconds. */
     public long onTimeMillis() {
         return receivedMillis + route.targetMillis();
     }
 
+    /**
+     * Returns the monotonic time by which a request of a plain service has to be sent to be answered in time, in
+     * milliseconds.
+     *
+     * @param responseMillis The usual response time of the service; 0 if it is unknown.
+     */
+    public long startsByMillis(double responseMillis) {
+        long byFraction = receivedMillis + (long) (route.targetMillis() * WAITING_FRACTION);
+        return Math.min(byFraction, onTimeMillis() - (long) (responseMillis * RESERVED_RESPONSES));
+    }
+
     /** Returns the monotonic time at which the request expires in the queue, in milliseconds. */
     public long expiresAtMillis() {
         return receivedMillis + (long) ((deadlineMillis - receivedMillis) * QUEUEING_FRACTION);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
@@ -5,6 +5,8 @@
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
+import org.cranberrygauge.decision.capacity.ConcurrencyLimit;
+import org.cranberrygauge.decision.capacity.ServerCapacity;
 import org.cranberrygauge.decision.engine.EngineProfile;
 import org.cranberrygauge.decision.topology.RendezvousHash;
 import org.cranberrygauge.proxy.backend.Backend;
@@ -18,7 +20,9 @@
  * prompt, the slowdown by running requests, and queueing where slots or KV-cache memory are short. Rendezvous hashing
  * of the shared prompt prefix gives all hosts the same ranking of engines without coordination; a request leaves the
  * first-ranked engine once that engine's load outweighs the prefill that its cache saves. Backend servers in cool-down
- * after failures are chosen only if all others are, too. Not thread-safe.
+ * after failures are chosen only if all others are, too. Predicted times are multiplied by the ratio of each server's
+ * time to that of its pool, and a server of a plain service at its concurrency limit is chosen only if all others are,
+ * too. Not thread-safe.
  */
 public final class BackendChooser {
 
@@ -81,6 +85,12 @@
     /** The cost of a backend server whose requests all fail; it is proportional to the failure rate. */
     private static final double FAILURE_PENALTY_MILLIS = 4_000;
 
+    /**
+     * The cost of a backend server of a plain service at its concurrency limit, which exceeds all other costs except
+     * that of a cool-down.
+     */
+    private static final double LIMIT_PENALTY_MILLIS = 1e5;
+
     /** The cost of a backend server in cool-down, which exceeds all other costs together. */
     private static final double COOLDOWN_PENALTY_MILLIS = 1e7;
 
@@ -91,12 +101,21 @@
 
     private final EngineProfiles profiles;
 
+    private final ServerCapacity capacity;
+
     private final RandomGenerator random;
 
-    public BackendChooser(String dataCentre, LoadTable loads, EngineProfiles profiles, RandomGenerator random) {
+    /** @param capacity The measured speed and concurrency limits of backend servers. */
+    public BackendChooser(
+            String dataCentre,
+            LoadTable loads,
+            EngineProfiles profiles,
+            ServerCapacity capacity,
+            RandomGenerator random) {
         this.dataCentre = dataCentre;
         this.loads = loads;
         this.profiles = profiles;
+        this.capacity = capacity;
         this.random = random;
     }
 
@@ -116,9 +135,10 @@
             Predicate<Backend> eligible,
             Prompt prompt,
             PeerLoads peers) {
+        capacity.speed().setReported(peers.speedRatios());
         ToDoubleFunction<Backend> cost = pool.engine().isPresent()
-                ? engineCosts(pool, ready, prompt, peers)
-                : backend -> serviceCost(backend, peers);
+                ? engineCosts(nowMillis, pool, ready, prompt, peers)
+                : backend -> serviceCost(nowMillis, backend, peers);
         Backend best = null;
         double bestCost = Double.MAX_VALUE;
         for (Backend backend : ready) {
@@ -131,9 +151,16 @@
                 bestCost = total;
             }
         }
-        return best == null
-                ? Optional.empty()
-                : Optional.of(new Choice(best, bestCost, isSaturated(pool, best, prompt, peers)));
+        return best == null ? Optional.empty() : Optional.of(choice(nowMillis, pool, best, bestCost, prompt, peers));
+    }
+
+    private Choice choice(long nowMillis, Pool pool, Backend best, double bestCost, Prompt prompt, PeerLoads peers) {
+        if (pool.engine().isPresent()) {
+            return new Choice(best, bestCost, isSaturated(nowMillis, pool, best, prompt, peers), false);
+        }
+        int running = serviceWork(best, peers).running();
+        ConcurrencyLimit limit = capacity.limit(best.incarnation(), best.slots());
+        return new Choice(best, bestCost, running >= limit.limit(), limit.isFull(nowMillis, running));
     }
 
     /**
@@ -141,15 +168,17 @@
      * prefill decodes so slowly that no request finishes before its deadline; the prompts of the running requests tell
      * how much of its time that is.
      */
-    private boolean isSaturated(Pool pool, Backend backend, Prompt prompt, PeerLoads peers) {
-        if (pool.engine().isEmpty() || EnginePartition.isShort(prompt)) {
+    private boolean isSaturated(long nowMillis, Pool pool, Backend backend, Prompt prompt, PeerLoads peers) {
+        if (EnginePartition.isShort(prompt)) {
             return false;
         }
         BackendLoad load = load(pool, backend);
         Work work = load.work().plus(peers.at(backend.incarnation()));
         return work.heldTokens() > 0
                 && work.heldTokens() + load.uncachedTokens(prompt)
-                        > profiles.of(pool.name()).sustainableTokens() * SATURATION_FACTOR;
+                        > profiles.of(pool.name()).sustainableTokens()
+                                * SATURATION_FACTOR
+                                / speedRatio(nowMillis, backend);
     }
 
     /** Ranks the engines of a partition for a prompt; empty if the prompt shares no prefix. */
@@ -159,14 +188,20 @@
     }
 
     /** Returns the cost function for engines. */
-    private ToDoubleFunction<Backend> engineCosts(Pool pool, List<Backend> ready, Prompt prompt, PeerLoads peers) {
+    private ToDoubleFunction<Backend> engineCosts(
+            long nowMillis, Pool pool, List<Backend> ready, Prompt prompt, PeerLoads peers) {
         List<Backend> partition = EnginePartition.split(ready, profiles.shortEngineFraction(pool.name()))
                 .of(prompt);
         List<Backend> affinityRanking = affinityRanking(partition, prompt);
         return backend -> {
             int affinityRank = affinityRanking.indexOf(backend);
-            double cost =
-                    engineCost(pool, backend, prompt, peers, affinityRank < 0 ? MAXIMUM_AFFINITY_RANK : affinityRank);
+            double cost = engineCost(
+                    pool,
+                    backend,
+                    prompt,
+                    peers,
+                    affinityRank < 0 ? MAXIMUM_AFFINITY_RANK : affinityRank,
+                    speedRatio(nowMillis, backend));
             if (!EnginePartition.isShort(prompt)) {
                 return partition.contains(backend) ? cost : cost + SHORT_PARTITION_PENALTY_MILLIS;
             }
@@ -179,8 +214,10 @@
      * Predicts the cost at an engine in milliseconds.
      *
      * @param affinityRank The rank of the engine for the prompt, from 0.
+     * @param speedRatio The time that the engine takes, relative to its pool.
      */
-    private double engineCost(Pool pool, Backend backend, Prompt prompt, PeerLoads peers, int affinityRank) {
+    private double engineCost(
+            Pool pool, Backend backend, Prompt prompt, PeerLoads peers, int affinityRank, double speedRatio) {
         BackendLoad load = load(pool, backend);
         Work work = load.work().plus(peers.at(backend.incarnation()));
         double uncached = load.uncachedTokens(prompt) * (affinityRank == 0 ? FIRST_AFFINITY_FACTOR : 1);
@@ -198,16 +235,33 @@
             cost += work.shortRunning() * profile.prefillMillis(uncached) * PREFILL_INTERFERENCE_WEIGHT;
         }
         cost += Math.max(0, work.running() + 1 - backend.slots()) * QUEUE_MILLIS_PER_REQUEST;
+        // The overhead of the pool is the same for all engines, so that only the difference to it counts.
+        cost = cost * speedRatio + profile.overheadMillis() * (speedRatio - 1);
         if (work.heldTokens() + uncached + prompt.outputTokens() > pool.memoryTokens() * USABLE_CACHE_FRACTION) {
             cost += FULL_CACHE_PENALTY_MILLIS;
         }
         return cost;
     }
 
-    /** Predicts the cost at a backend server of a plain service in milliseconds. */
-    private double serviceCost(Backend backend, PeerLoads peers) {
-        Work work = loads.of(backend.incarnation(), 0).work().plus(peers.at(backend.incarnation()));
-        return FULL_UTILIZATION_MILLIS * work.running() / Math.max(1, backend.slots());
+    /**
+     * Predicts the cost at a backend server of a plain service in milliseconds. The request itself counts only as far
+     * as the server's speed differs from its pool, so that equal servers are compared by the requests before it.
+     */
+    private double serviceCost(long nowMillis, Backend backend, PeerLoads peers) {
+        int running = serviceWork(backend, peers).running();
+        double ratio = speedRatio(nowMillis, backend);
+        double cost = FULL_UTILIZATION_MILLIS * (running * ratio + ratio - 1) / Math.max(1, backend.slots());
+        boolean limited = running
+                >= capacity.limit(backend.incarnation(), backend.slots()).limit();
+        return limited ? cost + LIMIT_PENALTY_MILLIS : cost;
+    }
+
+    private Work serviceWork(Backend backend, PeerLoads peers) {
+        return loads.of(backend.incarnation(), 0).work().plus(peers.at(backend.incarnation()));
+    }
+
+    private double speedRatio(long nowMillis, Backend backend) {
+        return capacity.speed().ratio(nowMillis, backend.pool(), backend.incarnation());
     }
 
     /** Predicts the part of the cost that applies to all kinds of pools, in milliseconds. */
@@ -228,7 +282,9 @@
      * A chosen backend server.
      *
      * @param costMillis The predicted cost in milliseconds.
-     * @param saturated Whether it currently has no capacity for the prompt.
+     * @param saturated Whether it currently has no capacity for the request.
+     * @param full Whether it has lately rejected requests at this load, so that even a request that can't wait any
+     *     longer should not be sent.
      */
-    public record Choice(Backend backend, double costMillis, boolean saturated) {}
+    public record Choice(Backend backend, double costMillis, boolean saturated, boolean full) {}
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendLoad.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendLoad.java
@@ -68,13 +68,14 @@
         long unread = uncachedTokens(prompt);
         long ahead = unreadTokens + peers.unreadTokens();
         long held = unread + prompt.outputTokens();
+        int outstanding = running + peers.running() + 1;
         running++;
         unreadTokens += unread;
         heldTokens += held;
         boolean isShort = EnginePartition.isShort(prompt);
         shortRunning += isShort ? 1 : 0;
         cached.add(prompt.parts());
-        return new Placement(this, unread, ahead + unread, held, isShort);
+        return new Placement(this, outstanding, unread, ahead + unread, held, isShort);
     }
 
     /** Returns the tokens of a prompt that the engine would have to process. */
@@ -139,6 +140,8 @@
 
         private final BackendLoad load;
 
+        private final int outstanding;
+
         private long unread;
 
         private final long tokensToFirstEvent;
@@ -149,16 +152,23 @@
 
         private boolean ended;
 
-        private Placement(BackendLoad load, long unread, long tokensToFirstEvent, long held, boolean isShort) {
+        private Placement(
+                BackendLoad load, int outstanding, long unread, long tokensToFirstEvent, long held, boolean isShort) {
             this.load = load;
+            this.outstanding = outstanding;
             this.unread = unread;
             this.tokensToFirstEvent = tokensToFirstEvent;
             this.held = held;
             this.isShort = isShort;
         }
 
+        /** Returns the requests of all hosts at the server when the request was placed, including it. */
+        public int outstanding() {
+            return outstanding;
+        }
+
         /** Returns the uncached prompt tokens of the request and of those that were sent to the engine before it. */
-        long tokensToFirstEvent() {
+        public long tokensToFirstEvent() {
             return tokensToFirstEvent;
         }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/PeerLoads.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/PeerLoads.java
@@ -1,5 +1,6 @@
 package org.cranberrygauge.proxy.routing;
 
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -7,13 +8,19 @@
  *
  * @param byBackend The work by incarnation of the backend server.
  * @param hosts The number of hosts that accept requests, including this one.
+ * @param speedRatios The ratios of predicted times by incarnation, one for each host that has observed it lately.
  */
-public record PeerLoads(Map<String, Work> byBackend, int hosts) {
+public record PeerLoads(Map<String, Work> byBackend, int hosts, Map<String, List<Double>> speedRatios) {
 
     public static final PeerLoads NO_PEERS = new PeerLoads(Map.of(), 1);
 
     public PeerLoads {
         byBackend = Map.copyOf(byBackend);
+        speedRatios = Map.copyOf(speedRatios);
+    }
+
+    public PeerLoads(Map<String, Work> byBackend, int hosts) {
+        this(byBackend, hosts, Map.of());
     }
 
     public Work at(String incarnation) {
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/PeerDirectoryTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/PeerDirectoryTest.java
@@ -95,6 +95,21 @@
         assertThat(peers.ranked(30_000, "stream-1", 5)).isEmpty();
     }
 
+    /** Guards against ratios of silent hosts, and against a value that was not sent being taken for a ratio. */
+    @Test
+    void theSpeedRatiosOfEachRecentReportAreKept() {
+        HostReport first = new HostReport("host-1", 1, 1, Map.of(), List.of(), List.of(), "east", true);
+        first.setServerSpeedPercent(Map.of("slow/1", 250, "garbled/1", 0));
+        HostReport second = new HostReport("host-3", 1, 1, Map.of(), List.of(), List.of(), "east", true);
+        second.setServerSpeedPercent(Map.of("slow/1", 100));
+        peers.update(1_000, first, FIRST);
+        peers.update(1_500, second, SECOND);
+        receivesReport(1_500, "host-4", "east", true, SECOND);
+        assertThat(peers.loads(1_600).speedRatios()).containsOnlyKeys("slow/1");
+        assertThat(peers.loads(1_600).speedRatios().get("slow/1")).containsExactlyInAnyOrder(2.5, 1.0);
+        assertThat(peers.loads(2_600).speedRatios().get("slow/1")).containsExactly(1.0);
+    }
+
     private void receivesReport(long nowMillis, String host, String dataCentre, boolean reads, NetworkAddress address) {
         HostReport report = new HostReport(host, 1, nowMillis, Map.of(), List.of(), List.of(), dataCentre, reads);
         assertThat(peers.update(nowMillis, report, address)).isTrue();
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendChooserTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendChooserTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.cranberrygauge.decision.capacity.ServerCapacity;
 import org.cranberrygauge.model.backend.Supply;
 import org.cranberrygauge.proxy.ProxyFixtures;
 import org.cranberrygauge.proxy.backend.Backend;
@@ -24,14 +25,14 @@
     private final LoadTable loads = new LoadTable();
 
     private final BackendChooser chooser =
-            new BackendChooser("east-a", loads, new EngineProfiles(), new SplittableRandom(1));
+            new BackendChooser("east-a", loads, new EngineProfiles(), new ServerCapacity(), new SplittableRandom(1));
 
     private final List<Backend> engines = engines(8);
 
     @Test
     void hostsSendADocumentToTheSameEngineWithoutCoordination() {
-        BackendChooser other =
-                new BackendChooser("east-a", new LoadTable(), new EngineProfiles(), new SplittableRandom(2));
+        BackendChooser other = new BackendChooser(
+                "east-a", new LoadTable(), new EngineProfiles(), new ServerCapacity(), new SplittableRandom(2));
         for (int document = 0; document < 30; document++) {
             Prompt prompt = ProxyFixtures.longPrompt("document-" + document);
             assertThat(choose(chooser, prompt, PeerLoads.NO_PEERS).backend())
@@ -119,8 +120,8 @@
         PeerLoads peers = new PeerLoads(work, 32);
         Map<Backend, Integer> chosen = new HashMap<>();
         for (int host = 0; host < 32; host++) {
-            BackendChooser other =
-                    new BackendChooser("east-a", new LoadTable(), new EngineProfiles(), new SplittableRandom(host));
+            BackendChooser other = new BackendChooser(
+                    "east-a", new LoadTable(), new EngineProfiles(), new ServerCapacity(), new SplittableRandom(host));
             chosen.merge(
                     other.choose(
                                     1_000,
