--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
@@ -38,6 +38,11 @@
     /** The maximum age of the last report of a host that is queried for reads or permits. */
     private static final long HEARD_MILLIS = 1_000;
 
+    /** The maximum number of speed ratios that are read of one report. */
+    private static final int MAXIMUM_SPEEDS = 64;
+
+    private static final double PERCENT = 100;
+
     private final String host;
 
     private final String dataCentre;
@@ -69,7 +74,20 @@
     void addHost(long nowMillis, String name, NetworkAddress address) {
         Peer current = peers.get(name);
         if (current == null) {
-            peers.put(name, new Peer(address, 0, 0, Map.of(), Map.of(), "", false, false, nowMillis, Long.MIN_VALUE / 2));
+            peers.put(
+                    name,
+                    new Peer(
+                            address,
+                            0,
+                            0,
+                            Map.of(),
+                            Map.of(),
+                            Map.of(),
+                            "",
+                            false,
+                            false,
+                            nowMillis,
+                            Long.MIN_VALUE / 2));
             hostFound.accept(address);
         }
     }
@@ -99,6 +117,7 @@
                         report.getSequence(),
                         work,
                         prefill(report),
+                        speeds(report),
                         report.getDataCentre(),
                         report.isReadsLog(),
                         report.isReachesBackends(),
@@ -130,13 +149,17 @@
     PeerLoads loads(long nowMillis) {
         Map<String, Work> total = new HashMap<>();
         Map<String, PrefillTokens> prefill = new HashMap<>();
+        Map<String, List<Double>> speeds = new HashMap<>();
         for (Peer peer : peers.values()) {
             if (nowMillis - peer.lastReportMillis() < WORK_VALIDITY_MILLIS) {
                 peer.work().forEach((incarnation, work) -> total.merge(incarnation, work, Work::plus));
                 peer.prefill().forEach((pool, tokens) -> prefill.merge(pool, tokens, PrefillTokens::plus));
+                peer.speeds()
+                        .forEach((incarnation, ratio) -> speeds.computeIfAbsent(incarnation, name -> new ArrayList<>())
+                                .add(ratio));
             }
         }
-        return new PeerLoads(total, members(nowMillis), prefill);
+        return new PeerLoads(total, members(nowMillis), prefill, speeds);
     }
 
     /** Returns the highest version of the configuration that another host had in force, or the lowest number. */
@@ -280,6 +303,18 @@
         return new Work(entry.getRunning(), entry.getUnreadTokens(), entry.getHeldTokens(), entry.getShortRunning());
     }
 
+    /** Returns the speed ratios of a report, without values that no host computes. */
+    private static Map<String, Double> speeds(HostReport report) {
+        Map<String, Double> speeds = new HashMap<>();
+        if (report.isSetServerSpeedPercent()) {
+            report.getServerSpeedPercent().entrySet().stream()
+                    .filter(entry -> entry.getValue() > 0)
+                    .limit(MAXIMUM_SPEEDS)
+                    .forEach(entry -> speeds.put(entry.getKey(), entry.getValue() / PERCENT));
+        }
+        return speeds;
+    }
+
     /**
      * Another host.
      *
@@ -288,6 +323,7 @@
      * @param sequence The sequence number of its last report.
      * @param work Its load by incarnation of the backend server.
      * @param prefill Its recent prefill work by pool.
+     * @param speeds The time of backend servers relative to their pool, as it observed them, by incarnation.
      * @param dataCentre Its data centre; empty before its first report.
      * @param readsLog Whether it can read the shared log for others.
      * @param reachesBackends Whether it reaches backend servers.
@@ -300,6 +336,7 @@
             long sequence,
             Map<String, Work> work,
             Map<String, PrefillTokens> prefill,
+            Map<String, Double> speeds,
             String dataCentre,
             boolean readsLog,
             boolean reachesBackends,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
@@ -192,6 +192,7 @@
                 .configuration()
                 .ifPresent(inForce -> report.setConfigurationVersion(inForce.version()));
         boolean draining = context.blackboard().draining();
+        report.setServerSpeedPercent(context.blackboard().serverSpeedPercent());
         report.setReachesBackends(reachability.reaches(now) && !draining);
         report.setPrefill(prefillWork());
         Map<String, Shared> shared = statements.shared(now, present);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
@@ -36,6 +36,9 @@
     /** The recent prefill work that this host caused, by pool. */
     private final AtomicReference<Map<String, PrefillTokens>> prefill = new AtomicReference<>(Map.of());
 
+    /** The time of backend servers relative to their pool in percent, as this host's own requests show it. */
+    private final AtomicReference<Map<String, Integer>> serverSpeedPercent = new AtomicReference<>(Map.of());
+
     /** The number of requests in progress. */
     private final AtomicInteger active = new AtomicInteger();
 
@@ -109,6 +112,15 @@
         prefill.set(Map.copyOf(tokensByPool));
     }
 
+    /** Returns this host's own ratios of backend servers by incarnation, for its report to the other hosts. */
+    public Map<String, Integer> serverSpeedPercent() {
+        return serverSpeedPercent.get();
+    }
+
+    public void publishServerSpeeds(Map<String, Integer> percent) {
+        serverSpeedPercent.set(Map.copyOf(percent));
+    }
+
     /** Returns the live counter of requests in progress. */
     public AtomicInteger active() {
         return active;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/PeerLoads.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/PeerLoads.java
@@ -1,5 +1,6 @@
 package org.cranberrygauge.proxy.routing;
 
+import java.util.List;
 import java.util.Map;
 import org.cranberrygauge.decision.engine.PrefillTokens;
 
@@ -9,14 +10,25 @@
  * @param byBackend The work by incarnation of the backend server.
  * @param hosts The number of hosts that accept requests, including this one.
  * @param prefillByPool The recent prefill work by pool.
+ * @param speedRatios The ratios of predicted times by incarnation, one for each host that has observed it lately.
  */
-public record PeerLoads(Map<String, Work> byBackend, int hosts, Map<String, PrefillTokens> prefillByPool) {
+public record PeerLoads(
+        Map<String, Work> byBackend,
+        int hosts,
+        Map<String, PrefillTokens> prefillByPool,
+        Map<String, List<Double>> speedRatios) {
 
-    public static final PeerLoads NO_PEERS = new PeerLoads(Map.of(), 1, Map.of());
+    public static final PeerLoads NO_PEERS = new PeerLoads(Map.of(), 1);
 
     public PeerLoads {
         byBackend = Map.copyOf(byBackend);
         prefillByPool = Map.copyOf(prefillByPool);
+        speedRatios = Map.copyOf(speedRatios);
+    }
+
+    /** Creates the load of hosts that report neither their prefill work nor the speed of servers. */
+    public PeerLoads(Map<String, Work> byBackend, int hosts) {
+        this(byBackend, hosts, Map.of(), Map.of());
     }
 
     public Work at(String incarnation) {
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendChooserTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendChooserTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.cranberrygauge.decision.capacity.ServerCapacity;
 import org.cranberrygauge.model.backend.Supply;
 import org.cranberrygauge.proxy.ProxyFixtures;
 import org.cranberrygauge.proxy.backend.Backend;
@@ -24,14 +25,14 @@
     private final LoadTable loads = new LoadTable();
 
     private final BackendChooser chooser =
-            new BackendChooser("east-a", loads, new EngineProfiles(), new SplittableRandom(1));
+            new BackendChooser("east-a", loads, new EngineProfiles(), new ServerCapacity(), new SplittableRandom(1));
 
     private final List<Backend> engines = engines(8);
 
     @Test
     void hostsSendADocumentToTheSameEngineWithoutCoordination() {
-        BackendChooser other =
-                new BackendChooser("east-a", new LoadTable(), new EngineProfiles(), new SplittableRandom(2));
+        BackendChooser other = new BackendChooser(
+                "east-a", new LoadTable(), new EngineProfiles(), new ServerCapacity(), new SplittableRandom(2));
         for (int document = 0; document < 30; document++) {
             Prompt prompt = ProxyFixtures.longPrompt("document-" + document);
             assertThat(choose(chooser, prompt, PeerLoads.NO_PEERS).backend())
@@ -43,7 +44,7 @@
     void aDocumentStaysWhereItIsCachedWhileThatEngineIsModeratelyLoaded() {
         Prompt prompt = ProxyFixtures.longPrompt("document");
         Backend preferred = choose(chooser, prompt, PeerLoads.NO_PEERS).backend();
-        PeerLoads busy = new PeerLoads(Map.of(preferred.incarnation(), new Work(6, 10_000, 20_000, 0)), 4, Map.of());
+        PeerLoads busy = new PeerLoads(Map.of(preferred.incarnation(), new Work(6, 10_000, 20_000, 0)), 4);
         loads.of(preferred.incarnation(), MEMORY).place(prompt, Work.NONE).end();
         assertThat(choose(chooser, prompt, busy).backend()).isEqualTo(preferred);
     }
@@ -53,7 +54,7 @@
         Prompt prompt = ProxyFixtures.longPrompt("document");
         Backend preferred = choose(chooser, prompt, PeerLoads.NO_PEERS).backend();
         loads.of(preferred.incarnation(), MEMORY).place(prompt, Work.NONE).end();
-        PeerLoads overloaded = new PeerLoads(Map.of(preferred.incarnation(), new Work(40, 200_000, 400_000, 0)), 4, Map.of());
+        PeerLoads overloaded = new PeerLoads(Map.of(preferred.incarnation(), new Work(40, 200_000, 400_000, 0)), 4);
         assertThat(choose(chooser, prompt, overloaded).backend()).isNotEqualTo(preferred);
     }
 
@@ -76,7 +77,7 @@
         EnginePartition partition = EnginePartition.split(engines, 0.15);
         partition.longPrompts().forEach(engine -> work.put(engine.incarnation(), new Work(8, 30_000, 60_000, 0)));
         partition.shortPrompts().forEach(engine -> work.put(engine.incarnation(), new Work(12, 1_000, 15_000, 12)));
-        PeerLoads peers = new PeerLoads(work, 4, Map.of());
+        PeerLoads peers = new PeerLoads(work, 4);
         for (int session = 0; session < 20; session++) {
             assertThat(partition.shortPrompts())
                     .contains(choose(chooser, ProxyFixtures.shortPrompt("session-" + session), peers)
@@ -116,11 +117,11 @@
         for (int index = 0; index < many.size(); index++) {
             work.put(many.get(index).incarnation(), new Work(10, 1_000, 14_000 + index * 10L, 10));
         }
-        PeerLoads peers = new PeerLoads(work, 32, Map.of());
+        PeerLoads peers = new PeerLoads(work, 32);
         Map<Backend, Integer> chosen = new HashMap<>();
         for (int host = 0; host < 32; host++) {
-            BackendChooser other =
-                    new BackendChooser("east-a", new LoadTable(), new EngineProfiles(), new SplittableRandom(host));
+            BackendChooser other = new BackendChooser(
+                    "east-a", new LoadTable(), new EngineProfiles(), new ServerCapacity(), new SplittableRandom(host));
             chosen.merge(
                     other.choose(
                                     1_000,
@@ -141,7 +142,7 @@
     void longPromptsAreQueuedOnceAllEnginesAreSaturated() {
         Map<String, Work> work = new HashMap<>();
         engines.forEach(engine -> work.put(engine.incarnation(), new Work(10, 40_000, 89_000, 0)));
-        PeerLoads full = new PeerLoads(work, 4, Map.of());
+        PeerLoads full = new PeerLoads(work, 4);
         assertThat(choose(chooser, ProxyFixtures.longPrompt("document"), full).saturated())
                 .isTrue();
         assertThat(choose(chooser, ProxyFixtures.shortPrompt("session"), full).saturated())
@@ -202,7 +203,7 @@
         assertThat(chooser.choose(1_000, ProxyFixtures.LEDGER, both, backend -> true, Prompt.NONE, PeerLoads.NO_PEERS)
                         .map(Choice::backend))
                 .contains(near);
-        PeerLoads busy = new PeerLoads(Map.of(near.incarnation(), new Work(20, 0, 0, 20)), 4, Map.of());
+        PeerLoads busy = new PeerLoads(Map.of(near.incarnation(), new Work(20, 0, 0, 20)), 4);
         assertThat(chooser.choose(1_000, ProxyFixtures.LEDGER, both, backend -> true, Prompt.NONE, busy)
                         .map(Choice::backend))
                 .contains(far);
