Load shedding on overloaded hosts

Each host measures the delay of its event loop and reports it to the others. A host whose delay takes a large part of a route's target latency sheds a bounded share of the new requests, as long as most other hosts are less loaded.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -44,6 +44,7 @@
 import org.cranberrygauge.proxy.exchange.ExchangeMetrics;
 import org.cranberrygauge.proxy.exchange.HostMetrics;
 import org.cranberrygauge.proxy.exchange.IngressServer;
+import org.cranberrygauge.proxy.exchange.LoadShedding;
 import org.cranberrygauge.proxy.exchange.PoolRetryBudgets;
 import org.cranberrygauge.proxy.exchange.PoolWaitQueues;
 import org.cranberrygauge.proxy.exchange.ProxyBlackboard;
@@ -322,9 +323,12 @@
             ownWork.set(loads.work());
             blackboard.publish(profiles.snapshot());
             loads.removeUnlisted(blackboard.backends());
+            hostMetrics.recordLoopDelay(blackboard.loopDelay().orElse(-1));
             publishMetrics(hostMetrics, queues.size());
         });
-        CallerHandler handler = new CallerHandler(context, admission);
+        LoadShedding shedding = new LoadShedding(vertx, time, blackboard, events, new SplittableRandom());
+        shedding.start();
+        CallerHandler handler = new CallerHandler(context, admission, shedding);
         return new IngressServer(vertx, handler::handleForwarded, handler::handleInvalidForwarded)
                 .listen(settings.peers())
                 .compose(
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RejectReason.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RejectReason.java
@@ -25,6 +25,8 @@
     BODY_TOO_LONG(413, 0),
     /** The host is shutting down; another host can serve the request. */
     DRAINING(503, 50),
+    /** The host is overloaded; another host can serve the request. */
+    HOST_OVERLOADED(503, 50),
     /** No backend server of the pool accepts new requests. */
     NO_BACKEND(503, 500),
     /** All backend servers that were tried reported that they are at capacity. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/configuration/ProxyConfiguration.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/configuration/ProxyConfiguration.java
@@ -19,6 +19,8 @@
 
     private final Map<String, Pool> pools;
 
+    private final long lowestTargetMillis;
+
     private final CallerLimits limits;
 
     /** The owners by key. */
@@ -41,6 +43,11 @@
             this.routes.computeIfAbsent(route.host(), host -> new HashMap<>()).put(route.pathPrefix(), route);
         }
         this.pools = Map.copyOf(pools);
+        this.lowestTargetMillis = routes.stream()
+                .mapToLong(Route::targetMillis)
+                .filter(target -> target > 0)
+                .min()
+                .orElse(0);
         this.limits = limits;
         this.keys = Map.copyOf(keys);
         this.keysRequired = keysRequired;
@@ -50,6 +57,11 @@
         return version;
     }
 
+    /** Returns the lowest target latency of the routes in milliseconds, or 0 if no route has one. */
+    public long lowestTargetMillis() {
+        return lowestTargetMillis;
+    }
+
     public CallerLimits limits() {
         return limits;
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
@@ -6,9 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import org.cranberrygauge.decision.hostload.OtherHosts;
 import org.cranberrygauge.decision.topology.RendezvousHash;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.protocol.generated.BackendWork;
@@ -68,7 +70,19 @@
     void addHost(long nowMillis, String name, NetworkAddress address) {
         Peer current = peers.get(name);
         if (current == null) {
-            peers.put(name, new Peer(address, 0, 0, Map.of(), "", false, false, nowMillis, Long.MIN_VALUE / 2));
+            peers.put(
+                    name,
+                    new Peer(
+                            address,
+                            0,
+                            0,
+                            Map.of(),
+                            "",
+                            false,
+                            false,
+                            OptionalInt.empty(),
+                            nowMillis,
+                            Long.MIN_VALUE / 2));
             hostFound.accept(address);
         }
     }
@@ -100,6 +114,9 @@
                         report.getDataCentre(),
                         report.isReadsLog(),
                         report.isReachesBackends(),
+                        report.isSetLoopDelayMillis()
+                                ? OptionalInt.of(report.getLoopDelayMillis())
+                                : OptionalInt.empty(),
                         nowMillis,
                         nowMillis));
         if (current == null) {
@@ -231,6 +248,22 @@
                 .toList();
     }
 
+    /**
+     * Returns the load of the hosts that were heard recently.
+     *
+     * @param nowMillis The current monotonic time in milliseconds.
+     */
+    OtherHosts otherHosts(long nowMillis) {
+        int unknown = count(peer -> isHeard(nowMillis, peer) && peer.loopDelay().isEmpty());
+        List<Integer> delays = new ArrayList<>();
+        for (Peer peer : peers.values()) {
+            if (isHeard(nowMillis, peer)) {
+                peer.loopDelay().ifPresent(delays::add);
+            }
+        }
+        return new OtherHosts(nowMillis, unknown, delays);
+    }
+
     private static boolean isHeard(long nowMillis, Peer peer) {
         return nowMillis - peer.lastReportMillis() < HEARD_MILLIS;
     }
@@ -275,6 +308,7 @@
      * @param dataCentre Its data centre; empty before its first report.
      * @param readsLog Whether it can read the shared log for others.
      * @param reachesBackends Whether it reaches backend servers.
+     * @param loopDelay The smoothed delay of its event loop in milliseconds; empty if it reported none.
      * @param lastSeenMillis The monotonic time of its last report or, before the first, of its discovery.
      * @param lastReportMillis The monotonic time of its last report.
      */
@@ -286,6 +320,7 @@
             String dataCentre,
             boolean readsLog,
             boolean reachesBackends,
+            OptionalInt loopDelay,
             long lastSeenMillis,
             long lastReportMillis) {}
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
@@ -157,6 +157,7 @@
         network.channel()
                 .send(HostMessage.report(buildReport(now)), network.peers().addresses(now));
         context.blackboard().publish(network.peers().loads(now));
+        context.blackboard().publish(network.peers().otherHosts(now));
         context.blackboard().publishForwardingTargets(network.peers().forwardingTargets(now));
     }
 
@@ -190,6 +191,7 @@
                 .configuration()
                 .configuration()
                 .ifPresent(inForce -> report.setConfigurationVersion(inForce.version()));
+        context.blackboard().loopDelay().ifPresent(report::setLoopDelayMillis);
         boolean draining = context.blackboard().draining();
         report.setReachesBackends(reachability.reaches(now) && !draining);
         Map<String, Shared> shared = statements.shared(now, present);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
@@ -38,9 +38,12 @@
 
     private final RequestAdmission admission;
 
-    public CallerHandler(ExchangeContext context, RequestAdmission admission) {
+    private final LoadShedding shedding;
+
+    public CallerHandler(ExchangeContext context, RequestAdmission admission, LoadShedding shedding) {
         this.context = context;
         this.admission = admission;
+        this.shedding = shedding;
     }
 
     @Override
@@ -112,6 +115,10 @@
             reject(now, request, response, callerHeaders, RejectReason.NO_BACKEND);
             return;
         }
+        if (shedding.mustShed(context.time().monotonicMillis(), route, callerHeaders, forwarding)) {
+            shed(now, request, response, callerHeaders);
+            return;
+        }
         long maximumBytes = view.configuration().orElseThrow().limits().bodyBytes();
         long timeoutMillis =
                 Math.min(route.timeoutMillis(), callerHeaders.remainingMillis().orElse(Long.MAX_VALUE));
@@ -192,9 +199,21 @@
             CallerResponse response,
             CallerHeaders callerHeaders,
             RejectReason reason) {
-        ConfigurationView view = context.blackboard().configuration();
         request.exceptionHandler(failure -> {});
         response.reject(reason, reason.retryAfterMillis());
+        recordRejection(now, callerHeaders, reason);
+    }
+
+    /** Rejects a request before its body is read, so that its caller tries another host. */
+    private void shed(long now, HttpServerRequest request, CallerResponse response, CallerHeaders callerHeaders) {
+        RejectReason reason = RejectReason.HOST_OVERLOADED;
+        request.exceptionHandler(failure -> {});
+        response.rejectBeforeBody(context.vertx(), reason, reason.retryAfterMillis());
+        recordRejection(now, callerHeaders, reason);
+    }
+
+    private void recordRejection(long now, CallerHeaders callerHeaders, RejectReason reason) {
+        ConfigurationView view = context.blackboard().configuration();
         context.metrics().recordEnd(ABSENT, ABSENT, reason.name());
         context.events()
                 .emit(new ExchangeEvents.RequestRejected(
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Handler;
 import io.vertx.core.MultiMap;
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
@@ -21,6 +22,9 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    /** The maximum time for which the rest of a body is discarded after its request was rejected. */
+    private static final long DISCARD_MILLIS = 2_000;
+
     private final HttpServerRequest request;
 
     private final HttpServerResponse response;
@@ -32,6 +36,11 @@
 
     private boolean closeAfter;
 
+    /** Whether the connection is closed once the body has been read, and not right after the response. */
+    private boolean closeDeferred;
+
+    private boolean written;
+
     /** @param forwarded Whether the caller is another host that forwards the request. */
     public CallerResponse(HttpServerRequest request, BooleanSupplier draining, boolean forwarded) {
         this.request = request;
@@ -66,6 +75,30 @@
         end(Buffer.buffer());
     }
 
+    /**
+     * Writes the proxy's own response for a rejection before the body has arrived, and closes the connection. The rest
+     * of the body is read and discarded first, since closing a connection with unread data resets it, and the caller
+     * could lose the response with its statement that the request has not run.
+     *
+     * @param retryAfterMillis How long the caller should wait before a retry, in milliseconds.
+     */
+    public void rejectBeforeBody(Vertx vertx, RejectReason reason, OptionalLong retryAfterMillis) {
+        closeAfter = true;
+        closeDeferred = !request.isEnded();
+        if (closeDeferred) {
+            long timer = vertx.setTimer(DISCARD_MILLIS, fired -> abort());
+            response.closeHandler(closed -> vertx.cancelTimer(timer));
+            request.handler(ignored -> {});
+            request.endHandler(end -> {
+                closeDeferred = false;
+                if (written) {
+                    closeIfAnnounced();
+                }
+            });
+        }
+        reject(reason, retryAfterMillis);
+    }
+
     /** Writes a complete response of a backend server. */
     public void forward(int status, MultiMap headers, Buffer body) {
         response.setStatusCode(status);
@@ -125,7 +158,8 @@
     }
 
     private void closeIfAnnounced() {
-        if (closeAfter) {
+        written = true;
+        if (closeAfter && !closeDeferred) {
             request.connection().close();
         }
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeEvents.java
@@ -21,6 +21,15 @@
             String request, String reason, int status, long configuration, long configurationAgeMillis)
             implements Event {}
 
+    /**
+     * The load of this host's processor changed.
+     *
+     * @param previous The state before.
+     * @param state The current state.
+     * @param delayMillis The smoothed delay of the event loop in milliseconds.
+     */
+    public record HostLoadChanged(String previous, String state, int delayMillis) implements Event {}
+
     /**
      * An attempt at a backend server failed.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HostMetrics.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HostMetrics.java
@@ -28,6 +28,8 @@
 
     private final Gauge cold;
 
+    private final Gauge loopDelay;
+
     public HostMetrics(PrometheusRegistry registry) {
         active = gauge(registry, "active_requests", "Requests in progress.");
         waiting = gauge(registry, "waiting_requests", "Requests that wait for room at an engine.");
@@ -39,6 +41,8 @@
         evacuated = gauge(registry, "evacuated_data_centres", "Data centres that the operator has evacuated.");
         cold = gauge(
                 registry, "cold_backends", "Backend servers that take a limited rate of requests since they are cold.");
+        loopDelay = gauge(
+                registry, "loop_delay_seconds", "Smoothed delay of the event loop of requests; -1 while unknown.");
     }
 
     /** Updates the metrics of requests. */
@@ -72,6 +76,11 @@
         cold.set(coldBackends);
     }
 
+    /** Updates the metric of the processor's load; the delay is -1 ms while it is unknown. */
+    public void recordLoopDelay(int delayMillis) {
+        loopDelay.set(delayMillis < 0 ? -1 : delayMillis / MILLIS_PER_SECOND);
+    }
+
     private static Gauge gauge(PrometheusRegistry registry, String name, String help) {
         return Gauge.builder().name("cranberrygauge_proxy_" + name).help(help).register(registry);
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
@@ -2,10 +2,12 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.cranberrygauge.decision.engine.EngineProfile;
+import org.cranberrygauge.decision.hostload.OtherHosts;
 import org.cranberrygauge.proxy.backend.BackendSnapshot;
 import org.cranberrygauge.proxy.configuration.ConfigurationView;
 import org.cranberrygauge.proxy.routing.PeerLoads;
@@ -32,6 +34,12 @@
     /** The speed of engines by pool, as this host's own requests show it. */
     private final AtomicReference<Map<String, EngineProfile>> engineProfiles = new AtomicReference<>(Map.of());
 
+    /** The smoothed delay of the event loop of requests in milliseconds, which the request path writes. */
+    private final AtomicReference<OptionalInt> loopDelay = new AtomicReference<>(OptionalInt.empty());
+
+    /** The load of the other hosts' processors. */
+    private final AtomicReference<OtherHosts> otherHosts = new AtomicReference<>(OtherHosts.NONE);
+
     /** The number of requests in progress. */
     private final AtomicInteger active = new AtomicInteger();
 
@@ -96,6 +104,24 @@
         engineProfiles.set(profiles);
     }
 
+    /** Returns the smoothed delay of the event loop of requests in milliseconds, or empty if it is not known yet. */
+    public OptionalInt loopDelay() {
+        return loopDelay.get();
+    }
+
+    public void publishLoopDelay(OptionalInt delayMillis) {
+        loopDelay.set(delayMillis);
+    }
+
+    /** Returns the load of the other hosts' processors. */
+    public OtherHosts otherHosts() {
+        return otherHosts.get();
+    }
+
+    public void publish(OtherHosts hosts) {
+        otherHosts.set(hosts);
+    }
+
     /** Returns the live counter of requests in progress. */
     public AtomicInteger active() {
         return active;
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/PeerDirectoryTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/PeerDirectoryTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.cranberrygauge.decision.hostload.OtherHosts;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.protocol.generated.HostReport;
 import org.junit.jupiter.api.Test;
@@ -95,6 +96,15 @@
         assertThat(peers.ranked(30_000, "stream-1", 5)).isEmpty();
     }
 
+    @Test
+    void theDelayOfAHostIsUsedOnlyWhileItIsHeardAndIsUnknownIfItReportsNone() {
+        HostReport report = new HostReport("host-1", 1, 1, Map.of(), List.of(), List.of(), "west", true);
+        peers.update(1_000, report.setLoopDelayMillis(0), FIRST);
+        receivesReport(1_000, "host-3", "west", true, SECOND);
+        assertThat(peers.otherHosts(1_500)).isEqualTo(new OtherHosts(1_500, 1, List.of(0)));
+        assertThat(peers.otherHosts(2_000)).isEqualTo(new OtherHosts(2_000, 0, List.of()));
+    }
+
     private void receivesReport(long nowMillis, String host, String dataCentre, boolean reads, NetworkAddress address) {
         HostReport report = new HostReport(host, 1, nowMillis, Map.of(), List.of(), List.of(), dataCentre, reads);
         assertThat(peers.update(nowMillis, report, address)).isTrue();
