Return times of rejected callers from the rate at which waiting requests start

Each pool's wait queue measures the starts of its requests. Rejections for BACKENDS_FULL, BACKENDS_LIMITED and NO_BACKEND name the time at which the pool is expected to have room, after the callers that were promised room before.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -107,7 +107,7 @@
 
     private final HeldPermits permits = new HeldPermits();
 
-    private final PoolWaitQueues queues = new PoolWaitQueues();
+    private final PoolWaitQueues queues = new PoolWaitQueues(new SplittableRandom());
 
     /** The versions of software that served lately, used on the event loop of requests. */
     private final VersionHistory versions = new VersionHistory();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/WaitQueue.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/WaitQueue.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.Iterator;
 import java.util.List;
+import java.util.function.ToLongFunction;
 
 /**
  * The requests that are queued on this host until a backend server is available and has capacity.
@@ -26,6 +27,11 @@
         entries.removeIf(entry -> entry.item() == item);
     }
 
+    /** Returns the sum of a value of all requests. */
+    public long sum(ToLongFunction<T> value) {
+        return entries.stream().map(Entry::item).mapToLong(value).sum();
+    }
+
     public int size() {
         return entries.size();
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -76,7 +76,7 @@
         this.selection = new BackendSelection(context, request);
         this.evidence = new CrashEvidence(context, request);
         this.retryGate = new RetryGate(context, request, selection, evidence);
-        this.finalResponse = new FinalResponse(context, response, selection, this::finish);
+        this.finalResponse = new FinalResponse(context, request, response, selection, this::finish);
         this.timers = new ExchangeTimers(context.vertx());
         this.recorder = new ExchangeRecorder(context, request);
         this.lastEventId = request.callerHeaders().lastEventId();
@@ -328,6 +328,10 @@
         return DispatchResult.SENT;
     }
 
+    long cost() {
+        return request.cost();
+    }
+
     /** Ends the request after it was removed from the queue as expired. */
     void expireInQueue() {
         waiting = false;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeEvents.java
@@ -21,6 +21,18 @@
             String request, String reason, int status, long configuration, long configurationAgeMillis)
             implements Event {}
 
+    /**
+     * A request was rejected until its pool is expected to have room.
+     *
+     * @param request The identifier of the request.
+     * @param pool The name of the pool.
+     * @param reason The reason for the rejection.
+     * @param predicted Whether the time is predicted; otherwise it is the constant of the reason.
+     * @param afterMillis The time until the caller's return in milliseconds; -1 if none is stated.
+     */
+    public record ReturnAssigned(String request, String pool, String reason, boolean predicted, long afterMillis)
+            implements Event {}
+
     /**
      * The load of this host's processor changed.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeMetrics.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeMetrics.java
@@ -24,6 +24,8 @@
 
     private final Counter unavailable;
 
+    private final Counter returns;
+
     private final Histogram first;
 
     public ExchangeMetrics(PrometheusRegistry registry) {
@@ -42,6 +44,11 @@
                 .help("Choices whose best backend server took no request by its own statement, by pool and reason.")
                 .labelNames("pool", "reason")
                 .register(registry);
+        returns = Counter.builder()
+                .name("cranberrygauge_proxy_returns_total")
+                .help("Rejections with a time until the pool has room, by pool and whether it is predicted.")
+                .labelNames("pool", "predicted")
+                .register(registry);
         first = Histogram.builder()
                 .name("cranberrygauge_proxy_first_seconds")
                 .help("Time to the first event or the whole answer, by route and customer.")
@@ -71,6 +78,11 @@
         unavailable.labelValues(pool, reason).inc();
     }
 
+    /** Counts a rejection with a return time. */
+    public void recordReturn(String pool, boolean predicted) {
+        returns.labelValues(pool, Boolean.toString(predicted)).inc();
+    }
+
     /**
      * Records the time to the first event or the complete response.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/FinalResponse.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/FinalResponse.java
@@ -11,6 +11,8 @@
 
     private final ExchangeContext context;
 
+    private final ProxyRequest request;
+
     private final CallerResponse response;
 
     private final BackendSelection selection;
@@ -19,8 +21,13 @@
     private final ObjIntConsumer<String> end;
 
     FinalResponse(
-            ExchangeContext context, CallerResponse response, BackendSelection selection, ObjIntConsumer<String> end) {
+            ExchangeContext context,
+            ProxyRequest request,
+            CallerResponse response,
+            BackendSelection selection,
+            ObjIntConsumer<String> end) {
         this.context = context;
+        this.request = request;
         this.response = response;
         this.selection = selection;
         this.end = end;
@@ -49,10 +56,22 @@
         if (fromMillis.isPresent() && fromMillis.getAsLong() > nowMillis) {
             reject(RejectReason.BACKENDS_PAUSED, OptionalLong.of(fromMillis.getAsLong() - nowMillis));
         } else {
-            reject(otherwise);
+            rejectUntilRoom(nowMillis, otherwise);
         }
     }
 
+    /** Rejects a request with the time at which the pool is expected to have room for it. */
+    private void rejectUntilRoom(long nowMillis, RejectReason reason) {
+        String pool = selection.pool().name();
+        OptionalLong retryAfterMillis = context.queues().retryAfterMillis(nowMillis, pool, reason, request);
+        boolean predicted = !retryAfterMillis.equals(reason.retryAfterMillis());
+        context.metrics().recordReturn(pool, predicted);
+        context.events()
+                .emit(new ExchangeEvents.ReturnAssigned(
+                        request.id(), pool, reason.name(), predicted, retryAfterMillis.orElse(-1)));
+        reject(reason, retryAfterMillis);
+    }
+
     void reject(RejectReason reason) {
         reject(reason, reason.retryAfterMillis());
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/PoolWaitQueues.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/PoolWaitQueues.java
@@ -2,6 +2,9 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
+import java.util.random.RandomGenerator;
+import org.cranberrygauge.proxy.admission.RejectReason;
 import org.cranberrygauge.proxy.admission.WaitQueue;
 
 /** The requests that wait until a backend server is available and has capacity, by pool. Not thread-safe. */
@@ -12,10 +15,40 @@
 
     private final Map<String, WaitQueue<Exchange>> queues = new HashMap<>();
 
+    private final Map<String, PoolReturns> returns = new HashMap<>();
+
+    private final RandomGenerator random;
+
+    /** @param random Spreads the returns of rejected callers. */
+    public PoolWaitQueues(RandomGenerator random) {
+        this.random = random;
+    }
+
     WaitQueue<Exchange> of(String pool) {
         return queues.computeIfAbsent(pool, name -> new WaitQueue<>());
     }
 
+    /**
+     * Returns how long the caller of a request that a pool cannot serve should wait.
+     *
+     * @param nowMillis The current monotonic time in milliseconds.
+     */
+    OptionalLong retryAfterMillis(long nowMillis, String pool, RejectReason reason, ProxyRequest request) {
+        WaitQueue<Exchange> queue = of(pool);
+        return returnsOf(pool)
+                .retryAfterMillis(
+                        nowMillis,
+                        reason,
+                        queue.size(),
+                        queue.sum(Exchange::cost),
+                        request.cost(),
+                        request.deadlineMillis() - nowMillis);
+    }
+
+    private PoolReturns returnsOf(String pool) {
+        return returns.computeIfAbsent(pool, name -> new PoolReturns(random));
+    }
+
     /**
      * Sends the requests that can be sent by now, and rejects the expired ones. A request without capacity holds back
      * those behind it; one without an available server does not, since others may have one.
@@ -23,18 +56,24 @@
      * @param nowMillis The current monotonic time in milliseconds.
      */
     public void dispatch(long nowMillis) {
-        for (WaitQueue<Exchange> queue : queues.values()) {
+        queues.forEach((pool, queue) -> {
+            PoolReturns starts = returnsOf(pool);
             queue.removeExpired(nowMillis).forEach(Exchange::expireInQueue);
-            dispatch(nowMillis, queue);
-        }
+            starts.observe(nowMillis, queue.size() > 0);
+            dispatch(nowMillis, queue, starts);
+            starts.observe(nowMillis, queue.size() > 0);
+        });
     }
 
-    private static void dispatch(long nowMillis, WaitQueue<Exchange> queue) {
+    private static void dispatch(long nowMillis, WaitQueue<Exchange> queue, PoolReturns starts) {
         int unavailable = 0;
         for (Exchange next : queue.inOrder(nowMillis)) {
             DispatchResult result = next.tryDispatch();
             if (result == DispatchResult.SENT || result == DispatchResult.ENDED) {
                 queue.remove(next);
+                if (result == DispatchResult.SENT) {
+                    starts.recordStart(nowMillis, next.cost());
+                }
                 continue;
             }
             unavailable++;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
@@ -57,6 +57,12 @@
         return receivedMillis + (long) ((deadlineMillis - receivedMillis) * QUEUEING_FRACTION);
     }
 
+    /** Returns the cost of the request relative to others of its pool: the tokens of its prompt and output, or 1. */
+    public long cost() {
+        return Math.max(
+                1, callerHeaders.prompt().inputTokens() + callerHeaders.prompt().outputTokens());
+    }
+
     /** Tells whether the caller resumes a stream of which it has some events. */
     public boolean resumesStream() {
         return route.kind() == RouteKind.RESUMABLE_STREAM
