--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -45,6 +45,7 @@
 import org.cranberrygauge.proxy.exchange.ExchangeMetrics;
 import org.cranberrygauge.proxy.exchange.HostMetrics;
 import org.cranberrygauge.proxy.exchange.IngressServer;
+import org.cranberrygauge.proxy.exchange.LoadShedding;
 import org.cranberrygauge.proxy.exchange.PoolRetryBudgets;
 import org.cranberrygauge.proxy.exchange.PoolWaitQueues;
 import org.cranberrygauge.proxy.exchange.ProxyBlackboard;
@@ -108,7 +109,7 @@
 
     private final HeldPermits permits = new HeldPermits();
 
-    private final PoolWaitQueues queues = new PoolWaitQueues();
+    private final PoolWaitQueues queues = new PoolWaitQueues(new SplittableRandom());
 
     /** The versions of software that served lately, used on the event loop of requests. */
     private final VersionHistory versions = new VersionHistory();
@@ -329,9 +330,12 @@
             blackboard.publishPrefill(profiles.prefill());
             loads.removeUnlisted(blackboard.backends());
             speeds.publish(time.monotonicMillis());
+            hostMetrics.recordLoopDelay(blackboard.loopDelay().orElse(-1));
             publishMetrics(hostMetrics, queues.size());
         });
-        CallerHandler handler = new CallerHandler(context, admission);
+        LoadShedding shedding = new LoadShedding(vertx, time, blackboard, events, new SplittableRandom());
+        shedding.start();
+        CallerHandler handler = new CallerHandler(context, admission, shedding);
         return new IngressServer(vertx, handler::handleForwarded, handler::handleInvalidForwarded)
                 .listen(settings.peers())
                 .compose(
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
@@ -6,10 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.cranberrygauge.decision.engine.PrefillTokens;
+import org.cranberrygauge.decision.hostload.OtherHosts;
 import org.cranberrygauge.decision.topology.RendezvousHash;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.protocol.generated.BackendWork;
@@ -86,6 +88,7 @@
                             "",
                             false,
                             false,
+                            OptionalInt.empty(),
                             nowMillis,
                             Long.MIN_VALUE / 2));
             hostFound.accept(address);
@@ -121,6 +124,9 @@
                         report.getDataCentre(),
                         report.isReadsLog(),
                         report.isReachesBackends(),
+                        report.isSetLoopDelayMillis()
+                                ? OptionalInt.of(report.getLoopDelayMillis())
+                                : OptionalInt.empty(),
                         nowMillis,
                         nowMillis));
         if (current == null) {
@@ -258,6 +264,22 @@
                 .toList();
     }
 
+    /**
+     * Returns the load of the hosts that were heard recently.
+     *
+     * @param nowMillis The current monotonic time in milliseconds.
+     */
+    OtherHosts otherHosts(long nowMillis) {
+        int unknown = count(peer -> isHeard(nowMillis, peer) && peer.loopDelay().isEmpty());
+        List<Integer> delays = new ArrayList<>();
+        for (Peer peer : peers.values()) {
+            if (isHeard(nowMillis, peer)) {
+                peer.loopDelay().ifPresent(delays::add);
+            }
+        }
+        return new OtherHosts(nowMillis, unknown, delays);
+    }
+
     private static boolean isHeard(long nowMillis, Peer peer) {
         return nowMillis - peer.lastReportMillis() < HEARD_MILLIS;
     }
@@ -327,6 +349,7 @@
      * @param dataCentre Its data centre; empty before its first report.
      * @param readsLog Whether it can read the shared log for others.
      * @param reachesBackends Whether it reaches backend servers.
+     * @param loopDelay The smoothed delay of its event loop in milliseconds; empty if it reported none.
      * @param lastSeenMillis The monotonic time of its last report or, before the first, of its discovery.
      * @param lastReportMillis The monotonic time of its last report.
      */
@@ -340,6 +363,7 @@
             String dataCentre,
             boolean readsLog,
             boolean reachesBackends,
+            OptionalInt loopDelay,
             long lastSeenMillis,
             long lastReportMillis) {}
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HostMetrics.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HostMetrics.java
@@ -32,6 +32,8 @@
 
     private final Gauge fast;
 
+    private final Gauge loopDelay;
+
     public HostMetrics(PrometheusRegistry registry) {
         active = gauge(registry, "active_requests", "Requests in progress.");
         waiting = gauge(registry, "waiting_requests", "Requests that wait for room at an engine.");
@@ -46,6 +48,8 @@
         slow = gauge(
                 registry, "slow_backends", "Backend servers that take 1.5 times as long as their pool, or longer.");
         fast = gauge(registry, "fast_backends", "Backend servers that take at most two thirds as long as their pool.");
+        loopDelay = gauge(
+                registry, "loop_delay_seconds", "Smoothed delay of the event loop of requests; -1 while unknown.");
     }
 
     /** Updates the metrics of requests. */
@@ -85,6 +89,11 @@
         fast.set(fastBackends);
     }
 
+    /** Updates the metric of the processor's load; the delay is -1 ms while it is unknown. */
+    public void recordLoopDelay(int delayMillis) {
+        loopDelay.set(delayMillis < 0 ? -1 : delayMillis / MILLIS_PER_SECOND);
+    }
+
     private static Gauge gauge(PrometheusRegistry registry, String name, String help) {
         return Gauge.builder().name("cranberrygauge_proxy_" + name).help(help).register(registry);
     }
