Bound the memory of request bodies, buffered responses, write queues and partial events

Request bodies, buffered responses and unread bytes count against one budget. Bodies above it are rejected with MEMORY_EXHAUSTED, sources of responses pause, and callers that stopped reading are disconnected while memory is refused. Engines get no request that would exceed their cache with the work of all hosts.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -47,6 +47,7 @@
 import org.cranberrygauge.proxy.exchange.PoolRetryBudgets;
 import org.cranberrygauge.proxy.exchange.PoolWaitQueues;
 import org.cranberrygauge.proxy.exchange.ProxyBlackboard;
+import org.cranberrygauge.proxy.exchange.RequestMemory;
 import org.cranberrygauge.proxy.exchange.StatusServer;
 import org.cranberrygauge.proxy.leader.JumpTolerantTimeSource;
 import org.cranberrygauge.proxy.leader.UsageCounter;
@@ -130,12 +131,29 @@
     /** The event loop of requests. */
     private final Context requestContext;
 
+    /** The memory that requests use, on the event loop of requests. */
+    private final RequestMemory memory;
+
+    private final ExchangeMetrics exchangeMetrics = new ExchangeMetrics(registry);
+
     private LeaderElection election;
 
     private UsageCountWriter usageWriter;
 
     public Proxy(
             ProxySettings settings, ProxyDependencies dependencies, Vertx vertx, TimeSource time, EventLog events) {
+        this(settings, dependencies, vertx, time, events, RequestMemory.defaultBytes(Runtime.getRuntime()));
+    }
+
+    /** @param memoryBytes The bytes that all requests together may use. */
+    public Proxy(
+            ProxySettings settings,
+            ProxyDependencies dependencies,
+            Vertx vertx,
+            TimeSource time,
+            EventLog events,
+            long memoryBytes) {
+        this.memory = new RequestMemory(memoryBytes, time, exchangeMetrics, events);
         this.settings = settings;
         this.dependencies = dependencies;
         this.vertx = vertx;
@@ -176,6 +194,11 @@
         return blackboard.peers().hosts();
     }
 
+    /** Returns the bytes that are reserved for the requests in progress. */
+    public long reservedBytes() {
+        return memory.reservedBytes();
+    }
+
     /**
      * Stops the process: reports it as not ready, waits for the requests in progress, and releases leadership. Blocks
      * at most for the grace period.
@@ -287,7 +310,6 @@
         ProxySettings.Times times = settings.times();
         LoadTable loads = new LoadTable();
         EngineProfiles profiles = new EngineProfiles();
-        ExchangeMetrics metrics = new ExchangeMetrics(registry);
         HostMetrics hostMetrics = new HostMetrics(registry);
         ExchangeContext context = new ExchangeContext(
                 vertx,
@@ -310,9 +332,10 @@
                 crashingParts,
                 new CrashWatch(vertx, blackboard, statements, reachability, this::recordCrash),
                 reachability,
+                memory,
                 usage,
                 usageTime,
-                metrics,
+                exchangeMetrics,
                 events);
         RequestAdmission admission = new RequestAdmission(maximumKeyAgeMillis(), times.configurationMillis());
         vertx.setPeriodic(DISPATCH_INTERVAL_MILLIS, fired -> queues.dispatch(time.monotonicMillis()));
@@ -322,6 +345,7 @@
             ownWork.set(loads.work());
             blackboard.publish(profiles.snapshot());
             loads.removeUnlisted(blackboard.backends());
+            memory.update();
             publishMetrics(hostMetrics, queues.size());
         });
         CallerHandler handler = new CallerHandler(context, admission);
@@ -343,6 +367,7 @@
                 blackboard.backends().all().size(),
                 blackboard.peers().hosts(),
                 ready());
+        metrics.recordMemory(memory.reservedBytes());
         metrics.recordRestrictions(blackboard.evacuated().size(), cold.count(time.monotonicMillis()));
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RejectReason.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RejectReason.java
@@ -23,6 +23,8 @@
     BAD_REQUEST(400, 0),
     /** The body exceeds the configured limit. */
     BODY_TOO_LONG(413, 0),
+    /** The bytes that this host holds for all requests have reached their limit; other hosts may have memory left. */
+    MEMORY_EXHAUSTED(503, 200),
     /** The host is shutting down; another host can serve the request. */
     DRAINING(503, 50),
     /** No backend server of the pool accepts new requests. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
@@ -47,6 +47,9 @@
     /** Null until the response headers have arrived. */
     private HttpClientResponse response;
 
+    /** The bytes of the response that this attempt has reserved. */
+    private long reservedBytes;
+
     private boolean ended;
 
     BackendAttempt(HeaderCodec codec, ProxyRequest request, Backend backend, Listener listener) {
@@ -145,11 +148,18 @@
     private void readBuffered(HttpClientResponse backendResponse) {
         Buffer body = Buffer.buffer();
         backendResponse.handler(bytes -> {
+            if (ended) {
+                return;
+            }
             if (body.length() + bytes.length() > MAXIMUM_BUFFERED_BYTES) {
                 failBroken("response exceeds the buffer limit");
                 return;
             }
             body.appendBuffer(bytes);
+            reserve(bytes.length());
+            if (request.memory().pauses(backendResponse::resume)) {
+                backendResponse.pause();
+            }
         });
         backendResponse.endHandler(end -> {
             if (ended) {
@@ -166,9 +176,13 @@
                 return;
             }
             Buffer events = splitter.append(bytes);
+            reserve(splitter.partialBytes() - reservedBytes);
             if (events.length() > 0) {
                 listener.onEvents(backendResponse.statusCode(), backendResponse.headers(), events, splitter.lastId());
             }
+            if (splitter.isTooLong()) {
+                failBroken("event exceeds the limit");
+            }
         });
         backendResponse.endHandler(end -> {
             if (splitter.hasPartialEvent()) {
@@ -192,10 +206,26 @@
             return;
         }
         ended = true;
+        releaseResponse();
         backendRequest.reset();
         listener.onFailure(AttemptOutcome.BROKEN, detail);
     }
 
+    /** @param bytes The bytes by which the retained part of the response has grown; negative if it has shrunk. */
+    private void reserve(long bytes) {
+        reservedBytes += bytes;
+        if (bytes > 0) {
+            request.memory().add(bytes);
+        } else {
+            request.memory().subtract(-bytes);
+        }
+    }
+
+    /** Releases the response of a failed attempt, while the body stays reserved for the next one. */
+    private void releaseResponse() {
+        reserve(-reservedBytes);
+    }
+
     private void fail(AttemptOutcome outcome, String detail) {
         if (ended) {
             return;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
@@ -4,7 +4,8 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
-import java.util.Optional;
+import java.util.function.Consumer;
+import org.cranberrygauge.decision.memory.Reservation;
 import org.cranberrygauge.proxy.admission.RejectReason;
 import org.cranberrygauge.proxy.admission.RequestAdmission;
 import org.cranberrygauge.proxy.admission.RequestAdmission.Decision;
@@ -82,8 +83,12 @@
 
     private void process(HttpServerRequest request, Forwarding forwarding, long now) {
         CallerResponse response = new CallerResponse(
-                request, context.blackboard()::draining, forwarding.from().isPresent());
+                request,
+                context.memory(),
+                context.blackboard()::draining,
+                forwarding.from().isPresent());
         CallerHeaders callerHeaders = context.codec().decodeCaller(request.headers());
+        callerHeaders.requestId().ifPresent(response::setRequestId);
         ConfigurationView view = context.blackboard().configuration();
         String host = request.getHeader("Host");
         if (hasAmbiguousFraming(request.headers())
@@ -116,19 +121,16 @@
         long timeoutMillis =
                 Math.min(route.timeoutMillis(), callerHeaders.remainingMillis().orElse(Long.MAX_VALUE));
         long deadlineMillis = now + Math.min(timeoutMillis, forwarding.remainingMillis());
-        readBody(request, maximumBytes, body -> {
-            if (body.isEmpty()) {
-                response.closeAfterResponse();
-                reject(now, request, response, callerHeaders, RejectReason.BODY_TOO_LONG);
-                return;
-            }
+        Reservation memory = context.memory().open();
+        response.setStallMillis(route.targetMillis());
+        Consumer<Buffer> start = body -> {
             ProxyRequest admitted = new ProxyRequest(
                     callerHeaders.requestId().get(),
                     request.method(),
                     request.uri(),
                     host,
                     request.headers(),
-                    body.get(),
+                    body,
                     callerHeaders,
                     route,
                     pool,
@@ -137,9 +139,18 @@
                     now,
                     deadlineMillis,
                     decision.homes(),
-                    forwarding.from().isPresent());
+                    forwarding.from().isPresent(),
+                    memory);
             new Exchange(context, admitted, response).start();
-        });
+        };
+        Consumer<RejectReason> refuse = reason -> {
+            if (reason != RejectReason.MEMORY_EXHAUSTED) {
+                response.closeAfterResponse();
+            }
+            reject(now, request, response, callerHeaders, reason);
+        };
+        new BodyReader(context.vertx(), maximumBytes, memory, start, refuse)
+                .read(request, response, deadlineMillis - context.time().monotonicMillis());
     }
 
     /** Rejects a malformed request. The connection is closed, since the start of the next request on it is unknown. */
@@ -153,38 +164,13 @@
     }
 
     private void rejectInvalid(HttpServerRequest request, boolean forwarded) {
-        CallerResponse response = new CallerResponse(request, context.blackboard()::draining, forwarded);
+        CallerResponse response =
+                new CallerResponse(request, context.memory(), context.blackboard()::draining, forwarded);
         response.closeAfterResponse();
         CallerHeaders callerHeaders = context.codec().decodeCaller(request.headers());
         reject(context.time().monotonicMillis(), request, response, callerHeaders, RejectReason.BAD_REQUEST);
     }
 
-    /**
-     * Buffers the body up to a maximum size.
-     *
-     * @param done Receives the body, or empty if it exceeds the maximum.
-     */
-    private static void readBody(HttpServerRequest request, long maximumBytes, Handler<Optional<Buffer>> done) {
-        Buffer body = Buffer.buffer();
-        boolean[] exceeded = new boolean[1];
-        request.handler(bytes -> {
-            if (exceeded[0]) {
-                return;
-            }
-            if (body.length() + (long) bytes.length() > maximumBytes) {
-                exceeded[0] = true;
-                done.handle(Optional.empty());
-                return;
-            }
-            body.appendBuffer(bytes);
-        });
-        request.endHandler(end -> {
-            if (!exceeded[0]) {
-                done.handle(Optional.of(body));
-            }
-        });
-    }
-
     /** Rejects a request before the exchange starts. */
     private void reject(
             long now,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
@@ -9,20 +9,38 @@
 import java.util.Locale;
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
+import org.cranberrygauge.decision.memory.Reservation;
+import org.cranberrygauge.decision.memory.WriteProgress;
 import org.cranberrygauge.proxy.admission.RejectReason;
 
 /**
  * Writes the response to a caller.
  *
  * <p>Invariants: exactly one response is written; a stream that breaks off is never terminated properly; while the host
- * drains, the connection is closed after the response. Not thread-safe.
+ * drains, the connection is closed after the response; bytes are reserved until the caller's connection has taken them. Not thread-safe.
  */
 public final class CallerResponse {
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    /** The maximum size of one write of a complete response. Reading is noticed by the writes that are done. */
+    private static final int SLICE_BYTES = 64 << 10;
+
+    /**
+     * The minimum time without reading after which a caller counts as stalled. A caller whose network loses packets
+     * resumes within a few retransmissions, which take less.
+     */
+    private static final long MINIMUM_STALL_MILLIS = 2_000;
+
     private final HttpServerRequest request;
 
+    private final RequestMemory memory;
+
+    /** The bytes that the caller has not read yet. */
+    private final Reservation unread;
+
+    private final WriteProgress progress = new WriteProgress();
+
     private final HttpServerResponse response;
 
     private final BooleanSupplier draining;
@@ -32,9 +50,16 @@
 
     private boolean closeAfter;
 
+    private String requestId = "-";
+
+    private long stallMillis = MINIMUM_STALL_MILLIS;
+
     /** @param forwarded Whether the caller is another host that forwards the request. */
-    public CallerResponse(HttpServerRequest request, BooleanSupplier draining, boolean forwarded) {
+    public CallerResponse(
+            HttpServerRequest request, RequestMemory memory, BooleanSupplier draining, boolean forwarded) {
         this.request = request;
+        this.memory = memory;
+        this.unread = memory.open();
         this.response = request.response();
         this.draining = draining;
         this.forwarded = forwarded;
@@ -42,8 +67,41 @@
 
     /** Sets the callback for a connection that the caller closes before the response is complete. */
     public void onDisconnect(Runnable callback) {
-        response.closeHandler(closed -> callback.run());
-        response.exceptionHandler(failure -> callback.run());
+        response.closeHandler(closed -> disconnect(callback));
+        response.exceptionHandler(failure -> disconnect(callback));
+    }
+
+    private void disconnect(Runnable callback) {
+        unread.close();
+        memory.removeUnread(this);
+        callback.run();
+    }
+
+    /** Sets the identifier of the request for log events. */
+    void setRequestId(String id) {
+        requestId = id;
+    }
+
+    String requestId() {
+        return requestId;
+    }
+
+    /** Sets the time without reading after which the caller counts as stalled, if it exceeds the minimum. */
+    void setStallMillis(long millis) {
+        stallMillis = Math.max(MINIMUM_STALL_MILLIS, millis);
+    }
+
+    /** Tells whether bytes wait for the caller and it has read none of them for the time after which it is stalled. */
+    boolean isStalled(long nowMillis) {
+        return stalledMillis(nowMillis) >= stallMillis;
+    }
+
+    long stalledMillis(long nowMillis) {
+        return progress.stalledMillis(nowMillis);
+    }
+
+    long unreadBytes() {
+        return progress.pendingBytes();
     }
 
     /** Closes the connection after the response, since the start of the next request on it is unknown. */
@@ -89,7 +147,23 @@
 
     /** Writes events of a stream. */
     public void write(Buffer events) {
-        response.write(events);
+        recordQueued(events.length());
+        response.write(events).onComplete(written -> recordWritten(events.length()));
+    }
+
+    private void recordQueued(int bytes) {
+        unread.add(bytes);
+        progress.recordQueued(memory.nowMillis(), bytes);
+        memory.addUnread(this);
+    }
+
+    /** Records that bytes were taken by the connection or dropped with it. */
+    private void recordWritten(int bytes) {
+        unread.subtract(bytes);
+        progress.recordWritten(memory.nowMillis(), bytes);
+        if (progress.pendingBytes() == 0) {
+            memory.removeUnread(this);
+        }
     }
 
     /** Ends a stream that is complete. */
@@ -114,7 +188,19 @@
 
     private void end(Buffer body) {
         announceClose();
-        response.end(body).onComplete(written -> closeIfAnnounced());
+        int last = 0;
+        if (body.length() > SLICE_BYTES) {
+            response.putHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(body.length()));
+            for (; body.length() - last > SLICE_BYTES; last += SLICE_BYTES) {
+                write(body.slice(last, last + SLICE_BYTES));
+            }
+        }
+        Buffer rest = body.slice(last, body.length());
+        recordQueued(rest.length());
+        response.end(rest).onComplete(written -> {
+            recordWritten(rest.length());
+            closeIfAnnounced();
+        });
     }
 
     private void announceClose() {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -285,7 +285,7 @@
 
     /** Ends this exchange and passes the request on to another host. */
     private void forwardToHost() {
-        finish("forwarded", 0);
+        end("forwarded", 0);
         int remainingAttempts = request.route().maximumAttempts() - history.sent();
         new ForwardedRequest(context, request, response, remainingAttempts, history.mayHaveRun()).start();
     }
@@ -424,6 +424,12 @@
      * @param status The status of the response; 0 if the connection was closed.
      */
     private void finish(String outcome, int status) {
+        request.memory().close();
+        end(outcome, status);
+    }
+
+    /** Ends this exchange, but keeps the memory of the request. */
+    private void end(String outcome, int status) {
         ended = true;
         timers.cancelAll();
         context.blackboard().active().decrementAndGet();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
@@ -34,6 +34,7 @@
  * @param crashingParts The parts of prompts, and the requests, that crash backend servers.
  * @param crashWatch Finds out which backend servers crashed.
  * @param reachability Tells whether this host is isolated from all backend servers.
+ * @param memory The memory that requests use.
  * @param usage Counts the requests that started running.
  * @param usageTime The clocks by which usage is counted.
  */
@@ -58,6 +59,7 @@
         CrashingParts crashingParts,
         CrashWatch crashWatch,
         BackendReachability reachability,
+        RequestMemory memory,
         UsageCounter usage,
         TimeSource usageTime,
         ExchangeMetrics metrics,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeEvents.java
@@ -72,6 +72,15 @@
     public record RequestForwarded(String request, String host, int tried, int status, long totalMillis)
             implements Event {}
 
+    /**
+     * The connection of a caller that had stopped reading its response was closed, since memory was short.
+     *
+     * @param request The identifier of the request; a dash if the caller sent none.
+     * @param pendingBytes The bytes of the response that were not written to the connection.
+     * @param stalledMillis The time since the caller last read, in milliseconds.
+     */
+    public record StalledCallerDisconnected(String request, long pendingBytes, long stalledMillis) implements Event {}
+
     /**
      * A request that was admitted has ended.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeMetrics.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeMetrics.java
@@ -24,6 +24,8 @@
 
     private final Counter unavailable;
 
+    private final Counter stalled;
+
     private final Histogram first;
 
     public ExchangeMetrics(PrometheusRegistry registry) {
@@ -42,6 +44,10 @@
                 .help("Choices whose best backend server took no request by its own statement, by pool and reason.")
                 .labelNames("pool", "reason")
                 .register(registry);
+        stalled = Counter.builder()
+                .name("cranberrygauge_proxy_stalled_callers_total")
+                .help("Callers that were disconnected as they had stopped reading while memory was short.")
+                .register(registry);
         first = Histogram.builder()
                 .name("cranberrygauge_proxy_first_seconds")
                 .help("Time to the first event or the whole answer, by route and customer.")
@@ -71,6 +77,11 @@
         unavailable.labelValues(pool, reason).inc();
     }
 
+    /** Counts a caller that was disconnected because it had stopped reading. */
+    public void recordStalledCaller() {
+        stalled.inc();
+    }
+
     /**
      * Records the time to the first event or the complete response.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
@@ -154,6 +154,10 @@
                 return;
             }
             body.appendBuffer(bytes);
+            request.memory().add(bytes.length());
+            if (request.memory().pauses(hostResponse::resume)) {
+                hostResponse.pause();
+            }
         });
         hostResponse.endHandler(end -> {
             if (!ended) {
@@ -256,6 +260,7 @@
     /** @param status The status of the response; 0 if a connection was closed. */
     private void finish(int status) {
         ended = true;
+        request.memory().close();
         context.vertx().cancelTimer(deadlineTimer);
         context.blackboard().active().decrementAndGet();
         context.events()
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HostMetrics.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HostMetrics.java
@@ -28,6 +28,8 @@
 
     private final Gauge cold;
 
+    private final Gauge memory;
+
     public HostMetrics(PrometheusRegistry registry) {
         active = gauge(registry, "active_requests", "Requests in progress.");
         waiting = gauge(registry, "waiting_requests", "Requests that wait for room at an engine.");
@@ -39,6 +41,8 @@
         evacuated = gauge(registry, "evacuated_data_centres", "Data centres that the operator has evacuated.");
         cold = gauge(
                 registry, "cold_backends", "Backend servers that take a limited rate of requests since they are cold.");
+        memory = gauge(
+                registry, "request_memory_bytes", "Bytes of bodies and answers that this host holds for requests.");
     }
 
     /** Updates the metrics of requests. */
@@ -72,6 +76,11 @@
         cold.set(coldBackends);
     }
 
+    /** Updates the bytes that are reserved for requests. */
+    public void recordMemory(long reservedBytes) {
+        memory.set(reservedBytes);
+    }
+
     private static Gauge gauge(PrometheusRegistry registry, String name, String help) {
         return Gauge.builder().name("cranberrygauge_proxy_" + name).help(help).register(registry);
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpMethod;
 import java.util.List;
 import java.util.Optional;
+import org.cranberrygauge.decision.memory.Reservation;
 import org.cranberrygauge.decision.quarantine.SuspectPart;
 import org.cranberrygauge.decision.topology.StableHash;
 import org.cranberrygauge.proxy.configuration.Homes;
@@ -26,6 +27,7 @@
  * @param deadlineMillis The monotonic time at which the final response is due, in milliseconds.
  * @param homes The regions that the request may be sent to.
  * @param forwarded Whether another host passed the request on, so that this one must not.
+ * @param memory The memory of the body and of buffered responses; closed when the request has ended.
  */
 public record ProxyRequest(
         String id,
@@ -42,7 +44,8 @@
         long receivedMillis,
         long deadlineMillis,
         Homes homes,
-        boolean forwarded) {
+        boolean forwarded,
+        Reservation memory) {
 
     /** The fraction of the time until its deadline that a request may be queued. */
     private static final double QUEUEING_FRACTION = 0.4;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
@@ -51,6 +51,12 @@
     /** The queueing time for each request beyond the slots. */
     private static final double QUEUE_MILLIS_PER_REQUEST = 120;
 
+    /**
+     * The cost of an engine whose KV cache the request would exceed together with the work of all hosts. It exceeds all
+     * other costs but that of a cool-down, so that such an engine is chosen only if no other one has room.
+     */
+    private static final double EXCEEDED_CACHE_PENALTY_MILLIS = 1e6;
+
     /** The queueing time at an engine whose KV cache is full. */
     private static final double FULL_CACHE_PENALTY_MILLIS = 1_500;
 
@@ -137,16 +143,32 @@
     }
 
     /**
-     * Tells whether an engine has no capacity for another long prompt. An engine that spends most of its time on
+     * Tells whether a request would exceed an engine's KV cache together with the work of all hosts, although it fits
+     * into an empty one. An engine crashes if its requests exceed its memory. A request that fits into no engine's cache
+     * can't wait for room, and is left to the engine to accept or reject.
+     */
+    private static boolean exceedsMemory(Pool pool, BackendLoad load, Work work, Prompt prompt) {
+        long needed = load.uncachedTokens(prompt) + prompt.outputTokens();
+        return needed <= pool.memoryTokens() && work.heldTokens() + needed > pool.memoryTokens();
+    }
+
+    /**
+     * Tells whether an engine has no room in its KV cache, or no capacity for another long prompt. An engine that spends most of its time on
      * prefill decodes so slowly that no request finishes before its deadline; the prompts of the running requests tell
      * how much of its time that is.
      */
     private boolean isSaturated(Pool pool, Backend backend, Prompt prompt, PeerLoads peers) {
-        if (pool.engine().isEmpty() || EnginePartition.isShort(prompt)) {
+        if (pool.engine().isEmpty()) {
             return false;
         }
         BackendLoad load = load(pool, backend);
         Work work = load.work().plus(peers.at(backend.incarnation()));
+        if (exceedsMemory(pool, load, work, prompt)) {
+            return true;
+        }
+        if (EnginePartition.isShort(prompt)) {
+            return false;
+        }
         return work.heldTokens() > 0
                 && work.heldTokens() + load.uncachedTokens(prompt)
                         > profiles.of(pool.name()).sustainableTokens() * SATURATION_FACTOR;
@@ -201,6 +223,9 @@
         if (work.heldTokens() + uncached + prompt.outputTokens() > pool.memoryTokens() * USABLE_CACHE_FRACTION) {
             cost += FULL_CACHE_PENALTY_MILLIS;
         }
+        if (exceedsMemory(pool, load, work, prompt)) {
+            cost += EXCEEDED_CACHE_PENALTY_MILLIS;
+        }
         return cost;
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/stream/EventSplitter.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/stream/EventSplitter.java
@@ -8,28 +8,47 @@
  * Splits the bytes of an event stream at event boundaries.
  *
  * <p>Invariant: the returned bytes are the appended ones in order, and end with an empty line; the bytes after the last
- * complete event are retained. Not thread-safe.
+ * complete event are retained up to a limit, and each byte is examined once, however the stream is split. Not thread-safe.
  */
 public final class EventSplitter {
 
     /** The prefix of the line with an event's identifier. */
     private static final String ID_FIELD = "id:";
 
+    /**
+     * The maximum size of an event that arrives in several pieces. Events of language models have a few hundred bytes;
+     * the limit bounds what a backend server that never ends an event can make the host retain.
+     */
+    public static final int MAXIMUM_EVENT_BYTES = 4 << 20;
+
     /** The bytes after the last complete event. */
     private Buffer partialEvent = Buffer.buffer();
 
     private Optional<String> lastId = Optional.empty();
 
-    /** Appends bytes and returns the complete events that can be forwarded; empty if there are none. */
+    private boolean tooLong;
+
+    private long examinedBytes;
+
+    /**
+     * Appends bytes and returns the complete events that can be forwarded; empty if there are none, or if an event has
+     * exceeded the limit, after which nothing is retained.
+     */
     public Buffer append(Buffer bytes) {
+        if (tooLong) {
+            return Buffer.buffer();
+        }
+        int searched = partialEvent.length();
         Buffer joined = partialEvent.length() == 0 ? bytes : partialEvent.appendBuffer(bytes);
-        int end = endOfLastCompleteEvent(joined);
+        int end = endOfLastCompleteEvent(joined, searched);
         if (end == 0) {
             partialEvent = joined == bytes ? bytes.copy() : joined;
+            enforceLimit();
             return Buffer.buffer();
         }
         Buffer completeEvents = joined.getBuffer(0, end);
         partialEvent = joined.getBuffer(end, joined.length());
+        enforceLimit();
         readLastId(completeEvents);
         return completeEvents;
     }
@@ -44,9 +63,36 @@
         return partialEvent.length() > 0;
     }
 
-    /** Returns the index after the empty line of the last complete event, or 0 if there is none. */
-    private static int endOfLastCompleteEvent(Buffer bytes) {
-        for (int index = bytes.length() - 1; index > 0; index--) {
+    /** Returns the number of bytes that are retained. */
+    public int partialBytes() {
+        return partialEvent.length();
+    }
+
+    /** Tells whether an event has exceeded {@link #MAXIMUM_EVENT_BYTES}, so that the stream can't be split further. */
+    public boolean isTooLong() {
+        return tooLong;
+    }
+
+    /** Returns the number of positions that were searched for the end of an event. */
+    long examinedBytes() {
+        return examinedBytes;
+    }
+
+    private void enforceLimit() {
+        if (partialEvent.length() > MAXIMUM_EVENT_BYTES) {
+            tooLong = true;
+            partialEvent = Buffer.buffer();
+        }
+    }
+
+    /**
+     * Returns the index after the empty line of the last complete event, or 0 if there is none.
+     *
+     * @param searched The number of bytes at the start that are known to contain no end of an event.
+     */
+    private int endOfLastCompleteEvent(Buffer bytes, int searched) {
+        for (int index = bytes.length() - 1; index >= Math.max(1, searched); index--) {
+            examinedBytes++;
             if (bytes.getByte(index) != '\n') {
                 continue;
             }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendChooserTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/routing/BackendChooserTest.java
@@ -151,6 +151,29 @@
                 .isFalse();
     }
 
+    /** Guards against requests of several hosts that together exceed an engine's memory, under which it crashes. */
+    @Test
+    void aRequestGoesWhereItFitsIntoTheCacheOrWaits() {
+        Prompt prompt = ProxyFixtures.shortPrompt("session");
+        Map<String, Work> work = new HashMap<>();
+        long memory = ProxyFixtures.ENGINES.memoryTokens();
+        engines.forEach(engine -> work.put(engine.incarnation(), new Work(1, 0, memory - 1_000, 0)));
+        assertThat(choose(chooser, prompt, new PeerLoads(work, 4)).saturated()).isTrue();
+        Backend roomy = engines.get(5);
+        work.put(roomy.incarnation(), new Work(60, 100_000, memory - 2_000, 60));
+        Choice choice = choose(chooser, prompt, new PeerLoads(work, 4));
+        assertThat(choice.backend()).isEqualTo(roomy);
+        assertThat(choice.saturated()).isFalse();
+    }
+
+    /** Guards against a request that waits for room that no engine can ever have. */
+    @Test
+    void aRequestLargerThanEveryCacheIsSentAsBefore() {
+        long memory = ProxyFixtures.ENGINES.memoryTokens();
+        Choice choice = choose(chooser, new Prompt(memory, 1, List.of()), PeerLoads.NO_PEERS);
+        assertThat(choice.saturated()).isFalse();
+    }
+
     @Test
     void anEngineInCooldownIsUsedOnlyIfThereIsNoOther() {
         Prompt prompt = ProxyFixtures.longPrompt("document");
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/stream/EventSplitterTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/stream/EventSplitterTest.java
@@ -45,4 +45,27 @@
         splitter.append(Buffer.buffer("id: 1\n"));
         assertThat(splitter.lastId()).isEmpty();
     }
+
+    /** Guards against searching the whole partial event again with each piece, which takes quadratic time. */
+    @Test
+    void examinesEachByteOfALongEventOnce() {
+        Buffer piece = Buffer.buffer("x".repeat(100));
+        for (int number = 0; number < 10_000; number++) {
+            assertThat(splitter.append(piece).length()).isZero();
+        }
+        assertThat(splitter.append(Buffer.buffer("\n\n")).length()).isEqualTo(1_000_002);
+        assertThat(splitter.examinedBytes()).isLessThanOrEqualTo(1_000_002);
+    }
+
+    /** Guards against a backend server that fills the memory with an event that never ends. */
+    @Test
+    void retainsABoundedPartOfAnEventThatNeverEnds() {
+        Buffer piece = Buffer.buffer(new byte[64 << 10]);
+        for (int number = 0; number < 1_024; number++) {
+            assertThat(splitter.append(piece).length()).isZero();
+            assertThat(splitter.partialBytes()).isLessThanOrEqualTo(EventSplitter.MAXIMUM_EVENT_BYTES);
+        }
+        assertThat(splitter.isTooLong()).isTrue();
+        assertThat(splitter.partialBytes()).isZero();
+    }
 }
