Bound the exempt holder of the memory budget; close stalled callers without flushing

Vert.x flushes queued bytes before it closes a connection, so that a caller that had stopped reading was never disconnected.

--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/memory/ByteBudget.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/memory/ByteBudget.java
@@ -10,7 +10,7 @@
  *
  * <p>Invariants: {@link #tryReserve} and {@link Reservation#tryAdd} never raise the reserved bytes above the total.
  * Bytes that have already arrived are added without a bound, and their source has to pause; one holder at a time is
- * exempt from the pause, so that holders which wait for each other's memory still make progress. Thread-safe; resumed
+ * exempt from the pause, so that holders which wait for each other's memory still make progress; it pauses at the headroom above the total. Thread-safe; resumed
  * holders are notified outside the lock, on the thread that releases bytes.
  */
 public final class ByteBudget {
@@ -19,6 +19,8 @@
 
     private final long holderBytes;
 
+    private final long headroomBytes;
+
     private long reservedBytes;
 
     /** The number of requests for memory that were refused. */
@@ -35,13 +37,15 @@
      *
      * @param totalBytes The maximum of all reserved bytes.
      * @param holderBytes The maximum that one holder can reserve by {@link Reservation#tryAdd}.
+     * @param headroomBytes The bytes above the total up to which the exempt holder may go on.
      */
-    public ByteBudget(long totalBytes, long holderBytes) {
+    public ByteBudget(long totalBytes, long holderBytes, long headroomBytes) {
         if (totalBytes < 1 || holderBytes < 1) {
             throw new IllegalArgumentException("limits must be positive: " + totalBytes + ", " + holderBytes);
         }
         this.totalBytes = totalBytes;
         this.holderBytes = holderBytes;
+        this.headroomBytes = headroomBytes;
     }
 
     /** Returns an empty reservation for a new holder. */
@@ -109,11 +113,13 @@
      * @param resume Called once when the holder may go on, if it has to pause.
      */
     synchronized boolean pauses(Reservation holder, Runnable resume) {
-        if (reservedBytes < totalBytes || exempt == holder) {
+        if (reservedBytes < totalBytes) {
             return false;
         }
         if (exempt == null) {
             exempt = holder;
+        }
+        if (exempt == holder && hasHeadroom()) {
             return false;
         }
         refusals++;
@@ -139,14 +145,20 @@
             exempt = null;
             resumed.addAll(waiting);
             waiting.clear();
-        } else if (exempt == null && !waiting.isEmpty()) {
-            Waiting next = waiting.remove();
-            exempt = next.holder();
-            resumed.add(next);
+        } else if (hasHeadroom()) {
+            if (exempt == null && !waiting.isEmpty()) {
+                exempt = waiting.element().holder();
+            }
+            waiting.stream().filter(paused -> paused.holder() == exempt).forEach(resumed::add);
+            waiting.removeAll(resumed);
         }
         return resumed;
     }
 
+    private boolean hasHeadroom() {
+        return reservedBytes - totalBytes < headroomBytes;
+    }
+
     private static void requireNotNegative(long bytes) {
         if (bytes < 0) {
             throw new IllegalArgumentException("negative bytes: " + bytes);
--- a/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/memory/ByteBudgetTest.java
+++ b/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/memory/ByteBudgetTest.java
@@ -16,14 +16,14 @@
 
     private static final int HOLDERS = 4;
 
-    private final ByteBudget budget = new ByteBudget(100, 60);
+    private final ByteBudget budget = new ByteBudget(100, 60, 1_000);
 
     private final List<String> resumed = new ArrayList<>();
 
     @Property(seed = "7")
     void theTotalIsTheSumOfTheHoldersAndNothingIsLeftOnceAllHaveEnded(
             @ForAll @Size(max = 200) List<@IntRange(min = 0, max = 999) Integer> steps) {
-        ByteBudget fresh = new ByteBudget(100, 60);
+        ByteBudget fresh = new ByteBudget(100, 60, 1_000);
         List<Reservation> holders = new ArrayList<>();
         for (int holder = 0; holder < HOLDERS; holder++) {
             holders.add(fresh.open());
@@ -109,6 +109,19 @@
         assertThat(resumed).containsExactly("second", "third");
     }
 
+    /** Guards against an exempt holder after another that each fill memory which slow receivers do not free. */
+    @Test
+    void theExemptHolderPausesAtTheHeadroomUntilBytesAreReleased() {
+        Reservation unread = budget.open();
+        Reservation exempt = budget.open();
+        unread.add(1_050);
+        assertThat(exempt.pauses(() -> resumed.add("unused"))).isFalse();
+        exempt.add(50);
+        assertThat(exempt.pauses(() -> resumed.add("exempt"))).isTrue();
+        unread.subtract(1);
+        assertThat(resumed).containsExactly("exempt");
+    }
+
     @Test
     void aHolderThatEndsWhilePausedIsNotResumed() {
         Reservation first = budget.open();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
@@ -12,6 +12,7 @@
 import org.cranberrygauge.decision.memory.Reservation;
 import org.cranberrygauge.decision.memory.WriteProgress;
 import org.cranberrygauge.proxy.admission.RejectReason;
+import org.cranberrygauge.runtime.http.ConnectionChannel;
 
 /**
  * Writes the response to a caller.
@@ -72,8 +73,7 @@
     }
 
     private void disconnect(Runnable callback) {
-        unread.close();
-        memory.removeUnread(this);
+        release();
         callback.run();
     }
 
@@ -176,6 +176,23 @@
         request.connection().close();
     }
 
+    /** Closes the connection at once; what the caller has not read is dropped. */
+    void disconnect() {
+        ConnectionChannel.closeNow(request.connection());
+        release();
+    }
+
+    /** Tells whether the connection is open, so that the caller may still read. */
+    boolean isOpen() {
+        return ConnectionChannel.isOpen(request.connection());
+    }
+
+    /** Releases the bytes that the caller has not read, which are dropped with its connection. */
+    void release() {
+        unread.close();
+        memory.removeUnread(this);
+    }
+
     /** Tells whether the write queue is full because the caller reads more slowly than the backend server writes. */
     public boolean isFull() {
         return response.writeQueueFull();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/RequestMemory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/RequestMemory.java
@@ -39,7 +39,8 @@
 
     /** @param totalBytes The bytes that all requests together may use. */
     public RequestMemory(long totalBytes, TimeSource time, ExchangeMetrics metrics, EventLog events) {
-        this.budget = new ByteBudget(totalBytes, Math.max(1, (long) (totalBytes * HOLDER_FRACTION)));
+        this.budget = new ByteBudget(
+                totalBytes, Math.max(1, (long) (totalBytes * HOLDER_FRACTION)), BackendAttempt.MAXIMUM_BUFFERED_BYTES);
         this.time = time;
         this.metrics = metrics;
         this.events = events;
@@ -50,21 +51,23 @@
         return (long) (runtime.maxMemory() * HEAP_FRACTION);
     }
 
-    /** Disconnects the callers that have stopped reading if memory was refused since the last update. */
+    /**
+     * Disconnects the callers that have stopped reading if memory was refused since the last update. Releases the bytes
+     * of callers that have disconnected, so that this does not depend on a notification for each dropped write.
+     */
     public void update() {
         long refusals = budget.refusals();
         boolean refused = refusals != knownRefusals || budget.hasWaiting();
         knownRefusals = refusals;
-        if (!refused) {
-            return;
-        }
         long now = time.monotonicMillis();
         for (CallerResponse response : List.copyOf(unread)) {
-            if (response.isStalled(now)) {
+            if (!response.isOpen()) {
+                response.release();
+            } else if (refused && response.isStalled(now)) {
                 metrics.recordStalledCaller();
                 events.emit(new ExchangeEvents.StalledCallerDisconnected(
                         response.requestId(), response.unreadBytes(), response.stalledMillis(now)));
-                response.abort();
+                response.disconnect();
             }
         }
     }
--- /dev/null
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionChannel.java
@@ -0,0 +1,24 @@
+package org.cranberrygauge.runtime.http;
+
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.net.impl.ConnectionBase;
+
+/**
+ * The channel below a connection.
+ *
+ * <p>{@link HttpConnection#close()} closes a connection after its queued bytes are written, and so never closes the
+ * connection of a peer that has stopped reading. Stateless and thread-safe.
+ */
+public final class ConnectionChannel {
+
+    private ConnectionChannel() {}
+
+    /** Closes a connection without writing what is queued for it; bypasses the handlers that would write it first. */
+    public static void closeNow(HttpConnection connection) {
+        ((ConnectionBase) connection).channel().pipeline().firstContext().close();
+    }
+
+    public static boolean isOpen(HttpConnection connection) {
+        return ((ConnectionBase) connection).channel().isOpen();
+    }
+}
