--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
@@ -10,13 +10,16 @@
 import java.util.Locale;
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
+import org.cranberrygauge.decision.memory.Reservation;
+import org.cranberrygauge.decision.memory.WriteProgress;
 import org.cranberrygauge.proxy.admission.RejectReason;
+import org.cranberrygauge.runtime.http.ConnectionChannel;
 
 /**
  * Writes the response to a caller.
  *
  * <p>Invariants: exactly one response is written; a stream that breaks off is never terminated properly; while the host
- * drains, the connection is closed after the response. Not thread-safe.
+ * drains, the connection is closed after the response; bytes are reserved until the caller's connection has taken them. Not thread-safe.
  */
 public final class CallerResponse {
 
@@ -25,8 +28,24 @@
     /** The maximum time for which the rest of a body is discarded after its request was rejected. */
     private static final long DISCARD_MILLIS = 2_000;
 
+    /** The maximum size of one write of a complete response. Reading is noticed by the writes that are done. */
+    private static final int SLICE_BYTES = 64 << 10;
+
+    /**
+     * The minimum time without reading after which a caller counts as stalled. A caller whose network loses packets
+     * resumes within a few retransmissions, which take less.
+     */
+    private static final long MINIMUM_STALL_MILLIS = 2_000;
+
     private final HttpServerRequest request;
 
+    private final RequestMemory memory;
+
+    /** The bytes that the caller has not read yet. */
+    private final Reservation unread;
+
+    private final WriteProgress progress = new WriteProgress();
+
     private final HttpServerResponse response;
 
     private final BooleanSupplier draining;
@@ -41,9 +60,16 @@
 
     private boolean written;
 
+    private String requestId = "-";
+
+    private long stallMillis = MINIMUM_STALL_MILLIS;
+
     /** @param forwarded Whether the caller is another host that forwards the request. */
-    public CallerResponse(HttpServerRequest request, BooleanSupplier draining, boolean forwarded) {
+    public CallerResponse(
+            HttpServerRequest request, RequestMemory memory, BooleanSupplier draining, boolean forwarded) {
         this.request = request;
+        this.memory = memory;
+        this.unread = memory.open();
         this.response = request.response();
         this.draining = draining;
         this.forwarded = forwarded;
@@ -51,8 +77,40 @@
 
     /** Sets the callback for a connection that the caller closes before the response is complete. */
     public void onDisconnect(Runnable callback) {
-        response.closeHandler(closed -> callback.run());
-        response.exceptionHandler(failure -> callback.run());
+        response.closeHandler(closed -> disconnect(callback));
+        response.exceptionHandler(failure -> disconnect(callback));
+    }
+
+    private void disconnect(Runnable callback) {
+        release();
+        callback.run();
+    }
+
+    /** Sets the identifier of the request for log events. */
+    void setRequestId(String id) {
+        requestId = id;
+    }
+
+    String requestId() {
+        return requestId;
+    }
+
+    /** Sets the time without reading after which the caller counts as stalled, if it exceeds the minimum. */
+    void setStallMillis(long millis) {
+        stallMillis = Math.max(MINIMUM_STALL_MILLIS, millis);
+    }
+
+    /** Tells whether bytes wait for the caller and it has read none of them for the time after which it is stalled. */
+    boolean isStalled(long nowMillis) {
+        return stalledMillis(nowMillis) >= stallMillis;
+    }
+
+    long stalledMillis(long nowMillis) {
+        return progress.stalledMillis(nowMillis);
+    }
+
+    long unreadBytes() {
+        return progress.pendingBytes();
     }
 
     /** Closes the connection after the response, since the start of the next request on it is unknown. */
@@ -122,7 +180,23 @@
 
     /** Writes events of a stream. */
     public void write(Buffer events) {
-        response.write(events);
+        recordQueued(events.length());
+        response.write(events).onComplete(written -> recordWritten(events.length()));
+    }
+
+    private void recordQueued(int bytes) {
+        unread.add(bytes);
+        progress.recordQueued(memory.nowMillis(), bytes);
+        memory.addUnread(this);
+    }
+
+    /** Records that bytes were taken by the connection or dropped with it. */
+    private void recordWritten(int bytes) {
+        unread.subtract(bytes);
+        progress.recordWritten(memory.nowMillis(), bytes);
+        if (progress.pendingBytes() == 0) {
+            memory.removeUnread(this);
+        }
     }
 
     /** Ends a stream that is complete. */
@@ -135,6 +209,23 @@
         request.connection().close();
     }
 
+    /** Closes the connection at once; what the caller has not read is dropped. */
+    void disconnect() {
+        ConnectionChannel.closeNow(request.connection());
+        release();
+    }
+
+    /** Tells whether the connection is open, so that the caller may still read. */
+    boolean isOpen() {
+        return ConnectionChannel.isOpen(request.connection());
+    }
+
+    /** Releases the bytes that the caller has not read, which are dropped with its connection. */
+    void release() {
+        unread.close();
+        memory.removeUnread(this);
+    }
+
     /** Tells whether the write queue is full because the caller reads more slowly than the backend server writes. */
     public boolean isFull() {
         return response.writeQueueFull();
@@ -147,7 +238,19 @@
 
     private void end(Buffer body) {
         announceClose();
-        response.end(body).onComplete(written -> closeIfAnnounced());
+        int last = 0;
+        if (body.length() > SLICE_BYTES) {
+            response.putHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(body.length()));
+            for (; body.length() - last > SLICE_BYTES; last += SLICE_BYTES) {
+                write(body.slice(last, last + SLICE_BYTES));
+            }
+        }
+        Buffer rest = body.slice(last, body.length());
+        recordQueued(rest.length());
+        response.end(rest).onComplete(written -> {
+            recordWritten(rest.length());
+            closeIfAnnounced();
+        });
     }
 
     private void announceClose() {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeMetrics.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeMetrics.java
@@ -26,6 +26,8 @@
 
     private final Counter returns;
 
+    private final Counter stalled;
+
     private final Histogram first;
 
     public ExchangeMetrics(PrometheusRegistry registry) {
@@ -49,6 +51,10 @@
                 .help("Rejections with a time until the pool has room, by pool and whether it is predicted.")
                 .labelNames("pool", "predicted")
                 .register(registry);
+        stalled = Counter.builder()
+                .name("cranberrygauge_proxy_stalled_callers_total")
+                .help("Callers that were disconnected as they had stopped reading while memory was short.")
+                .register(registry);
         first = Histogram.builder()
                 .name("cranberrygauge_proxy_first_seconds")
                 .help("Time to the first event or the whole answer, by route and customer.")
@@ -83,6 +89,11 @@
         returns.labelValues(pool, Boolean.toString(predicted)).inc();
     }
 
+    /** Counts a caller that was disconnected because it had stopped reading. */
+    public void recordStalledCaller() {
+        stalled.inc();
+    }
+
     /**
      * Records the time to the first event or the complete response.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HostMetrics.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HostMetrics.java
@@ -34,6 +34,8 @@
 
     private final Gauge loopDelay;
 
+    private final Gauge memory;
+
     public HostMetrics(PrometheusRegistry registry) {
         active = gauge(registry, "active_requests", "Requests in progress.");
         waiting = gauge(registry, "waiting_requests", "Requests that wait for room at an engine.");
@@ -50,6 +52,8 @@
         fast = gauge(registry, "fast_backends", "Backend servers that take at most two thirds as long as their pool.");
         loopDelay = gauge(
                 registry, "loop_delay_seconds", "Smoothed delay of the event loop of requests; -1 while unknown.");
+        memory = gauge(
+                registry, "request_memory_bytes", "Bytes of bodies and answers that this host holds for requests.");
     }
 
     /** Updates the metrics of requests. */
@@ -94,6 +98,11 @@
         loopDelay.set(delayMillis < 0 ? -1 : delayMillis / MILLIS_PER_SECOND);
     }
 
+    /** Updates the bytes that are reserved for requests. */
+    public void recordMemory(long reservedBytes) {
+        memory.set(reservedBytes);
+    }
+
     private static Gauge gauge(PrometheusRegistry registry, String name, String help) {
         return Gauge.builder().name("cranberrygauge_proxy_" + name).help(help).register(registry);
     }
