--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendGate.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendGate.java
@@ -42,8 +42,8 @@
             return new Availability(Kind.OTHER_VERSION, Long.MAX_VALUE);
         }
         Availability stated = statements.availability(nowMillis, backend.incarnation());
-        boolean cold =
-                stated.isOpen() && limits.perSecond(nowMillis, backend.incarnation()).isPresent();
+        boolean cold = stated.isOpen()
+                && limits.perSecond(nowMillis, backend.incarnation()).isPresent();
         if (!cold && stated.kind() != Kind.NEEDS_PERMIT) {
             return stated;
         }
