--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendSelection.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendSelection.java
@@ -122,6 +122,27 @@
         }
     }
 
+    /** Tells whether the request has to wait until the chosen server has capacity. */
+    boolean mustWait(long now, Choice choice) {
+        return choice.saturated() && (choice.full() || !mustStart(now));
+    }
+
+    /** Tells whether the request can't wait any longer and still be answered in time; never for engines. */
+    boolean mustStart(long now) {
+        return pool.engine().isEmpty()
+                && now >= request.startsByMillis(context.capacity().responseMillis(pool.name()));
+    }
+
+    /** Sends the requests that wait for the capacity that this one has released, unless none waits. */
+    void dispatchQueued() {
+        String name = pool.name();
+        if (context.queues().of(name).size() > 0) {
+            context.vertx()
+                    .runOnContext(
+                            run -> context.queues().dispatch(context.time().monotonicMillis(), name));
+        }
+    }
+
     /** Returns the time that the chosen engine needs to read the prompt, in milliseconds. */
     long prefillMillis(Choice choice) {
         return (long) context.profiles().of(pool.name()).prefillMillis(uncachedTokens(choice.backend()));
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -200,7 +200,7 @@
         Backend backend = attempt.backend();
         placement.end();
         observation.recordFailure(now, outcome);
-        dispatchQueued();
+        selection.dispatchQueued();
         recordFailure(backend, outcome, now);
         history = history.withOutcome(outcome);
         lastOutcome = outcome;
@@ -242,16 +242,7 @@
                         outcome == AttemptOutcome.NOT_RUN ? RejectReason.BACKENDS_FULL : RejectReason.NO_BACKEND);
             case PASS_ON -> finalResponse.forward(serverError.orElseThrow(), "server_error");
             case CUT -> finalResponse.abort("stream_broken");
-            default -> forwardOrReject();
-        }
-    }
-
-    /** Forwards an earlier server error, or reports that the request may have run. */
-    private void forwardOrReject() {
-        if (serverError.isPresent()) {
-            finalResponse.forward(serverError.get(), "server_error");
-        } else {
-            finalResponse.reject(RejectReason.BACKEND_BROKE);
+            default -> finalResponse.forwardOrReject(serverError);
         }
     }
 
@@ -284,7 +275,7 @@
                     .map(this::enqueue)
                     .isPresent();
         }
-        if (mustWait(now, choice.get())) {
+        if (history.sent() == 0 && selection.mustWait(now, choice.get())) {
             enqueue(choice.get());
             return true;
         }
@@ -292,25 +283,8 @@
         return true;
     }
 
-    /** Tells whether the request has to wait until the chosen server has capacity. */
-    private boolean mustWait(long now, Choice choice) {
-        return choice.saturated() && history.sent() == 0 && (choice.full() || !mustStart(now));
-    }
-
-    /** Tells whether the request can't wait any longer and still be answered in time; never for engines. */
     boolean mustStart(long now) {
-        return selection.pool().engine().isEmpty()
-                && now
-                        >= request.startsByMillis(context.capacity()
-                                .responseMillis(selection.pool().name()));
-    }
-
-    /** Sends the requests that wait for the capacity that this one has released, unless none waits. */
-    private void dispatchQueued() {
-        String pool = selection.pool().name();
-        if (context.queues().of(pool).size() > 0) {
-            context.vertx().runOnContext(run -> context.queues().dispatch(now(), pool));
-        }
+        return selection.mustStart(now);
     }
 
     /** Ends this exchange and passes the request on to another host. */
@@ -350,7 +324,7 @@
         if (choice.isEmpty()) {
             return DispatchResult.NOT_AVAILABLE;
         }
-        if (mustWait(now, choice.get())) {
+        if (history.sent() == 0 && selection.mustWait(now, choice.get())) {
             return DispatchResult.NO_CAPACITY;
         }
         waiting = false;
@@ -463,7 +437,7 @@
         }
         if (placement != null) {
             placement.end();
-            dispatchQueued();
+            selection.dispatchQueued();
         }
         String backend = attempt == null ? "-" : attempt.backend().id();
         recorder.recordEnd(now(), outcome, status, backend, history.sent() + (sent ? 1 : 0));
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/FinalResponse.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/FinalResponse.java
@@ -1,6 +1,7 @@
 package org.cranberrygauge.proxy.exchange;
 
 import io.vertx.core.MultiMap;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.ObjIntConsumer;
 import org.cranberrygauge.proxy.admission.RejectReason;
@@ -38,6 +39,15 @@
         end.accept(outcome, buffered.status());
     }
 
+    /** Forwards an earlier server error, or reports that the request may have run. */
+    void forwardOrReject(Optional<BufferedResponse> serverError) {
+        if (serverError.isPresent()) {
+            forward(serverError.get(), "server_error");
+        } else {
+            reject(RejectReason.BACKEND_BROKE);
+        }
+    }
+
     /**
      * Rejects a request that has not run and that no server takes.
      *
