--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
@@ -143,12 +143,7 @@
                     memory);
             new Exchange(context, admitted, response).start();
         };
-        Consumer<RejectReason> refuse = reason -> {
-            if (reason != RejectReason.MEMORY_EXHAUSTED) {
-                response.closeAfterResponse();
-            }
-            reject(now, request, response, callerHeaders, reason);
-        };
+        Consumer<RejectReason> refuse = reason -> rejectBody(now, request, response, callerHeaders, reason);
         new BodyReader(context.vertx(), maximumBytes, memory, start, refuse)
                 .read(request, response, deadlineMillis - context.time().monotonicMillis());
     }
@@ -171,6 +166,19 @@
         reject(context.time().monotonicMillis(), request, response, callerHeaders, RejectReason.BAD_REQUEST);
     }
 
+    /** Rejects a request whose body was not read; the rest is discarded if the caller may go on with the connection. */
+    private void rejectBody(
+            long now,
+            HttpServerRequest request,
+            CallerResponse response,
+            CallerHeaders callerHeaders,
+            RejectReason reason) {
+        if (reason != RejectReason.MEMORY_EXHAUSTED) {
+            response.closeAfterResponse();
+        }
+        reject(now, request, response, callerHeaders, reason);
+    }
+
     /** Rejects a request before the exchange starts. */
     private void reject(
             long now,
