--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -15,6 +15,7 @@
 import org.cranberrygauge.decision.backend.BackendStatements;
 import org.cranberrygauge.decision.backend.ColdServers;
 import org.cranberrygauge.decision.backend.HeldPermits;
+import org.cranberrygauge.decision.fairness.CustomerUse;
 import org.cranberrygauge.decision.quarantine.BackendCrash;
 import org.cranberrygauge.decision.quarantine.CrashingParts;
 import org.cranberrygauge.proxy.admission.RequestAdmission;
@@ -106,7 +107,10 @@
 
     private final HeldPermits permits = new HeldPermits();
 
-    private final PoolWaitQueues queues = new PoolWaitQueues();
+    /** The recent usage of customers in the fleet. */
+    private final CustomerUse customerUse = new CustomerUse();
+
+    private final PoolWaitQueues queues = new PoolWaitQueues(customerUse);
 
     /** The versions of software that served lately, used on the event loop of requests. */
     private final VersionHistory versions = new VersionHistory();
@@ -254,6 +258,7 @@
                         statements,
                         permitExchange,
                         reachability,
+                        customerUse,
                         ownWork)
                 .start();
     }
@@ -305,6 +310,7 @@
                 placements,
                 new EventLoopStreamDirectory(),
                 versions,
+                customerUse,
                 queues,
                 new PoolRetryBudgets(times.retryWindowMillis(), times.retryRatio(), times.retryAllowance()),
                 crashingParts,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/WaitQueue.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/WaitQueue.java
@@ -1,15 +1,17 @@
 package org.cranberrygauge.proxy.admission;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.Iterator;
 import java.util.List;
+import org.cranberrygauge.decision.fairness.CustomerUse;
+import org.cranberrygauge.decision.fairness.FairOrder;
+import org.cranberrygauge.decision.fairness.FairOrder.Entry;
 
 /**
  * The requests that are queued on this host until a backend server is available and has capacity.
  *
- * <p>Order: by urgency; at equal urgency, requests that can still meet their target latency go before those that can't;
- * then by arrival. A request expires as soon as it can no longer finish before its deadline. Not thread-safe.
+ * <p>Their order is that of {@link FairOrder}, with the same weight for each customer. A request expires as soon as it
+ * can no longer finish before its deadline. Not thread-safe.
  *
  * @param <T> The type of the requests.
  */
@@ -18,6 +20,13 @@
     /** In order of arrival. */
     private final List<Entry<T>> entries = new ArrayList<>();
 
+    private final FairOrder order;
+
+    /** @param use The recent usage of customers, by which requests of equal urgency are ordered. */
+    public WaitQueue(CustomerUse use) {
+        order = new FairOrder(use, customer -> 1);
+    }
+
     public void add(Entry<T> entry) {
         entries.add(entry);
     }
@@ -26,6 +35,12 @@
         entries.removeIf(entry -> entry.item() == item);
     }
 
+    /** Removes a request that was sent to a backend server. */
+    public void removeStarted(T item) {
+        remove(item);
+        order.recordStart();
+    }
+
     public int size() {
         return entries.size();
     }
@@ -36,10 +51,12 @@
      * @param nowMillis The current monotonic time in milliseconds.
      */
     public List<T> inOrder(long nowMillis) {
-        List<Entry<T>> ordered = new ArrayList<>(entries);
-        ordered.sort(
-                Comparator.<Entry<T>>comparingInt(Entry::urgency).thenComparing(entry -> !entry.isOnTime(nowMillis)));
-        return ordered.stream().map(Entry::item).toList();
+        return order.order(nowMillis, entries).stream().map(Entry::item).toList();
+    }
+
+    /** Tells whether the next request may be sent to a server that has capacity, but less than the request needs. */
+    public boolean isNextReserved() {
+        return order.isNextReserved();
     }
 
     /**
@@ -52,28 +69,11 @@
         Iterator<Entry<T>> iterator = entries.iterator();
         while (iterator.hasNext()) {
             Entry<T> entry = iterator.next();
-            if (nowMillis >= entry.expiresAtMillis()) {
+            if (entry.isExpired(nowMillis)) {
                 expired.add(entry.item());
                 iterator.remove();
             }
         }
         return expired;
     }
-
-    /**
-     * A queued request.
-     *
-     * @param item The request.
-     * @param urgency The urgency; 0 is the most urgent.
-     * @param onTimeMillis The monotonic time until which the request can start and still meet its target latency, in
-     *     milliseconds.
-     * @param expiresAtMillis The monotonic time at which the request expires, in milliseconds.
-     * @param <T> The type of the request.
-     */
-    public record Entry<T>(T item, int urgency, long onTimeMillis, long expiresAtMillis) {
-
-        boolean isOnTime(long nowMillis) {
-            return nowMillis <= onTimeMillis;
-        }
-    }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
@@ -11,6 +11,7 @@
 import org.apache.thrift.TException;
 import org.cranberrygauge.decision.backend.BackendStatements;
 import org.cranberrygauge.decision.backend.BackendStatements.Shared;
+import org.cranberrygauge.decision.fairness.CustomerUse;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.protocol.generated.BackendWork;
 import org.cranberrygauge.protocol.generated.HostAddress;
@@ -62,6 +63,9 @@
 
     private final BackendReachability reachability;
 
+    /** The recent usage of customers in the fleet. */
+    private final CustomerUse customerUse;
+
     /** The load caused by this host, as the request path last published it. */
     private final AtomicReference<Map<String, Work>> ownWork;
 
@@ -85,6 +89,7 @@
             BackendStatements statements,
             PermitExchange permits,
             BackendReachability reachability,
+            CustomerUse customerUse,
             AtomicReference<Map<String, Work>> ownWork) {
         this.context = context;
         this.settings = settings;
@@ -94,6 +99,7 @@
         this.statements = statements;
         this.permits = permits;
         this.reachability = reachability;
+        this.customerUse = customerUse;
         this.ownWork = ownWork;
         this.monitor = new DependencyMonitor("host addresses", context.events());
     }
@@ -192,6 +198,10 @@
                 .ifPresent(inForce -> report.setConfigurationVersion(inForce.version()));
         boolean draining = context.blackboard().draining();
         report.setReachesBackends(reachability.reaches(now) && !draining);
+        Map<String, Long> use = customerUse.report(now, CustomerUse.MAXIMUM_REPORTED);
+        if (!use.isEmpty()) {
+            report.setCustomerUse(use);
+        }
         Map<String, Shared> shared = statements.shared(now, present);
         return shared.isEmpty() ? report : report.setStated(StatementReports.write(now, shared));
     }
@@ -211,9 +221,13 @@
 
     /** Applies the report of another host. */
     private void receive(HostReport report, NetworkAddress sender) {
-        if (!network.peers().update(context.time().monotonicMillis(), report, sender)) {
+        long now = context.time().monotonicMillis();
+        if (!network.peers().update(now, report, sender)) {
             return;
         }
+        if (report.isSetCustomerUse()) {
+            customerUse.merge(now, report.getHost(), report.getCustomerUse());
+        }
         if (report.isSetEra()) {
             context.log().era().observe(report.getEra());
         }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendSelection.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendSelection.java
@@ -12,6 +12,7 @@
 import org.cranberrygauge.proxy.configuration.Pool;
 import org.cranberrygauge.proxy.configuration.RouteKind;
 import org.cranberrygauge.proxy.routing.BackendChooser.Choice;
+import org.cranberrygauge.proxy.routing.EnginePartition;
 import org.cranberrygauge.proxy.stream.StreamOrigin;
 
 /**
@@ -120,6 +121,20 @@
         if (pool.engine().isPresent()) {
             context.profiles().recordSent(pool.name(), request.callerHeaders().prompt(), uncachedTokens(backend));
         }
+        context.customerUse().record(now, request.fairnessCustomer(), cost(backend));
+    }
+
+    /** Returns the cost of the request by which the usage of its customer is measured. */
+    long cost(Backend backend) {
+        return pool.engine().isEmpty()
+                ? 1
+                : uncachedTokens(backend) + request.callerHeaders().prompt().outputTokens();
+    }
+
+    /** Tells whether the request has to wait while the servers of its pool have no capacity. */
+    boolean needsCapacity() {
+        return pool.engine().isPresent()
+                && !EnginePartition.isShort(request.callerHeaders().prompt());
     }
 
     /** Returns the time that the chosen engine needs to read the prompt, in milliseconds. */
@@ -127,6 +142,12 @@
         return (long) context.profiles().of(pool.name()).prefillMillis(uncachedTokens(choice.backend()));
     }
 
+    /** Tells whether the chosen engine has capacity, be it less than the request needs. */
+    boolean hasCapacity(Choice choice) {
+        return context.chooser()
+                .hasCapacity(pool, choice.backend(), context.blackboard().peers());
+    }
+
     private long uncachedTokens(Backend backend) {
         return context.load(pool, backend)
                 .uncachedTokens(request.callerHeaders().prompt());
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -3,8 +3,8 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.util.Optional;
+import org.cranberrygauge.decision.fairness.FairOrder.Entry;
 import org.cranberrygauge.proxy.admission.RejectReason;
-import org.cranberrygauge.proxy.admission.WaitQueue.Entry;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.exchange.BackendAttempt.BufferedResponse;
 import org.cranberrygauge.proxy.exchange.HeaderCodec.BackendResponseHeaders;
@@ -66,6 +66,9 @@
     /** Whether the request is queued until a backend server is available and has capacity. */
     private boolean waiting;
 
+    /** The monotonic time at which the request was queued, in milliseconds. */
+    private long queuedMillis;
+
     /** Whether the final response was given. */
     private boolean ended;
 
@@ -275,7 +278,7 @@
                     .map(this::enqueue)
                     .isPresent();
         }
-        if (choice.get().saturated() && history.sent() == 0) {
+        if (history.sent() == 0 && (choice.get().saturated() || isAwaited(choice.get()))) {
             enqueue(choice.get());
             return true;
         }
@@ -283,6 +286,13 @@
         return true;
     }
 
+    /** Tells whether a request in the queue comes before this one at the chosen server. */
+    private boolean isAwaited(Choice choice) {
+        return selection.needsCapacity()
+                && context.queues()
+                        .isAwaited(selection.pool().name(), choice.backend().incarnation());
+    }
+
     /** Ends this exchange and passes the request on to another host. */
     private void forwardToHost() {
         finish("forwarded", 0);
@@ -293,25 +303,33 @@
     /** Queues the request until it can be sent, and returns its first choice. */
     private Choice enqueue(Choice choice) {
         waiting = true;
+        queuedMillis = now();
         context.queues()
                 .of(selection.pool().name())
                 .add(new Entry<>(
                         this,
+                        request.fairnessCustomer(),
+                        selection.cost(choice.backend()),
                         request.urgency(),
                         request.onTimeMillis() - selection.prefillMillis(choice),
-                        request.expiresAtMillis()));
+                        Math.min(request.expiresAtMillis(), request.deadlineMillis() - selection.prefillMillis(choice)),
+                        request.receivedMillis()));
         return choice;
     }
 
-    /** Sends a queued request if a server is available by now and has capacity. */
-    DispatchResult tryDispatch() {
+    /**
+     * Sends a queued request if a server is available by now and has capacity.
+     *
+     * @param reserved Whether the server may have less capacity than the request needs.
+     */
+    DispatchResult tryDispatch(boolean reserved) {
         if (evidence.isBlocked()) {
-            waiting = false;
+            leaveQueue("blocked");
             endBlocked();
             return DispatchResult.ENDED;
         }
         if (retryGate.mayForward(history)) {
-            waiting = false;
+            leaveQueue("forwarded");
             forwardToHost();
             return DispatchResult.ENDED;
         }
@@ -320,17 +338,21 @@
         if (choice.isEmpty()) {
             return DispatchResult.NOT_AVAILABLE;
         }
-        if (choice.get().saturated() && history.sent() == 0) {
+        boolean fits = !choice.get().saturated() || (reserved && selection.hasCapacity(choice.get()));
+        if (!fits && history.sent() == 0) {
+            context.queues()
+                    .recordAwaited(
+                            selection.pool().name(), choice.get().backend().incarnation());
             return DispatchResult.NO_CAPACITY;
         }
-        waiting = false;
+        leaveQueue(reserved ? "sent_reserved" : "sent");
         send(now, choice.get());
         return DispatchResult.SENT;
     }
 
     /** Ends the request after it was removed from the queue as expired. */
     void expireInQueue() {
-        waiting = false;
+        leaveQueue("expired");
         if (lastOutcome != null) {
             proceed(RetryPolicy.withoutRetry(history, lastOutcome), lastOutcome);
             return;
@@ -340,6 +362,13 @@
                 now(), unavailable ? RejectReason.BACKENDS_LIMITED : RejectReason.BACKENDS_FULL);
     }
 
+    /** Records how long the request was queued; the caller removes it from the queue. */
+    private void leaveQueue(String outcome) {
+        waiting = false;
+        long now = now();
+        recorder.recordWait(now, selection.pool().name(), outcome, now - queuedMillis);
+    }
+
     /** Ends a queued request that turns out to crash backend servers. */
     private void endBlocked() {
         if (lastOutcome != null) {
@@ -428,6 +457,7 @@
         timers.cancelAll();
         context.blackboard().active().decrementAndGet();
         if (waiting) {
+            leaveQueue("ended");
             context.queues().of(selection.pool().name()).remove(this);
         }
         if (placement != null) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import java.util.Map;
 import org.cranberrygauge.decision.backend.BackendStatements;
+import org.cranberrygauge.decision.fairness.CustomerUse;
 import org.cranberrygauge.decision.quarantine.CrashingParts;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.backend.BackendGate;
@@ -30,6 +31,7 @@
  * @param gate Tells whether a request may be sent to a backend server now.
  * @param streams Tells where streams began.
  * @param versions The versions of software that served lately.
+ * @param customerUse The recent usage of customers in the fleet, by which queued requests are ordered.
  * @param queues The requests that wait until a backend server is available and has capacity.
  * @param crashingParts The parts of prompts, and the requests, that crash backend servers.
  * @param crashWatch Finds out which backend servers crashed.
@@ -53,6 +55,7 @@
         PlacementExchange placements,
         StreamDirectory streams,
         VersionHistory versions,
+        CustomerUse customerUse,
         PoolWaitQueues queues,
         PoolRetryBudgets budgets,
         CrashingParts crashingParts,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeEvents.java
@@ -72,6 +72,27 @@
     public record RequestForwarded(String request, String host, int tried, int status, long totalMillis)
             implements Event {}
 
+    /**
+     * A request has left the queue in which it waited for a backend server.
+     *
+     * @param request The identifier of the request.
+     * @param pool The pool whose servers had no capacity or were not available.
+     * @param customer The customer, or a dash if there is none.
+     * @param urgency The urgency from 0, the most urgent, to 9.
+     * @param outcome How the wait ended: sent, sent_reserved (for its long wait), expired, forwarded, blocked, or ended by the caller or at the deadline.
+     * @param waitedMillis The time in the queue in milliseconds.
+     * @param customerUse The tokens that the customer received recently in the whole fleet.
+     */
+    public record RequestWaited(
+            String request,
+            String pool,
+            String customer,
+            int urgency,
+            String outcome,
+            long waitedMillis,
+            long customerUse)
+            implements Event {}
+
     /**
      * A request that was admitted has ended.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeMetrics.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeMetrics.java
@@ -26,6 +26,10 @@
 
     private final Histogram first;
 
+    private final Counter waited;
+
+    private final Counter waitedSeconds;
+
     public ExchangeMetrics(PrometheusRegistry registry) {
         ended = Counter.builder()
                 .name("cranberrygauge_proxy_requests_total")
@@ -49,6 +53,16 @@
                 .classicOnly()
                 .classicUpperBounds(BUCKETS)
                 .register(registry);
+        waited = Counter.builder()
+                .name("cranberrygauge_proxy_waited_total")
+                .help("Requests that left the queue for a backend server, by route, customer and outcome.")
+                .labelNames(ROUTE, CUSTOMER, OUTCOME)
+                .register(registry);
+        waitedSeconds = Counter.builder()
+                .name("cranberrygauge_proxy_waited_seconds_total")
+                .help("Time that requests spent in the queue for a backend server, by route and customer.")
+                .labelNames(ROUTE, CUSTOMER)
+                .register(registry);
     }
 
     /**
@@ -61,6 +75,16 @@
         ended.labelValues(route, customer, outcome).inc();
     }
 
+    /**
+     * Records that a request has left the queue for a backend server.
+     *
+     * @param millis The time in the queue in milliseconds.
+     */
+    public void recordWait(String route, String customer, String outcome, long millis) {
+        waited.labelValues(route, customer, outcome).inc();
+        waitedSeconds.labelValues(route, customer).inc(millis / MILLIS_PER_SECOND);
+    }
+
     /** Counts a failed attempt. */
     public void recordFailedAttempt(String pool, String outcome) {
         attempts.labelValues(pool, outcome).inc();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeRecorder.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeRecorder.java
@@ -52,6 +52,25 @@
         context.metrics().recordFirstEvent(request.route().name(), customer(), firstMillis);
     }
 
+    /**
+     * Records that the request has left the queue.
+     *
+     * @param outcome Whether it was sent, or how its wait ended otherwise.
+     * @param waitedMillis The time in the queue in milliseconds.
+     */
+    void recordWait(long nowMillis, String pool, String outcome, long waitedMillis) {
+        context.metrics().recordWait(request.route().name(), customer(), outcome, waitedMillis);
+        context.events()
+                .emit(new ExchangeEvents.RequestWaited(
+                        request.id(),
+                        pool,
+                        customer(),
+                        request.urgency(),
+                        outcome,
+                        waitedMillis,
+                        Math.round(context.customerUse().of(nowMillis, request.fairnessCustomer()))));
+    }
+
     /** Counts the request in the customer's usage, once. */
     void recordStart() {
         if (counted) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpMethod;
 import java.util.List;
 import java.util.Optional;
+import org.cranberrygauge.decision.fairness.CustomerUse;
 import org.cranberrygauge.decision.quarantine.SuspectPart;
 import org.cranberrygauge.decision.topology.StableHash;
 import org.cranberrygauge.proxy.configuration.Homes;
@@ -57,6 +58,11 @@
         return receivedMillis + (long) ((deadlineMillis - receivedMillis) * QUEUEING_FRACTION);
     }
 
+    /** Returns the customer among which scarce capacity is divided. */
+    String fairnessCustomer() {
+        return customer.orElse(CustomerUse.NO_CUSTOMER);
+    }
+
     /** Tells whether the caller resumes a stream of which it has some events. */
     public boolean resumesStream() {
         return route.kind() == RouteKind.RESUMABLE_STREAM
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
@@ -147,9 +147,21 @@
         }
         BackendLoad load = load(pool, backend);
         Work work = load.work().plus(peers.at(backend.incarnation()));
-        return work.heldTokens() > 0
-                && work.heldTokens() + load.uncachedTokens(prompt)
-                        > profiles.of(pool.name()).sustainableTokens() * SATURATION_FACTOR;
+        return work.heldTokens() > 0 && work.heldTokens() + load.uncachedTokens(prompt) > capacityTokens(pool);
+    }
+
+    /**
+     * Tells whether an engine has capacity for another long prompt if the prompt's size does not count.
+     *
+     * @param peers The load caused by the other hosts.
+     */
+    public boolean hasCapacity(Pool pool, Backend backend, PeerLoads peers) {
+        Work work = load(pool, backend).work().plus(peers.at(backend.incarnation()));
+        return pool.engine().isPresent() && work.heldTokens() <= capacityTokens(pool);
+    }
+
+    private double capacityTokens(Pool pool) {
+        return profiles.of(pool.name()).sustainableTokens() * SATURATION_FACTOR;
     }
 
     /** Ranks the engines of a partition for a prompt; empty if the prompt shares no prefix. */
