--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendSelection.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendSelection.java
@@ -8,6 +8,7 @@
 import java.util.function.Predicate;
 import org.cranberrygauge.decision.backend.Availability;
 import org.cranberrygauge.decision.backend.Availability.Kind;
+import org.cranberrygauge.decision.fairness.FairOrder.Entry;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.configuration.Pool;
 import org.cranberrygauge.proxy.configuration.RouteKind;
@@ -125,23 +126,47 @@
     }
 
     /** Returns the cost of the request by which the usage of its customer is measured. */
-    long cost(Backend backend) {
+    private long cost(Backend backend) {
         return pool.engine().isEmpty()
                 ? 1
                 : uncachedTokens(backend) + request.callerHeaders().prompt().outputTokens();
     }
 
     /** Tells whether the request has to wait while the servers of its pool have no capacity. */
-    boolean needsCapacity() {
+    private boolean needsCapacity() {
         return pool.engine().isPresent()
                 && !EnginePartition.isShort(request.callerHeaders().prompt());
     }
 
     /** Returns the time that the chosen engine needs to read the prompt, in milliseconds. */
-    long prefillMillis(Choice choice) {
+    private long prefillMillis(Choice choice) {
         return (long) context.profiles().of(pool.name()).prefillMillis(uncachedTokens(choice.backend()));
     }
 
+    /** Returns the entry of the request in the queue. */
+    Entry<Exchange> entry(Exchange exchange, Choice choice) {
+        long prefillMillis = prefillMillis(choice);
+        return new Entry<>(
+                exchange,
+                request.fairnessCustomer(),
+                cost(choice.backend()),
+                request.urgency(),
+                request.onTimeMillis() - prefillMillis,
+                Math.min(request.expiresAtMillis(), request.deadlineMillis() - prefillMillis),
+                request.receivedMillis());
+    }
+
+    /** Tells whether a request in the queue comes before this one at the chosen server. */
+    boolean isAwaited(Choice choice) {
+        return needsCapacity()
+                && context.queues().isAwaited(pool.name(), choice.backend().incarnation());
+    }
+
+    /** Records that the request is next in the queue and waits for capacity at the chosen server. */
+    void recordAwaited(Choice choice) {
+        context.queues().recordAwaited(pool.name(), choice.backend().incarnation());
+    }
+
     /** Tells whether the chosen engine has capacity, be it less than the request needs. */
     boolean hasCapacity(Choice choice) {
         return context.chooser()
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -3,7 +3,6 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.util.Optional;
-import org.cranberrygauge.decision.fairness.FairOrder.Entry;
 import org.cranberrygauge.proxy.admission.RejectReason;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.exchange.BackendAttempt.BufferedResponse;
@@ -66,9 +65,6 @@
     /** Whether the request is queued until a backend server is available and has capacity. */
     private boolean waiting;
 
-    /** The monotonic time at which the request was queued, in milliseconds. */
-    private long queuedMillis;
-
     /** Whether the final response was given. */
     private boolean ended;
 
@@ -278,7 +274,7 @@
                     .map(this::enqueue)
                     .isPresent();
         }
-        if (history.sent() == 0 && (choice.get().saturated() || isAwaited(choice.get()))) {
+        if (history.sent() == 0 && (choice.get().saturated() || selection.isAwaited(choice.get()))) {
             enqueue(choice.get());
             return true;
         }
@@ -286,13 +282,6 @@
         return true;
     }
 
-    /** Tells whether a request in the queue comes before this one at the chosen server. */
-    private boolean isAwaited(Choice choice) {
-        return selection.needsCapacity()
-                && context.queues()
-                        .isAwaited(selection.pool().name(), choice.backend().incarnation());
-    }
-
     /** Ends this exchange and passes the request on to another host. */
     private void forwardToHost() {
         finish("forwarded", 0);
@@ -303,17 +292,8 @@
     /** Queues the request until it can be sent, and returns its first choice. */
     private Choice enqueue(Choice choice) {
         waiting = true;
-        queuedMillis = now();
-        context.queues()
-                .of(selection.pool().name())
-                .add(new Entry<>(
-                        this,
-                        request.fairnessCustomer(),
-                        selection.cost(choice.backend()),
-                        request.urgency(),
-                        request.onTimeMillis() - selection.prefillMillis(choice),
-                        Math.min(request.expiresAtMillis(), request.deadlineMillis() - selection.prefillMillis(choice)),
-                        request.receivedMillis()));
+        recorder.recordQueued(now());
+        context.queues().of(selection.pool().name()).add(selection.entry(this, choice));
         return choice;
     }
 
@@ -340,9 +320,7 @@
         }
         boolean fits = !choice.get().saturated() || (reserved && selection.hasCapacity(choice.get()));
         if (!fits && history.sent() == 0) {
-            context.queues()
-                    .recordAwaited(
-                            selection.pool().name(), choice.get().backend().incarnation());
+            selection.recordAwaited(choice.get());
             return DispatchResult.NO_CAPACITY;
         }
         leaveQueue(reserved ? "sent_reserved" : "sent");
@@ -365,8 +343,7 @@
     /** Records how long the request was queued; the caller removes it from the queue. */
     private void leaveQueue(String outcome) {
         waiting = false;
-        long now = now();
-        recorder.recordWait(now, selection.pool().name(), outcome, now - queuedMillis);
+        recorder.recordWait(now(), selection.pool().name(), outcome);
     }
 
     /** Ends a queued request that turns out to crash backend servers. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeRecorder.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeRecorder.java
@@ -31,6 +31,9 @@
     /** The time to the first event or the complete response in milliseconds; -1 before it. */
     private long firstMillis = -1;
 
+    /** The monotonic time at which the request was last queued, in milliseconds. */
+    private long queuedMillis;
+
     /** Whether the request was counted as started. */
     private boolean counted;
 
@@ -52,13 +55,18 @@
         context.metrics().recordFirstEvent(request.route().name(), customer(), firstMillis);
     }
 
+    /** Records the start of a wait in the queue. */
+    void recordQueued(long nowMillis) {
+        queuedMillis = nowMillis;
+    }
+
     /**
      * Records that the request has left the queue.
      *
      * @param outcome Whether it was sent, or how its wait ended otherwise.
-     * @param waitedMillis The time in the queue in milliseconds.
      */
-    void recordWait(long nowMillis, String pool, String outcome, long waitedMillis) {
+    void recordWait(long nowMillis, String pool, String outcome) {
+        long waitedMillis = nowMillis - queuedMillis;
         context.metrics().recordWait(request.route().name(), customer(), outcome, waitedMillis);
         context.events()
                 .emit(new ExchangeEvents.RequestWaited(
