--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -16,6 +16,7 @@
 import org.cranberrygauge.decision.backend.ColdServers;
 import org.cranberrygauge.decision.backend.HeldPermits;
 import org.cranberrygauge.decision.capacity.ServerCapacity;
+import org.cranberrygauge.decision.fairness.CustomerUse;
 import org.cranberrygauge.decision.quarantine.BackendCrash;
 import org.cranberrygauge.decision.quarantine.CrashingParts;
 import org.cranberrygauge.proxy.admission.RequestAdmission;
@@ -110,7 +111,10 @@
 
     private final HeldPermits permits = new HeldPermits();
 
-    private final PoolWaitQueues queues = new PoolWaitQueues(new SplittableRandom());
+    /** The recent usage of customers in the fleet. */
+    private final CustomerUse customerUse = new CustomerUse();
+
+    private final PoolWaitQueues queues = new PoolWaitQueues(customerUse, new SplittableRandom());
 
     /** The versions of software that served lately, used on the event loop of requests. */
     private final VersionHistory versions = new VersionHistory();
@@ -280,6 +284,7 @@
                         statements,
                         permitExchange,
                         reachability,
+                        customerUse,
                         ownWork)
                 .start();
     }
@@ -333,6 +338,7 @@
                 placements,
                 new EventLoopStreamDirectory(),
                 versions,
+                customerUse,
                 queues,
                 new PoolRetryBudgets(times.retryWindowMillis(), times.retryRatio(), times.retryAllowance()),
                 crashingParts,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ConfigurationFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ConfigurationFollower.java
@@ -71,6 +71,7 @@
         this.applyBoundMillis = applyBoundMillis;
     }
 
+    /** Starts to follow the topic, also on behalf of the evacuations. */
     public void start() {
         PollSettings settings = new PollSettings(
                 (long) (applyBoundMillis * WAIT_FRACTION), 0, (long) (applyBoundMillis * RELAYED_AGE_FRACTION));
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
@@ -11,6 +11,7 @@
 import org.apache.thrift.TException;
 import org.cranberrygauge.decision.backend.BackendStatements;
 import org.cranberrygauge.decision.backend.BackendStatements.Shared;
+import org.cranberrygauge.decision.fairness.CustomerUse;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.protocol.generated.BackendWork;
 import org.cranberrygauge.protocol.generated.HostAddress;
@@ -63,6 +64,9 @@
 
     private final BackendReachability reachability;
 
+    /** The recent usage of customers in the fleet. */
+    private final CustomerUse customerUse;
+
     /** The load caused by this host, as the request path last published it. */
     private final AtomicReference<Map<String, Work>> ownWork;
 
@@ -86,6 +90,7 @@
             BackendStatements statements,
             PermitExchange permits,
             BackendReachability reachability,
+            CustomerUse customerUse,
             AtomicReference<Map<String, Work>> ownWork) {
         this.context = context;
         this.settings = settings;
@@ -95,6 +100,7 @@
         this.statements = statements;
         this.permits = permits;
         this.reachability = reachability;
+        this.customerUse = customerUse;
         this.ownWork = ownWork;
         this.monitor = new DependencyMonitor("host addresses", context.events());
     }
@@ -197,6 +203,10 @@
         report.setServerSpeedPercent(context.blackboard().serverSpeedPercent());
         report.setReachesBackends(reachability.reaches(now) && !draining);
         report.setPrefill(prefillWork());
+        Map<String, Long> use = customerUse.report(now, CustomerUse.MAXIMUM_REPORTED);
+        if (!use.isEmpty()) {
+            report.setCustomerUse(use);
+        }
         Map<String, Shared> shared = statements.shared(now, present);
         return shared.isEmpty() ? report : report.setStated(StatementReports.write(now, shared));
     }
@@ -225,9 +235,13 @@
 
     /** Applies the report of another host. */
     private void receive(HostReport report, NetworkAddress sender) {
-        if (!network.peers().update(context.time().monotonicMillis(), report, sender)) {
+        long now = context.time().monotonicMillis();
+        if (!network.peers().update(now, report, sender)) {
             return;
         }
+        if (report.isSetCustomerUse()) {
+            customerUse.merge(now, report.getHost(), report.getCustomerUse());
+        }
         if (report.isSetEra()) {
             context.log().era().observe(report.getEra());
         }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -4,7 +4,6 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.Optional;
 import org.cranberrygauge.proxy.admission.RejectReason;
-import org.cranberrygauge.proxy.admission.WaitQueue.Entry;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.exchange.BackendAttempt.BufferedResponse;
 import org.cranberrygauge.proxy.exchange.HeaderCodec.BackendResponseHeaders;
@@ -275,7 +274,8 @@
                     .map(this::enqueue)
                     .isPresent();
         }
-        if (history.sent() == 0 && selection.mustWait(now, choice.get())) {
+        boolean waits = selection.mustWait(now, choice.get()) || selection.isAwaited(choice.get());
+        if (history.sent() == 0 && waits) {
             enqueue(choice.get());
             return true;
         }
@@ -297,25 +297,24 @@
     /** Queues the request until it can be sent, and returns its first choice. */
     private Choice enqueue(Choice choice) {
         waiting = true;
-        context.queues()
-                .of(selection.pool().name())
-                .add(new Entry<>(
-                        this,
-                        request.urgency(),
-                        request.onTimeMillis() - selection.prefillMillis(choice),
-                        request.expiresAtMillis()));
+        recorder.recordQueued(now());
+        context.queues().of(selection.pool().name()).add(selection.entry(this, choice));
         return choice;
     }
 
-    /** Sends a queued request if a server is available by now and has capacity. */
-    DispatchResult tryDispatch() {
+    /**
+     * Sends a queued request if a server is available by now and has capacity.
+     *
+     * @param reserved Whether the server may have less capacity than the request needs.
+     */
+    DispatchResult tryDispatch(boolean reserved) {
         if (evidence.isBlocked()) {
-            waiting = false;
+            leaveQueue("blocked");
             endBlocked();
             return DispatchResult.ENDED;
         }
         if (retryGate.mayForward(history)) {
-            waiting = false;
+            leaveQueue("forwarded");
             forwardToHost();
             return DispatchResult.ENDED;
         }
@@ -324,10 +323,13 @@
         if (choice.isEmpty()) {
             return DispatchResult.NOT_AVAILABLE;
         }
-        if (history.sent() == 0 && selection.mustWait(now, choice.get())) {
+        boolean waits = selection.mustWait(now, choice.get())
+                && !(reserved && selection.hasCapacity(now, choice.get()));
+        if (history.sent() == 0 && waits) {
+            selection.recordAwaited(choice.get());
             return DispatchResult.NO_CAPACITY;
         }
-        waiting = false;
+        leaveQueue(reserved ? "sent_reserved" : "sent");
         send(now, choice.get());
         return DispatchResult.SENT;
     }
@@ -338,7 +340,7 @@
 
     /** Ends the request after it was removed from the queue as expired. */
     void expireInQueue() {
-        waiting = false;
+        leaveQueue("expired");
         if (lastOutcome != null) {
             proceed(RetryPolicy.withoutRetry(history, lastOutcome), lastOutcome);
             return;
@@ -348,6 +350,12 @@
                 now(), unavailable ? RejectReason.BACKENDS_LIMITED : RejectReason.BACKENDS_FULL);
     }
 
+    /** Records how long the request was queued; the caller removes it from the queue. */
+    private void leaveQueue(String outcome) {
+        waiting = false;
+        recorder.recordWait(now(), selection.pool().name(), outcome);
+    }
+
     /** Ends a queued request that turns out to crash backend servers. */
     private void endBlocked() {
         if (lastOutcome != null) {
@@ -443,6 +451,7 @@
         timers.cancelAll();
         context.blackboard().active().decrementAndGet();
         if (waiting) {
+            leaveQueue("ended");
             context.queues().of(selection.pool().name()).remove(this);
         }
         if (placement != null) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/PoolWaitQueues.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/PoolWaitQueues.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 import org.cranberrygauge.proxy.admission.RejectReason;
+import org.cranberrygauge.decision.fairness.CustomerUse;
 import org.cranberrygauge.proxy.admission.WaitQueue;
 
 /** The requests that wait until a backend server is available and has capacity, by pool. Not thread-safe. */
@@ -13,19 +14,41 @@
     /** The number of requests without a server after which no further ones are checked, since each check takes time. */
     private static final int MAXIMUM_UNAVAILABLE = 8;
 
+    private final CustomerUse use;
+
     private final Map<String, WaitQueue<Exchange>> queues = new HashMap<>();
 
     private final Map<String, PoolReturns> returns = new HashMap<>();
 
     private final RandomGenerator random;
 
-    /** @param random Spreads the returns of rejected callers. */
-    public PoolWaitQueues(RandomGenerator random) {
+    /** The incarnation of the server, by pool, at which the next queued request found no capacity. */
+    private final Map<String, String> awaited = new HashMap<>();
+
+    /**
+     * @param use The recent usage of customers, by which requests of equal urgency are ordered.
+     * @param random Spreads the returns of rejected callers.
+     */
+    public PoolWaitQueues(CustomerUse use, RandomGenerator random) {
+        this.use = use;
         this.random = random;
     }
 
     WaitQueue<Exchange> of(String pool) {
-        return queues.computeIfAbsent(pool, name -> new WaitQueue<>());
+        return queues.computeIfAbsent(pool, name -> new WaitQueue<>(use));
+    }
+
+    /** Records that the next queued request of a pool waits for capacity at a server. */
+    void recordAwaited(String pool, String incarnation) {
+        awaited.put(pool, incarnation);
+    }
+
+    /**
+     * Tells whether the next queued request of a pool waits for capacity at a server, so that one that has just arrived
+     * must not take that capacity before it.
+     */
+    boolean isAwaited(String pool, String incarnation) {
+        return incarnation.equals(awaited.get(pool)) && of(pool).size() > 0;
     }
 
     /**
@@ -57,6 +80,7 @@
      * @param nowMillis The current monotonic time in milliseconds.
      */
     public void dispatch(long nowMillis) {
+        awaited.clear();
         queues.forEach((pool, queue) -> {
             PoolReturns starts = returnsOf(pool);
             queue.removeExpired(nowMillis).forEach(Exchange::expireInQueue);
@@ -82,12 +106,14 @@
             if (full && !next.mustStart(nowMillis)) {
                 continue;
             }
-            DispatchResult result = next.tryDispatch();
-            if (result == DispatchResult.SENT || result == DispatchResult.ENDED) {
+            DispatchResult result = next.tryDispatch(queue.isNextReserved());
+            if (result == DispatchResult.SENT) {
+                queue.removeStarted(next);
+                starts.recordStart(nowMillis, next.cost());
+                continue;
+            }
+            if (result == DispatchResult.ENDED) {
                 queue.remove(next);
-                if (result == DispatchResult.SENT) {
-                    starts.recordStart(nowMillis, next.cost());
-                }
                 continue;
             }
             unavailable++;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
@@ -197,10 +197,22 @@
             return false;
         }
         return work.heldTokens() > 0
-                && work.heldTokens() + load.uncachedTokens(prompt)
-                        > profiles.of(pool.name()).sustainableTokens()
-                                * SATURATION_FACTOR
-                                / speedRatio(nowMillis, backend);
+                && work.heldTokens() + load.uncachedTokens(prompt) > capacityTokens(nowMillis, pool, backend);
+    }
+
+    /**
+     * Tells whether an engine has capacity for another long prompt if the prompt's size does not count.
+     *
+     * @param nowMillis The current monotonic time in milliseconds.
+     * @param peers The load caused by the other hosts.
+     */
+    public boolean hasCapacity(long nowMillis, Pool pool, Backend backend, PeerLoads peers) {
+        Work work = load(pool, backend).work().plus(peers.at(backend.incarnation()));
+        return pool.engine().isPresent() && work.heldTokens() <= capacityTokens(nowMillis, pool, backend);
+    }
+
+    private double capacityTokens(long nowMillis, Pool pool, Backend backend) {
+        return profiles.of(pool.name()).sustainableTokens() * SATURATION_FACTOR / speedRatio(nowMillis, backend);
     }
 
     /** Ranks the engines of a partition for a prompt; empty if the prompt shares no prefix. */
