--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/capacity/ConcurrencyLimit.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/capacity/ConcurrencyLimit.java
@@ -84,7 +84,7 @@
     }
 
     /**
-     * Records a response.
+     * Raises the limit after a response in about the unloaded time, and lowers it after much slower ones.
      *
      * @param nowMillis The current monotonic time in milliseconds.
      * @param outstanding The outstanding requests when this one was sent, including it.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BodyReader.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BodyReader.java
@@ -31,8 +31,6 @@
     private long deadlineTimer;
 
     /**
-     * Creates a reader.
-     *
      * @param memory Closed by the receiver of the complete body, else by this reader.
      * @param complete Receives the body.
      * @param rejected Receives the reason why the body was not read completely.
