Speed ratios count from a difference of 35 %, and go into one report in five

Suspected: ratios that are noise move requests to other data centres, and reports grew. Change: a wider range counts as typical; fewer reports.

--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/capacity/ServerSpeed.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/capacity/ServerSpeed.java
@@ -13,7 +13,7 @@
  *
  * <p>A ratio is the time that a server takes divided by the time that the pool's median server takes. It combines this
  * host's own observations with the ratios that other hosts report, by their median. A ratio is reduced by the
- * uncertainty of its observations, and a ratio within 10 % of the pool counts as 1, so that servers that are equal
+ * uncertainty of its observations, and a ratio within 35 % of the pool counts as 1, so that servers that are equal
  * are treated alike. Invariants: a ratio is within 0.25 and 8, and 1 for a server without observations; one
  * observation changes a ratio by a bounded factor. Servers are named by their incarnation, so that a restarted one
  * starts at the typical ratio. Not thread-safe.
@@ -25,8 +25,11 @@
 
     static final double MAXIMUM_RATIO = 8;
 
-    /** The ratio up to which a server counts as typical. */
-    static final double TYPICAL_RATIO = 1.1;
+    /**
+     * The ratio up to which a server counts as typical. Smaller differences are noise of few observations, and acting on them
+     * moves requests away from the engines that cache their prompts.
+     */
+    static final double TYPICAL_RATIO = 1.35;
 
     /** The weight of an observation that is slower than the estimate: five requests show half of a slowdown. */
     private static final double RISE_WEIGHT = 0.15;
@@ -58,7 +61,7 @@
     private static final double SPREAD_SMOOTHING = 0.02;
 
     /** The multiple of the uncertainty that is ignored, so that noise moves little work between equal servers. */
-    private static final double IGNORED_UNCERTAINTIES = 1.5;
+    private static final double IGNORED_UNCERTAINTIES = 2;
 
     private static final int PERCENT = 100;
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
@@ -120,7 +120,7 @@
                         report.getSequence(),
                         work,
                         prefill(report),
-                        speeds(report),
+                        speeds(report, Optional.ofNullable(current)),
                         report.getDataCentre(),
                         report.isReadsLog(),
                         report.isReachesBackends(),
@@ -325,15 +325,22 @@
         return new Work(entry.getRunning(), entry.getUnreadTokens(), entry.getHeldTokens(), entry.getShortRunning());
     }
 
-    /** Returns the speed ratios of a report, without values that no host computes. */
-    private static Map<String, Double> speeds(HostReport report) {
-        Map<String, Double> speeds = new HashMap<>();
-        if (report.isSetServerSpeedPercent()) {
-            report.getServerSpeedPercent().entrySet().stream()
-                    .filter(entry -> entry.getValue() > 0)
-                    .limit(MAXIMUM_SPEEDS)
-                    .forEach(entry -> speeds.put(entry.getKey(), entry.getValue() / PERCENT));
+    /**
+     * Returns the speed ratios that a host reported last, without values that no host computes; not every report holds them.
+     *
+     * @param before What is known of the host, if anything.
+     */
+    private static Map<String, Double> speeds(HostReport report, Optional<Peer> before) {
+        if (!report.isSetServerSpeedPercent()) {
+            return before.filter(peer -> peer.startedAtMillis() == report.getStartedAtMillis())
+                    .map(Peer::speeds)
+                    .orElse(Map.of());
         }
+        Map<String, Double> speeds = new HashMap<>();
+        report.getServerSpeedPercent().entrySet().stream()
+                .filter(entry -> entry.getValue() > 0)
+                .limit(MAXIMUM_SPEEDS)
+                .forEach(entry -> speeds.put(entry.getKey(), entry.getValue() / PERCENT));
         return speeds;
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
@@ -40,6 +40,9 @@
     /** The interval between reports. */
     private static final long REPORT_INTERVAL_MILLIS = 200;
 
+    /** One in this many reports holds the speed of servers, which changes slowly and takes many bytes. */
+    private static final int REPORTS_PER_SPEED_REPORT = 5;
+
     /** The delay before a failed discovery is retried. */
     private static final long RETRY_DELAY_MILLIS = 700;
 
@@ -200,7 +203,9 @@
                 .ifPresent(inForce -> report.setConfigurationVersion(inForce.version()));
         context.blackboard().loopDelay().ifPresent(report::setLoopDelayMillis);
         boolean draining = context.blackboard().draining();
-        report.setServerSpeedPercent(context.blackboard().serverSpeedPercent());
+        if (sequence % REPORTS_PER_SPEED_REPORT == 0) {
+            report.setServerSpeedPercent(context.blackboard().serverSpeedPercent());
+        }
         report.setReachesBackends(reachability.reaches(now) && !draining);
         report.setPrefill(prefillWork());
         Map<String, Long> use = customerUse.report(now, CustomerUse.MAXIMUM_REPORTED);
