--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/capacity/ServerSpeed.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/capacity/ServerSpeed.java
@@ -53,7 +53,7 @@
     private static final long FRESH_MILLIS = 5_000;
 
     /** The time for which computed ratios are used, since a choice must not sort the ratios of a large pool. */
-    private static final long REFRESH_MILLIS = 50;
+    private static final long REFRESH_MILLIS = 200;
 
     /** The initial mean deviation of observations from their estimate, in natural logarithms. */
     private static final double INITIAL_SPREAD = 0.4;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/LoadShedding.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/LoadShedding.java
@@ -18,7 +18,7 @@
 public final class LoadShedding {
 
     /** The interval between samples of the delay. */
-    private static final long SAMPLE_INTERVAL_MILLIS = 50;
+    private static final long SAMPLE_INTERVAL_MILLIS = 100;
 
     private final Vertx vertx;
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/SpeedReporter.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/SpeedReporter.java
@@ -19,6 +19,9 @@
 
     private static final int PERCENT = 100;
 
+    /** The minimum time between publications; each one computes the ratios of all servers. */
+    private static final long INTERVAL_MILLIS = 500;
+
     private final ServerCapacity capacity;
 
     private final ProxyBlackboard blackboard;
@@ -29,6 +32,8 @@
 
     private final SpeedNotices notices = new SpeedNotices();
 
+    private long publishedMillis = Long.MIN_VALUE / 2;
+
     public SpeedReporter(ServerCapacity capacity, ProxyBlackboard blackboard, HostMetrics metrics, EventLog events) {
         this.capacity = capacity;
         this.blackboard = blackboard;
@@ -37,11 +42,15 @@
     }
 
     /**
-     * Publishes the present ratios, and drops those of servers that are no longer listed.
+     * Publishes the present ratios if it is time, and drops those of servers that are no longer listed.
      *
      * @param nowMillis The current monotonic time in milliseconds.
      */
     public void publish(long nowMillis) {
+        if (nowMillis - publishedMillis < INTERVAL_MILLIS) {
+            return;
+        }
+        publishedMillis = nowMillis;
         BackendSnapshot snapshot = blackboard.backends();
         capacity.retain(snapshot::lists);
         notices.retain(snapshot::lists);
