--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/backend/ColdServers.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/backend/ColdServers.java
@@ -10,8 +10,8 @@
  * The backend servers that are cold: for some time after a start they take only a limited rate of requests, and crash at
  * a higher one.
  *
- * <p>A server says how long it stays cold. One that may have become cold without having said so yet is presumed cold
- * until it speaks or a time has passed. Invariant: a presumption never shortens what a server says. Thread-safe.
+ * <p>The entry of a server states how long it stays cold. A server that may have become cold since its last entry is
+ * presumed cold until its next entry or a timeout. Invariant: a presumption never shortens a stated time. Thread-safe.
  */
 public final class ColdServers {
 
@@ -29,7 +29,7 @@
     }
 
     /**
-     * Records what a server says.
+     * Records the time for which a server states that it stays cold.
      *
      * @param nowMillis The current monotonic time in milliseconds.
      * @param leftMillis The time for which the server stays cold, in milliseconds; 0 or less if it is not cold.
@@ -44,10 +44,10 @@
     }
 
     /**
-     * Presumes that a server is cold until it says something else.
+     * Presumes that a server is cold until its next entry.
      *
      * @param nowMillis The current monotonic time in milliseconds.
-     * @param forMillis The time in milliseconds within which the server would say so.
+     * @param forMillis The timeout in milliseconds, within which its next entry is read.
      */
     public synchronized void presume(long nowMillis, String pool, String incarnation, long forMillis) {
         cold.merge(
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendSelection.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendSelection.java
@@ -190,7 +190,7 @@
         context.queues().recordAwaited(pool.name(), choice.backend().incarnation());
     }
 
-    /** Tells whether the chosen engine has capacity, be it less than the request needs. */
+    /** Tells whether the chosen engine has some capacity, possibly less than the request needs. */
     boolean hasCapacity(long now, Choice choice) {
         return context.chooser()
                 .hasCapacity(now, pool, choice.backend(), context.blackboard().peers());
