--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/capacity/ServerSpeed.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/capacity/ServerSpeed.java
@@ -61,7 +61,7 @@
     private static final double SPREAD_SMOOTHING = 0.02;
 
     /** The multiple of the uncertainty that is ignored, so that noise moves little work between equal servers. */
-    private static final double IGNORED_UNCERTAINTIES = 2;
+    private static final double IGNORED_UNCERTAINTIES = 1.5;
 
     private static final int PERCENT = 100;
 
@@ -126,7 +126,10 @@
 
     /** Removes the servers that are no longer listed. */
     public void retain(Predicate<String> listed) {
-        pools.values().forEach(pool -> pool.estimates.keySet().removeIf(listed.negate()));
+        for (PoolSpeed pool : pools.values()) {
+            pool.estimates.keySet().removeIf(listed.negate());
+            pool.ratios.keySet().removeIf(listed.negate());
+        }
     }
 
     private static double bounded(double ratio) {
@@ -211,9 +214,12 @@
                 return 1;
             }
             double median = Medians.of(values);
+            if (withoutTypical(Math.exp(median)) == 1) {
+                return 1;
+            }
             double certain = Math.max(0, Math.abs(median) - IGNORED_UNCERTAINTIES * spread / Math.sqrt(evidence));
             double reduced = Math.copySign(certain * evidence / (evidence + PRIOR_EVIDENCE), median);
-            return withoutTypical(bounded(Math.exp(reduced)));
+            return bounded(Math.exp(reduced));
         }
 
         private void addOwn(long nowMillis, Map<String, Double> own) {
