Event lines: names and accessors of a type of events are determined once

Cause: each line called getRecordComponents, made the accessors accessible and ran two regular expressions for each field. Change: EventFormat holds them by class.

--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/event/EventLog.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/event/EventLog.java
@@ -1,10 +1,6 @@
 package org.cranberrygauge.runtime.event;
 
-import java.lang.reflect.InvocationTargetException;
-import java.lang.reflect.RecordComponent;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import org.tinylog.Logger;
 
@@ -57,50 +53,16 @@
 
     /** Formats an event as a line without a time stamp. */
     static String line(Event event) {
-        StringBuilder line = new StringBuilder("event=").append(name(event));
-        fields(event)
-                .forEach((name, value) ->
-                        line.append(' ').append(name).append('=').append(quoted(value)));
-        return line.toString();
+        return EventFormat.of(event).line(event);
     }
 
     /** Returns the name of an event in snake case. */
     static String name(Event event) {
-        return snakeCase(event.getClass().getSimpleName());
+        return EventFormat.of(event).name();
     }
 
     /** Returns the values of an event by field name in snake case, in declaration order. */
     static Map<String, String> fields(Event event) {
-        Map<String, String> fields = new LinkedHashMap<>();
-        for (RecordComponent component : event.getClass().getRecordComponents()) {
-            fields.put(snakeCase(component.getName()), String.valueOf(read(event, component)));
-        }
-        return fields;
-    }
-
-    private static Object read(Event event, RecordComponent component) {
-        try {
-            component.getAccessor().setAccessible(true);
-            return component.getAccessor().invoke(event);
-        } catch (IllegalAccessException | InvocationTargetException exception) {
-            throw new IllegalStateException("record accessors are always accessible", exception);
-        }
-    }
-
-    /** Converts a Java name to snake case. */
-    private static String snakeCase(String name) {
-        return name.replaceAll("(?<=[a-z0-9])([A-Z])", "_$1").toLowerCase(Locale.ROOT);
-    }
-
-    /** Quotes a value that contains white space, quotes or equals signs, and escapes line breaks. */
-    private static String quoted(String value) {
-        if (!value.isEmpty() && value.chars().noneMatch(c -> c <= ' ' || c == '"' || c == '=')) {
-            return value;
-        }
-        String escaped = value.replace("\\", "\\\\")
-                .replace("\"", "\\\"")
-                .replace("\n", "\\n")
-                .replace("\r", "\\r");
-        return '"' + escaped + '"';
+        return EventFormat.of(event).values(event);
     }
 }
