Processor time of a choice of server: ranks, incarnations and fingerprints are computed once

Cause, from reading: each choice hashed all engines for the partition and for the prompt, compared whole records to find their ranks, and concatenated the incarnation of each engine for each look-up; each completed request hashed its body byte by byte. The choices are the same. Hosts of the build before compute other hashes for whole requests, so that blame of whole requests is not shared between the two builds during a release; that of prompt parts is.

--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/topology/StableHash.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/topology/StableHash.java
@@ -1,7 +1,10 @@
 package org.cranberrygauge.decision.topology;
 
+import java.util.zip.CRC32;
+import java.util.zip.CRC32C;
+
 /**
- * The FNV-1a hash, which is the same in every process.
+ * The FNV-1a hash, which is the same in every process; bytes enter it by their checksums.
  *
  * <p>Stateless and thread-safe.
  */
@@ -36,4 +39,17 @@
         }
         return hash;
     }
+
+    /**
+     * Adds bytes to a hash by their two checksums, which take much less time than the hash of each byte.
+     *
+     * @return The new hash.
+     */
+    public static long update(long before, byte[] bytes) {
+        CRC32 first = new CRC32();
+        first.update(bytes);
+        CRC32C second = new CRC32C();
+        second.update(bytes);
+        return (before ^ (first.getValue() << Integer.SIZE | second.getValue())) * PRIME;
+    }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/Backend.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/Backend.java
@@ -14,6 +14,8 @@
  * @param leaving Whether it drains and accepts no new requests.
  * @param supply Whether it is regular or cheap, reclaimable capacity.
  * @param coldMillis The time for which it stays cold, in milliseconds, counted from its entry; 0 if it is not cold.
+ * @param incarnation A name that is unique to this start of the server. It follows from identifier and start, and is kept
+ *     since each choice of a server looks up what is known of all of them by it.
  */
 public record Backend(
         String id,
@@ -25,7 +27,34 @@
         int slots,
         boolean leaving,
         Supply supply,
-        long coldMillis) {
+        long coldMillis,
+        String incarnation) {
+
+    /** Creates a backend server with the incarnation that follows from its identifier and start. */
+    public Backend(
+            String id,
+            long startedMillis,
+            String pool,
+            NetworkAddress address,
+            String dataCentre,
+            String version,
+            int slots,
+            boolean leaving,
+            Supply supply,
+            long coldMillis) {
+        this(
+                id,
+                startedMillis,
+                pool,
+                address,
+                dataCentre,
+                version,
+                slots,
+                leaving,
+                supply,
+                coldMillis,
+                id + "/" + startedMillis);
+    }
 
     /** Returns this backend server as one that drains. */
     public Backend withLeaving() {
@@ -36,9 +65,4 @@
     public Backend withoutColdTime() {
         return new Backend(id, startedMillis, pool, address, dataCentre, version, slots, leaving, supply, 0);
     }
-
-    /** Returns a name that is unique to this start of the server. */
-    public String incarnation() {
-        return id + "/" + startedMillis;
-    }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
@@ -106,9 +106,6 @@
     /** Returns a hash of customer, URI and body, which identifies retries of the same request by the caller. */
     private long fingerprint() {
         long hash = StableHash.update(StableHash.START, customer.orElse("") + '\n' + uri + '\n');
-        for (int index = 0; index < body.length(); index++) {
-            hash = StableHash.update(hash, body.getByte(index));
-        }
-        return hash;
+        return StableHash.update(hash, body.getBytes());
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/BackendChooser.java
@@ -1,6 +1,8 @@
 package org.cranberrygauge.proxy.routing;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
@@ -8,7 +10,6 @@
 import org.cranberrygauge.decision.capacity.ConcurrencyLimit;
 import org.cranberrygauge.decision.capacity.ServerCapacity;
 import org.cranberrygauge.decision.engine.EngineProfile;
-import org.cranberrygauge.decision.topology.RendezvousHash;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.configuration.Pool;
 import org.cranberrygauge.proxy.routing.PeerLoads.Work;
@@ -111,6 +112,8 @@
 
     private final RandomGenerator random;
 
+    private final Map<String, EngineRanks> ranksByPool = new HashMap<>();
+
     /** @param capacity The measured speed and concurrency limits of backend servers. */
     public BackendChooser(
             String dataCentre,
@@ -215,32 +218,27 @@
         return profiles.of(pool.name()).sustainableTokens() * SATURATION_FACTOR / speedRatio(nowMillis, backend);
     }
 
-    /** Ranks the engines of a partition for a prompt; empty if the prompt shares no prefix. */
-    private static List<Backend> affinityRanking(List<Backend> partition, Prompt prompt) {
-        String key = prompt.affinityKey();
-        return key.isEmpty() ? List.of() : RendezvousHash.ranked(key, partition, Backend::incarnation);
-    }
-
     /** Returns the cost function for engines. */
     private ToDoubleFunction<Backend> engineCosts(
             long nowMillis, Pool pool, List<Backend> ready, Prompt prompt, PeerLoads peers) {
-        List<Backend> partition = EnginePartition.split(ready, profiles.shortEngineFraction(pool.name(), peers))
-                .of(prompt);
-        List<Backend> affinityRanking = affinityRanking(partition, prompt);
+        EngineRanks ranks = ranksByPool.computeIfAbsent(pool.name(), name -> new EngineRanks());
+        ranks.update(ready, profiles.shortEngineFraction(pool.name(), peers));
+        boolean shortPrompt = EnginePartition.isShort(prompt);
         return backend -> {
-            int affinityRank = affinityRanking.indexOf(backend);
+            int affinityRank = ranks.affinityRank(backend, prompt, shortPrompt);
             double cost = engineCost(
                     pool,
                     backend,
                     prompt,
                     peers,
-                    affinityRank < 0 ? MAXIMUM_AFFINITY_RANK : affinityRank,
+                    affinityRank == EngineRanks.UNRANKED ? MAXIMUM_AFFINITY_RANK : affinityRank,
                     speedRatio(nowMillis, backend));
-            if (!EnginePartition.isShort(prompt)) {
-                return partition.contains(backend) ? cost : cost + SHORT_PARTITION_PENALTY_MILLIS;
+            boolean meant = ranks.isMeantFor(backend, shortPrompt);
+            if (!shortPrompt) {
+                return meant ? cost : cost + SHORT_PARTITION_PENALTY_MILLIS;
             }
             cost *= 1 + JITTER_FRACTION * random.nextDouble();
-            return partition.contains(backend) ? cost : cost + LONG_PARTITION_PENALTY_MILLIS;
+            return meant ? cost : cost + LONG_PARTITION_PENALTY_MILLIS;
         };
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/EnginePartition.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/routing/EnginePartition.java
@@ -34,13 +34,27 @@
      * @param shortFraction The fraction of the engines that is reserved for short prompts, from 0 to 1.
      */
     public static EnginePartition split(List<Backend> ready, double shortFraction) {
-        if (ready.size() < MINIMUM_ENGINES) {
-            return new EnginePartition(ready, ready);
+        return splitRanked(ranked(ready), shortCount(ready.size(), shortFraction));
+    }
+
+    /** Returns the engines in the order in which they are reserved for short prompts. */
+    static List<Backend> ranked(List<Backend> ready) {
+        return RendezvousHash.ranked(RANKING_KEY, ready, Backend::incarnation);
+    }
+
+    /** Returns the number of engines that are reserved for short prompts; 0 if there are too few to partition. */
+    static int shortCount(int engines, double shortFraction) {
+        if (engines < MINIMUM_ENGINES) {
+            return 0;
         }
-        int shortCount = (int) Math.ceil(ready.size() * shortFraction);
-        shortCount = Math.max(1, Math.min(ready.size() - 1, shortCount));
-        List<Backend> ranked = RendezvousHash.ranked(RANKING_KEY, ready, Backend::incarnation);
-        return new EnginePartition(ranked.subList(0, shortCount), ranked.subList(shortCount, ranked.size()));
+        return Math.max(1, Math.min(engines - 1, (int) Math.ceil(engines * shortFraction)));
+    }
+
+    /** @param shortCount The number of engines that are reserved for short prompts; 0 if there are too few to partition. */
+    static EnginePartition splitRanked(List<Backend> ranked, int shortCount) {
+        return shortCount == 0
+                ? new EnginePartition(ranked, ranked)
+                : new EnginePartition(ranked.subList(0, shortCount), ranked.subList(shortCount, ranked.size()));
     }
 
     /** Tells whether an engine processes a prompt in one step, even if none of it is cached. */
