--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/IngressServer.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/IngressServer.java
@@ -27,6 +27,8 @@
     public IngressServer(Vertx vertx, Handler<HttpServerRequest> handler, Handler<HttpServerRequest> invalid) {
         HttpServerOptions options = new HttpServerOptions()
                 .setHttp2ClearTextEnabled(false)
+                .setPerFrameWebSocketCompressionSupported(false)
+                .setPerMessageWebSocketCompressionSupported(false)
                 .setTcpNoDelay(true)
                 .setAcceptBacklog(ACCEPT_BACKLOG)
                 .setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
