Requests that gathered start in the order in which they can be in time; callers that left are noticed before a send

The close lay unread in the socket, since one turn of the event loop took long; nothing looked at it between the choice and the send. Change: before a start or a send that comes 50 ms or more after the last certain turn of the event loop, the connection of the caller is read. Requests that were read in one turn start by StartOrder, some in each turn. Timers that check the queue run only while something is queued.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -145,6 +145,9 @@
 
     private LeaderElection election;
 
+    /** Whether the queued requests are checked next; used on the event loop of requests. */
+    private boolean dispatchScheduled;
+
     private UsageCountWriter usageWriter;
 
     public Proxy(
@@ -309,6 +312,21 @@
         requestContext.runOnContext(run -> queues.dispatch(time.monotonicMillis()));
     }
 
+    /** Checks the queued requests after an interval, and again until none is queued. */
+    private void scheduleDispatch() {
+        if (dispatchScheduled) {
+            return;
+        }
+        dispatchScheduled = true;
+        vertx.setTimer(DISPATCH_INTERVAL_MILLIS, fired -> {
+            dispatchScheduled = false;
+            queues.dispatch(time.monotonicMillis());
+            if (queues.size() > 0) {
+                scheduleDispatch();
+            }
+        });
+    }
+
     /** Records the crash of a backend server on the event loop of the controllers. */
     private void recordCrash(BackendCrash crash) {
         controlContext.runOnContext(run -> crashExchange.record(crash));
@@ -350,7 +368,7 @@
                 exchangeMetrics,
                 events);
         RequestAdmission admission = new RequestAdmission(maximumKeyAgeMillis(), times.configurationMillis());
-        vertx.setPeriodic(DISPATCH_INTERVAL_MILLIS, fired -> queues.dispatch(time.monotonicMillis()));
+        queues.onQueued(this::scheduleDispatch);
         vertx.setPeriodic(PUBLISH_INTERVAL_MILLIS, fired -> {
             placements.applyTo(loads);
             versions.record(time.monotonicMillis(), blackboard.backends());
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
@@ -62,14 +62,15 @@
     /**
      * Opens a connection and sends the request.
      *
-     * @param remainingMillis The time until the deadline in milliseconds.
+     * @param nowMillis The current monotonic time in milliseconds.
      * @param lastEventId The event after which a stream is to be resumed, if any.
      */
-    void start(BackendClient client, long remainingMillis, Optional<String> lastEventId) {
+    void start(BackendClient client, long nowMillis, Optional<String> lastEventId) {
+        long remainingMillis = request.deadlineMillis() - nowMillis;
         BackendHeaders proxyHeaders = new BackendHeaders(
                 request.id(), backend.id(), remainingMillis, request.customer(), request.urgency(), lastEventId);
         client.open(request, backend.address())
-                .onSuccess(opened -> send(opened, proxyHeaders))
+                .onSuccess(opened -> send(opened, nowMillis, proxyHeaders))
                 .onFailure(failure -> fail(AttemptOutcome.NOT_CONNECTED, String.valueOf(failure.getMessage())));
     }
 
@@ -94,9 +95,10 @@
         caller.onDrained(drained -> response.resume());
     }
 
-    private void send(HttpClientRequest opened, BackendHeaders proxyHeaders) {
+    private void send(HttpClientRequest opened, long startedMillis, BackendHeaders proxyHeaders) {
         backendRequest = opened;
         opened.exceptionHandler(failure -> failBroken(String.valueOf(failure.getMessage())));
+        ended |= !listener.mayBeSent(startedMillis);
         if (ended) {
             opened.reset();
             return;
@@ -235,6 +237,14 @@
     /** Receives the progress and the outcome of an attempt. */
     interface Listener {
 
+        /**
+         * Tells whether the caller still awaits the response. If not, the attempt ends without an outcome, since the
+         * listener ends with the caller.
+         *
+         * @param startedMillis The monotonic time at which the attempt started, in milliseconds.
+         */
+        boolean mayBeSent(long startedMillis);
+
         /** Called when the request is about to be sent on an open connection; from then on it may run. */
         void onSent();
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
@@ -41,10 +41,13 @@
 
     private final LoadShedding shedding;
 
+    private final RequestStarter starter;
+
     public CallerHandler(ExchangeContext context, RequestAdmission admission, LoadShedding shedding) {
         this.context = context;
         this.admission = admission;
         this.shedding = shedding;
+        this.starter = new RequestStarter(context.vertx(), context.time());
     }
 
     @Override
@@ -148,7 +151,9 @@
                     decision.homes(),
                     forwarding.from().isPresent(),
                     memory);
-            new Exchange(context, admitted, response).start();
+            Exchange exchange = new Exchange(context, admitted, response);
+            exchange.open();
+            starter.submit(admitted, exchange::start);
         };
         Consumer<RejectReason> refuse = reason -> rejectBody(now, request, response, callerHeaders, reason);
         new BodyReader(context.vertx(), maximumBytes, memory, start, refuse)
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
@@ -220,6 +220,12 @@
         return ConnectionChannel.isOpen(request.connection());
     }
 
+    /** Tells whether the caller is connected, after reading what it has sent. */
+    boolean isAwaited() {
+        ConnectionChannel.readPending(request.connection());
+        return isOpen();
+    }
+
     /** Releases the bytes that the caller has not read, which are dropped with its connection. */
     void release() {
         unread.close();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -22,6 +22,9 @@
  */
 final class Exchange implements BackendAttempt.Listener {
 
+    /** The time without a turn of the event loop from which on the disconnect of a caller may be unread. */
+    private static final long UNREAD_MILLIS = 50;
+
     private final ExchangeContext context;
 
     private final ProxyRequest request;
@@ -81,8 +84,8 @@
         this.lastEventId = request.callerHeaders().lastEventId();
     }
 
-    /** Starts the first attempt, or rejects or queues the request. */
-    void start() {
+    /** Takes the request over, which ends at its deadline or when its caller disconnects, also before it has started. */
+    void open() {
         long now = now();
         context.blackboard().active().incrementAndGet();
         response.onDisconnect(this::callerDisconnected);
@@ -91,6 +94,13 @@
             return;
         }
         timers.startDeadline(request.deadlineMillis() - now, this::expire);
+    }
+
+    /** Starts the first attempt, or rejects or queues the request, unless it has ended. */
+    void start() {
+        if (ended || !isAwaited(request.receivedMillis())) {
+            return;
+        }
         if (request.resumesStream()) {
             new StreamResumption(context, request, selection).resolve(this::resume);
             return;
@@ -122,6 +132,21 @@
         }
     }
 
+    /**
+     * Tells whether the caller still awaits the response. Its disconnect may be unread while the host is out of processor
+     * time; the exchange ends when it has been handled.
+     *
+     * @param sinceMillis The monotonic time from which on the event loop may not have read any input, in milliseconds.
+     */
+    private boolean isAwaited(long sinceMillis) {
+        return now() - sinceMillis < UNREAD_MILLIS || response.isAwaited();
+    }
+
+    @Override
+    public boolean mayBeSent(long attemptMillis) {
+        return isAwaited(attemptMillis);
+    }
+
     @Override
     public void onSent() {
         sent = true;
@@ -290,7 +315,7 @@
     private Choice enqueue(Choice choice) {
         waiting = true;
         recorder.recordQueued(now());
-        context.queues().of(selection.pool().name()).add(selection.entry(this, choice));
+        context.queues().add(selection.pool().name(), selection.entry(this, choice));
         return choice;
     }
 
@@ -366,7 +391,7 @@
         observation = new SpeedObservation(context, selection.pool(), backend, placement, now);
         evidence.recordAttempt();
         sent = false;
-        attempt.start(context.client(), request.deadlineMillis() - now, lastEventId);
+        attempt.start(context.client(), now, lastEventId);
     }
 
     /** Records the first events, and writes the headers of the response unless that is done. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/PoolWaitQueues.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/PoolWaitQueues.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 import org.cranberrygauge.decision.fairness.CustomerUse;
+import org.cranberrygauge.decision.fairness.FairOrder.Entry;
 import org.cranberrygauge.proxy.admission.RejectReason;
 import org.cranberrygauge.proxy.admission.WaitQueue;
 
@@ -22,6 +23,9 @@
 
     private final RandomGenerator random;
 
+    /** Called when a request is queued. */
+    private Runnable onQueued = () -> {};
+
     /** The incarnation of the server, by pool, at which the next queued request found no capacity. */
     private final Map<String, String> awaited = new HashMap<>();
 
@@ -34,6 +38,16 @@
         this.random = random;
     }
 
+    /** Sets the callback for a request that is queued, after which {@link #dispatch(long)} is to be called regularly. */
+    public void onQueued(Runnable callback) {
+        onQueued = callback;
+    }
+
+    void add(String pool, Entry<Exchange> entry) {
+        of(pool).add(entry);
+        onQueued.run();
+    }
+
     WaitQueue<Exchange> of(String pool) {
         return queues.computeIfAbsent(pool, name -> new WaitQueue<>(use));
     }
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/RequestStarter.java
@@ -0,0 +1,57 @@
+package org.cranberrygauge.proxy.exchange;
+
+import io.vertx.core.Vertx;
+import java.util.Optional;
+import org.cranberrygauge.decision.hostload.StartOrder;
+import org.cranberrygauge.runtime.time.TimeSource;
+
+/**
+ * Starts the requests that were read in one turn of the event loop, some in each turn, so that the responses of servers and
+ * the disconnects of callers are handled in between while the host is out of processor time. Not thread-safe.
+ */
+public final class RequestStarter {
+
+    /** The time after which the starts are interrupted for a turn of the event loop. */
+    private static final long TURN_MILLIS = 15;
+
+    /** The minimum delay of a timer, after which the event loop has looked for input. */
+    private static final long NEXT_TURN_MILLIS = 1;
+
+    private final Vertx vertx;
+
+    private final TimeSource time;
+
+    private final StartOrder<Runnable> order = new StartOrder<>();
+
+    private boolean scheduled;
+
+    public RequestStarter(Vertx vertx, TimeSource time) {
+        this.vertx = vertx;
+        this.time = time;
+    }
+
+    /** Starts a request after the others that were read in the same turn, as far as they come before it. */
+    void submit(ProxyRequest request, Runnable start) {
+        order.add(start, request.urgency(), request.receivedMillis(), request.onTimeMillis());
+        if (!scheduled) {
+            scheduled = true;
+            vertx.runOnContext(run -> startSome());
+        }
+    }
+
+    private void startSome() {
+        long untilMillis = time.monotonicMillis() + TURN_MILLIS;
+        long now = time.monotonicMillis();
+        Optional<Runnable> next = order.next(now);
+        while (next.isPresent()) {
+            next.get().run();
+            now = time.monotonicMillis();
+            if (now >= untilMillis && order.size() > 0) {
+                vertx.setTimer(NEXT_TURN_MILLIS, fired -> startSome());
+                return;
+            }
+            next = order.next(now);
+        }
+        scheduled = false;
+    }
+}
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionChannel.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionChannel.java
@@ -1,5 +1,7 @@
 package org.cranberrygauge.runtime.http;
 
+import io.netty.channel.Channel;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
 
@@ -18,6 +20,17 @@
         ((ConnectionBase) connection).channel().pipeline().firstContext().close();
     }
 
+    /**
+     * Reads what the peer has sent, so that a connection that the peer has closed is closed here, too. Called on the event
+     * loop of the connection, and not while it processes input of the connection.
+     */
+    public static void readPending(HttpConnection connection) {
+        Channel channel = ((ConnectionBase) connection).channel();
+        if (channel.isOpen() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            unsafe.read();
+        }
+    }
+
     public static boolean isOpen(HttpConnection connection) {
         return ((ConnectionBase) connection).channel().isOpen();
     }
