A late send is decided anew: by the caller, and by what the server states meanwhile

Suspected from the code, not traced in its log. Change: LateSend decides at the send, in cranberrygauge-decision: after 50 ms without a certain turn of the event loop it asks whether the caller awaits the response and whether the server still takes requests; else the request goes to another one. Test: LateSendTest; LeavingBackendTest, PlatformEndToEndTest, RequestMemoryTest and RejectedRequestTest pass.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendSnapshot.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendSnapshot.java
@@ -62,6 +62,12 @@
         return all.containsKey(incarnation);
     }
 
+    /** Tells whether this incarnation of a backend server accepts new requests. */
+    public boolean isReady(Backend backend) {
+        return ready(backend.pool()).stream()
+                .anyMatch(listed -> listed.incarnation().equals(backend.incarnation()));
+    }
+
     /** Returns the backend servers of a pool that accept new requests. */
     public List<Backend> ready(String pool) {
         return ready.getOrDefault(pool, List.of());
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpHeaders;
 import java.util.Optional;
+import org.cranberrygauge.decision.hostload.LateSend;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.exchange.HeaderCodec.BackendHeaders;
 import org.cranberrygauge.proxy.exchange.HeaderCodec.BackendResponseHeaders;
@@ -98,9 +99,15 @@
     private void send(HttpClientRequest opened, long startedMillis, BackendHeaders proxyHeaders) {
         backendRequest = opened;
         opened.exceptionHandler(failure -> failBroken(String.valueOf(failure.getMessage())));
-        ended |= !listener.mayBeSent(startedMillis);
-        if (ended) {
+        LateSend decision = ended ? LateSend.CALLER_LEFT : listener.beforeSend(backend, startedMillis);
+        if (decision == LateSend.CALLER_LEFT) {
+            ended = true;
+            opened.reset();
+            return;
+        }
+        if (decision == LateSend.SERVER_LEAVES) {
             opened.reset();
+            fail(AttemptOutcome.NOT_CONNECTED, "server leaves");
             return;
         }
         listener.onSent();
@@ -238,12 +245,12 @@
     interface Listener {
 
         /**
-         * Tells whether the caller still awaits the response. If not, the attempt ends without an outcome, since the
-         * listener ends with the caller.
+         * Decides whether the request may be sent on a connection that is open now. If the caller has left, the attempt ends
+         * without an outcome, since the listener ends with the caller.
          *
          * @param startedMillis The monotonic time at which the attempt started, in milliseconds.
          */
-        boolean mayBeSent(long startedMillis);
+        LateSend beforeSend(Backend backend, long startedMillis);
 
         /** Called when the request is about to be sent on an open connection; from then on it may run. */
         void onSent();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendSelection.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendSelection.java
@@ -115,6 +115,12 @@
                 .min();
     }
 
+    /** Tells whether a server accepts new requests, by its entry and its own statements. */
+    boolean takesRequests(Backend backend) {
+        return context.blackboard().backends().isReady(backend)
+                && !context.statements().isLeaving(backend.incarnation());
+    }
+
     /** Records that the request is about to be sent to a server. */
     void use(long now, Backend backend) {
         context.gate().pass(now, backend);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CrashWatch.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CrashWatch.java
@@ -71,9 +71,7 @@
     }
 
     private boolean isToServe(Backend backend) {
-        return blackboard.backends().ready(backend.pool()).stream()
-                        .anyMatch(ready -> ready.incarnation().equals(backend.incarnation()))
-                && !statements.isLeaving(backend.incarnation());
+        return blackboard.backends().isReady(backend) && !statements.isLeaving(backend.incarnation());
     }
 
     private void examine(Backend backend) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -3,6 +3,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.util.Optional;
+import org.cranberrygauge.decision.hostload.LateSend;
 import org.cranberrygauge.proxy.admission.RejectReason;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.exchange.BackendAttempt.BufferedResponse;
@@ -22,9 +23,6 @@
  */
 final class Exchange implements BackendAttempt.Listener {
 
-    /** The time without a turn of the event loop from which on the disconnect of a caller may be unread. */
-    private static final long UNREAD_MILLIS = 50;
-
     private final ExchangeContext context;
 
     private final ProxyRequest request;
@@ -98,7 +96,8 @@
 
     /** Starts the first attempt, or rejects or queues the request, unless it has ended. */
     void start() {
-        if (ended || !isAwaited(request.receivedMillis())) {
+        LateSend decision = LateSend.decide(now(), request.receivedMillis(), response::isAwaited, () -> true);
+        if (ended || decision == LateSend.CALLER_LEFT) {
             return;
         }
         if (request.resumesStream()) {
@@ -132,19 +131,10 @@
         }
     }
 
-    /**
-     * Tells whether the caller still awaits the response. Its disconnect may be unread while the host is out of processor
-     * time; the exchange ends when it has been handled.
-     *
-     * @param sinceMillis The monotonic time from which on the event loop may not have read any input, in milliseconds.
-     */
-    private boolean isAwaited(long sinceMillis) {
-        return now() - sinceMillis < UNREAD_MILLIS || response.isAwaited();
-    }
-
     @Override
-    public boolean mayBeSent(long attemptMillis) {
-        return isAwaited(attemptMillis);
+    public LateSend beforeSend(Backend backend, long startedMillis) {
+        return LateSend.decide(
+                now(), startedMillis, response::isAwaited, () -> selection.takesRequests(backend));
     }
 
     @Override
