AttemptRecord: what an attempt shows of its server leaves Exchange

Change: load, speed, profile and crash evidence of one attempt are recorded in one class; Exchange keeps the life cycle. No change of behaviour.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
@@ -151,9 +151,7 @@
                     decision.homes(),
                     forwarding.from().isPresent(),
                     memory);
-            Exchange exchange = new Exchange(context, admitted, response);
-            exchange.open();
-            starter.submit(admitted, exchange::start);
+            starter.submit(admitted, new Exchange(context, admitted, response));
         };
         Consumer<RejectReason> refuse = reason -> rejectBody(now, request, response, callerHeaders, reason);
         new BodyReader(context.vertx(), maximumBytes, memory, start, refuse)
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -13,7 +13,6 @@
 import org.cranberrygauge.proxy.retry.NextStep;
 import org.cranberrygauge.proxy.retry.RetryPolicy;
 import org.cranberrygauge.proxy.routing.BackendChooser.Choice;
-import org.cranberrygauge.proxy.routing.BackendLoad.Placement;
 
 /**
  * The lifecycle of one request, from admission to the final response.
@@ -48,11 +47,8 @@
 
     private BackendAttempt attempt;
 
-    /** The load that the attempt in progress causes. */
-    private Placement placement;
-
-    /** The observation of the server's speed by the attempt in progress. */
-    private SpeedObservation observation;
+    /** What the attempt in progress shows of its server; null before the first one. */
+    private AttemptRecord record;
 
     /** The identifier of the last event that was forwarded, or at first the one that the caller sent. */
     private Optional<String> lastEventId;
@@ -133,8 +129,7 @@
 
     @Override
     public LateSend beforeSend(Backend backend, long startedMillis) {
-        return LateSend.decide(
-                now(), startedMillis, response::isAwaited, () -> selection.takesRequests(backend));
+        return LateSend.decide(now(), startedMillis, response::isAwaited, () -> selection.takesRequests(backend));
     }
 
     @Override
@@ -159,12 +154,10 @@
         }
         beginStream(status, headers);
         lastEventId = lastId.or(() -> lastEventId);
-        context.reachability().recordHeard(now());
-        evidence.recordEvents(now());
-        observation.recordEvents(now());
+        record.recordEvents(now());
         response.write(events);
         if (response.isFull()) {
-            observation.recordPause();
+            record.recordPause();
             attempt.pauseUntilDrained(response);
         }
     }
@@ -172,10 +165,7 @@
     @Override
     public void onStreamEnd(int status, MultiMap headers, boolean framed) {
         beginStream(status, headers);
-        evidence.recordResponse(now(), attempt.backend(), framed);
-        context.load(selection.pool(), attempt.backend()).recordSuccess();
-        observation.recordStreamEnd(now());
-        context.profiles().recordEnd(selection.pool().name(), placement, observation.elapsedMillis(now()));
+        record.recordStreamEnd(now(), framed);
         response.endStream();
         finish("served", status);
     }
@@ -188,9 +178,7 @@
             onFailure(AttemptOutcome.SERVER_ERROR, "status " + buffered.status());
             return;
         }
-        context.load(selection.pool(), attempt.backend()).recordSuccess();
-        observation.recordResponse(now(), buffered);
-        evidence.recordResponse(now(), attempt.backend(), buffered.isFramed());
+        record.recordResponse(now(), buffered);
         if (history.streaming()) {
             finalResponse.abort("resumed_with_status");
             return;
@@ -204,11 +192,11 @@
         AttemptOutcome outcome =
                 reported == AttemptOutcome.BROKEN && history.streaming() ? AttemptOutcome.STREAM_BROKEN : reported;
         long now = now();
-        Backend backend = attempt.backend();
-        placement.end();
-        observation.recordFailure(now, outcome);
+        record.recordFailure(now, outcome);
         selection.dispatchQueued();
-        recordFailure(backend, outcome, now);
+        if (outcome == AttemptOutcome.BROKEN && !request.route().kind().streams()) {
+            recorder.recordStart();
+        }
         history = history.withOutcome(outcome);
         lastOutcome = outcome;
         sent = false;
@@ -229,8 +217,7 @@
         Backend backend = attempt.backend();
         long remaining = request.deadlineMillis() - now;
         NextStep next = retryGate.next(now, history, outcome);
-        recorder.recordFailedAttempt(
-                backend, outcome, detail, next, history, remaining, observation.elapsedMillis(now));
+        recorder.recordFailedAttempt(backend, outcome, detail, next, history, remaining, record.elapsedMillis(now));
         proceed(next, outcome);
     }
 
@@ -254,16 +241,6 @@
         }
     }
 
-    private void recordFailure(Backend backend, AttemptOutcome outcome, long now) {
-        context.load(selection.pool(), backend).recordFailure(now, outcome != AttemptOutcome.NOT_CONNECTED);
-        if (outcome == AttemptOutcome.BROKEN && !request.route().kind().streams()) {
-            recorder.recordStart();
-        }
-        if (outcome == AttemptOutcome.BROKEN || outcome == AttemptOutcome.STREAM_BROKEN) {
-            evidence.recordBroken(now, backend);
-        }
-    }
-
     /**
      * Sends the request to the next backend server, or queues it if that server is saturated or those that are left
      * become available in time.
@@ -373,27 +350,22 @@
             recorder.recordResumption(backend, lastEventId, history.streaming());
         }
         selection.use(now, backend);
-        placement = context.load(selection.pool(), backend)
-                .place(
-                        request.callerHeaders().prompt(),
-                        context.blackboard().peers().at(backend.incarnation()));
+        record = new AttemptRecord(context, request, selection.pool(), backend, evidence, now);
         attempt = new BackendAttempt(context.codec(), request, backend, this);
-        observation = new SpeedObservation(context, selection.pool(), backend, placement, now);
-        evidence.recordAttempt();
         sent = false;
         attempt.start(context.client(), now, lastEventId);
     }
 
     /** Records the first events, and writes the headers of the response unless that is done. */
     private void beginStream(int status, MultiMap headers) {
-        placement.started();
+        record.recordPrefilled();
         recorder.recordStart();
         if (history.streaming()) {
             return;
         }
         history = history.withStart();
         selection.begin(attempt.backend());
-        context.profiles().recordFirstEvent(selection.pool().name(), placement, observation.elapsedMillis(now()));
+        record.recordFirstEvent(now());
         recorder.recordFirstEvent(now());
         finalResponse.startStream(status, headers);
     }
@@ -450,8 +422,8 @@
             leaveQueue("ended");
             context.queues().of(selection.pool().name()).remove(this);
         }
-        if (placement != null) {
-            placement.end();
+        if (record != null) {
+            record.end();
             selection.dispatchQueued();
         }
         String backend = attempt == null ? "-" : attempt.backend().id();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/RequestStarter.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/RequestStarter.java
@@ -21,7 +21,7 @@
 
     private final TimeSource time;
 
-    private final StartOrder<Runnable> order = new StartOrder<>();
+    private final StartOrder<Exchange> order = new StartOrder<>();
 
     private boolean scheduled;
 
@@ -30,9 +30,10 @@
         this.time = time;
     }
 
-    /** Starts a request after the others that were read in the same turn, as far as they come before it. */
-    void submit(ProxyRequest request, Runnable start) {
-        order.add(start, request.urgency(), request.receivedMillis(), request.onTimeMillis());
+    /** Takes a request over, and starts it after the others that were read in the same turn and come before it. */
+    void submit(ProxyRequest request, Exchange exchange) {
+        exchange.open();
+        order.add(exchange, request.urgency(), request.receivedMillis(), request.onTimeMillis());
         if (!scheduled) {
             scheduled = true;
             vertx.runOnContext(run -> startSome());
@@ -42,9 +43,9 @@
     private void startSome() {
         long untilMillis = time.monotonicMillis() + TURN_MILLIS;
         long now = time.monotonicMillis();
-        Optional<Runnable> next = order.next(now);
+        Optional<Exchange> next = order.next(now);
         while (next.isPresent()) {
-            next.get().run();
+            next.get().start();
             now = time.monotonicMillis();
             if (now >= untilMillis && order.size() > 0) {
                 vertx.setTimer(NEXT_TURN_MILLIS, fired -> startSome());
