RequestStarter goes on after a start that fails

Change: the flag is cleared first, and what is left is scheduled in any case. A request that has ended is not examined again.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -92,8 +92,9 @@
 
     /** Starts the first attempt, or rejects or queues the request, unless it has ended. */
     void start() {
-        LateSend decision = LateSend.decide(now(), request.receivedMillis(), response::isAwaited, () -> true);
-        if (ended || decision == LateSend.CALLER_LEFT) {
+        if (ended
+                || LateSend.decide(now(), request.receivedMillis(), response::isAwaited, () -> true)
+                        == LateSend.CALLER_LEFT) {
             return;
         }
         if (request.resumesStream()) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/RequestStarter.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/RequestStarter.java
@@ -40,19 +40,22 @@
         }
     }
 
+    /** Starts requests for the time of a turn. Those that are left start later, also if a start fails. */
     private void startSome() {
-        long untilMillis = time.monotonicMillis() + TURN_MILLIS;
-        long now = time.monotonicMillis();
-        Optional<Exchange> next = order.next(now);
-        while (next.isPresent()) {
-            next.get().start();
-            now = time.monotonicMillis();
-            if (now >= untilMillis && order.size() > 0) {
+        scheduled = false;
+        try {
+            long startMillis = time.monotonicMillis();
+            Optional<Exchange> next = order.next(startMillis);
+            while (next.isPresent()) {
+                next.get().start();
+                long now = time.monotonicMillis();
+                next = now - startMillis < TURN_MILLIS ? order.next(now) : Optional.empty();
+            }
+        } finally {
+            if (order.size() > 0 && !scheduled) {
+                scheduled = true;
                 vertx.setTimer(NEXT_TURN_MILLIS, fired -> startSome());
-                return;
             }
-            next = order.next(now);
         }
-        scheduled = false;
     }
 }
