--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/hostload/StartOrder.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/hostload/StartOrder.java
@@ -9,7 +9,7 @@
  *
  * <p>Requests that can still be answered in time come first, by urgency, and the newest first among equals: the oldest ones
  * have used most of their time, and starting them in the order of arrival makes all of them late. The others follow in the
- * same order, and lose nothing by it. A host that keeps up starts each request at once, so that no order arises. Not
+ * same order, and may reach their deadline before they start. A host that keeps up starts each request at once, so that no order arises. Not
  * thread-safe.
  *
  * @param <T> The type of the requests.
