review: show streams that go on at another software version

Cause: when no host knows where a stream began, the only version that a process has listed since its start counts as the one at which it began. Case: all machines lose power for 1.3 s while the last workers of an older version leave; requesters take their streams up.

--- a/review/standin/HttpPeer.java
+++ b/review/standin/HttpPeer.java
@@ -212,6 +212,17 @@
             return "127.0.0.1:" + port();
         }
 
+        /** Takes no more connections, and resets those that are open. */
+        public void close() throws IOException {
+            socket.close();
+            synchronized (connections) {
+                for (Socket connection : connections) {
+                    connection.setSoLinger(true, 0);
+                    connection.close();
+                }
+            }
+        }
+
         private void accept() {
             while (!socket.isClosed()) {
                 try {
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -17,6 +17,8 @@
 
     private final String zone;
 
+    private final String version;
+
     private final Store store;
 
     private final Record record;
@@ -29,10 +31,22 @@
 
     private int sequence;
 
+    private String state = "ready";
+
+    private boolean gone;
+
     public Worker(String id, String service, String zone, Store store, Record record, Program program) throws IOException {
+        this(id, service, zone, "v1", store, record, program);
+    }
+
+    /** @param version The version of its software. */
+    public Worker(
+            String id, String service, String zone, String version, Store store, Record record, Program program)
+            throws IOException {
         this.id = id;
         this.service = service;
         this.zone = zone;
+        this.version = version;
         this.store = store;
         this.record = record;
         this.program = program;
@@ -52,17 +66,45 @@
         return id;
     }
 
+    public String version() {
+        return version;
+    }
+
+    /** Reports that it is about to leave; it goes on serving. */
+    public synchronized void drain() {
+        state = "draining";
+        record.line("worker " + id + " of " + version + " reports draining");
+        register();
+    }
+
+    /** Leaves: its entry is removed, and it ends. */
+    public synchronized void leave() throws IOException {
+        gone = true;
+        store.put("keyed.servers", id, "");
+        server.close();
+        record.line("worker " + id + " of " + version + " has left");
+    }
+
     /** Writes its entry, as with each heartbeat. */
     public synchronized void register() {
+        if (gone) {
+            return;
+        }
         sequence++;
         store.put(
                 "keyed.servers",
                 id,
                 "{\"service\":\"" + service + "\",\"address\":\"" + server.address() + "\",\"zone\":\"" + zone
-                        + "\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":" + sequence
+                        + "\",\"version\":\"" + version + "\",\"slots\":8,\"state\":\"" + state
+                        + "\",\"cold_left_ms\":0,\"sequence\":" + sequence
                         + ",\"born\":" + born + "}");
     }
 
+    /** Records what it does. */
+    public void log(String text) {
+        record.line("worker " + id + " of " + version + " " + text);
+    }
+
     /** Returns the headers of an answer to a request that ran. */
     public Map<String, String> headers(HttpPeer.Message request) {
         Map<String, String> headers = new LinkedHashMap<>();
