--- a/review/1/TwoVersions.java
+++ b/review/1/TwoVersions.java
@@ -38,6 +38,9 @@
 
     private static final int RETRY_MILLIS = 400;
 
+    /** The time between two workers of a release. */
+    private static final int RELEASE_GAP_MILLIS = 1_000;
+
     private TwoVersions() {}
 
     public static void main(String[] arguments) {
@@ -75,16 +78,17 @@
         }
     }
 
-    /** Replaces the workers by those of a newer version; the machines lose power before the older ones have left. */
+    /** Replaces the workers, one after the other, by those of a newer version; the machines lose power before the older ones have left. */
     private static void release(
             List<Worker> older, List<Deployment.Machine> machines, Store store, Record record, boolean trouble)
             throws IOException {
-        for (int number = 3; number <= 4; number++) {
-            new Worker("i-" + number, "notes", "east-a", "v2", store, record, TwoVersions::stream);
-            record.line("worker i-" + number + " of v2 starts");
+        for (int number = 0; number < older.size(); number++) {
+            String id = "i-" + (older.size() + number + 1);
+            new Worker(id, "notes", "east-a", "v2", store, record, TwoVersions::stream);
+            record.line("worker " + id + " of v2 starts");
+            Client.sleep(RELEASE_GAP_MILLIS);
+            older.get(number).drain();
         }
-        Client.sleep(1_000);
-        older.forEach(Worker::drain);
         Client.sleep(DRAIN_MILLIS - DOWN_MILLIS / 2);
         if (trouble) {
             for (Deployment.Machine machine : machines) {
