--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/backend/Availability.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/backend/Availability.java
@@ -30,6 +30,8 @@
         /** The server leaves. */
         LEAVING,
         /** The stream must go on at another version of the server's software. */
-        OTHER_VERSION
+        OTHER_VERSION,
+        /** Streams must not begin at this version of the server's software before the shared log holds it. */
+        VERSION_NOT_STORED
     }
 }
--- a/cranberrygauge-protocol/src/main/thrift/proxy.thrift
+++ b/cranberrygauge-protocol/src/main/thrift/proxy.thrift
@@ -172,6 +172,19 @@
   3: required i64 startedAtMillis
 }
 
+// A version of a pool's backend servers at which streams may have begun, as stored in the shared log. The host and the time
+// tell apart two records of the same version.
+struct OriginStored {
+  1: required string pool
+  2: required string version
+  3: required string host
+  4: required i64 storedAtMillis
+}
+
+// States that, in one era of the shared log, every version is stored at which a stream that callers may still resume began.
+struct OriginsComplete {
+  1: required i64 era
+}
 
 // The final figures of a window, decided before they are reported.
 struct UsageDecided {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -22,7 +22,6 @@
 import org.cranberrygauge.proxy.admission.RequestAdmission;
 import org.cranberrygauge.proxy.backend.BackendGate;
 import org.cranberrygauge.proxy.backend.BackendReachability;
-import org.cranberrygauge.proxy.backend.VersionHistory;
 import org.cranberrygauge.proxy.configuration.ConfigurationView;
 import org.cranberrygauge.proxy.configuration.Pool;
 import org.cranberrygauge.proxy.control.BackendFollower;
@@ -34,6 +33,7 @@
 import org.cranberrygauge.proxy.control.FleetController;
 import org.cranberrygauge.proxy.control.HostNetwork;
 import org.cranberrygauge.proxy.control.LeaderElection;
+import org.cranberrygauge.proxy.control.OriginRecorder;
 import org.cranberrygauge.proxy.control.PeerReportExchange;
 import org.cranberrygauge.proxy.control.PermitExchange;
 import org.cranberrygauge.proxy.control.StreamOriginExchange;
@@ -116,15 +116,15 @@
 
     private final PoolWaitQueues queues = new PoolWaitQueues(customerUse, new SplittableRandom());
 
-    /** The versions of software that served lately, used on the event loop of requests. */
-    private final VersionHistory versions = new VersionHistory();
-
     /** Exists once the controllers have started. */
     private PermitExchange permitExchange;
 
     /** Exists once the controllers have started, and is used on their event loop. */
     private StreamDirectory streams;
 
+    /** Exists once the controllers have started, and is used on their event loop. */
+    private OriginRecorder origins;
+
     private final BackendReachability reachability;
 
     private final CrashingParts crashingParts = new CrashingParts();
@@ -250,6 +250,15 @@
                         new EvacuationFollower(context, dependencies.evacuationKeyPrefix(), cold),
                         times.configurationMillis())
                 .start();
+        StreamOriginExchange.Timers timers = (millis, action) -> vertx.setTimer(millis, fired -> action.run());
+        origins = new OriginRecorder(
+                context,
+                timers,
+                dependencies.originTopic(),
+                settings.host(),
+                settings.firstStart(),
+                network.relay()::readsAlone);
+        origins.start();
         new BackendFollower(
                         context,
                         network.relay(),
@@ -257,6 +266,7 @@
                         dependencies.backends(),
                         statements::isLeaving,
                         cold,
+                        origins::observe,
                         times.leavingMillis())
                 .start();
         election = new LeaderElection(context, network.relay(), incarnation, times.leaseMillis());
@@ -270,11 +280,7 @@
         new FleetController(context, election, dependencies.controlPlane(), ownWork).start();
         permitExchange =
                 new PermitExchange(time, network.peers(), network.channel(), limits, permits, this::dispatchQueued);
-        streams = new StreamOriginExchange(
-                time,
-                (millis, action) -> vertx.setTimer(millis, fired -> action.run()),
-                network.peers(),
-                network.channel());
+        streams = new StreamOriginExchange(time, timers, network.peers(), network.channel());
         crashExchange =
                 new CrashExchange(time, network.peers(), network.channel(), crashingParts, events, new Random());
         vertx.setPeriodic(CrashExchange.INTERVAL_MILLIS, fired -> crashExchange.update());
@@ -355,7 +361,7 @@
                 new BackendGate(limits, permits, this::requestPermit),
                 placements,
                 new EventLoopStreamDirectory(),
-                versions,
+                this::findOnlyOrigin,
                 customerUse,
                 queues,
                 new PoolRetryBudgets(times.retryWindowMillis(), times.retryRatio(), times.retryAllowance()),
@@ -371,7 +377,6 @@
         queues.onQueued(this::scheduleDispatch);
         vertx.setPeriodic(PUBLISH_INTERVAL_MILLIS, fired -> {
             placements.applyTo(loads);
-            versions.record(time.monotonicMillis(), blackboard.backends());
             ownWork.set(loads.work());
             blackboard.publish(profiles.snapshot());
             blackboard.publishPrefill(profiles.prefill());
@@ -411,6 +416,12 @@
         return settings.times().keyWithdrawalMillis() - KEY_BOUND_MARGIN_MILLIS;
     }
 
+    /** Looks up an origin on the event loop of the controllers, and returns it on that of requests. */
+    private void findOnlyOrigin(String pool, Consumer<Optional<StreamOrigin>> found) {
+        controlContext.runOnContext(
+                run -> origins.findOnly(pool, only -> requestContext.runOnContext(next -> found.accept(only))));
+    }
+
     /** Calls the directory of streams on the event loop of the controllers, and returns results on that of requests. */
     private final class EventLoopStreamDirectory implements StreamDirectory {
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxyDependencies.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxyDependencies.java
@@ -15,6 +15,7 @@
  *     name of the data centre follows.
  * @param hostTopic The topic in which hosts publish their addresses.
  * @param backendTopic The topic in which backend servers register.
+ * @param originTopic The topic in which hosts store at which versions of backend servers streams may have begun.
  * @param controlPlane The control-plane calls of the leader.
  */
 public record ProxyDependencies(
@@ -26,5 +27,6 @@
         String hostTopic,
         String backendTopic,
         RecordReader<Backend> backends,
+        String originTopic,
         ControlPlaneClient controlPlane,
         HeaderCodec codec) {}
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxySettings.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxySettings.java
@@ -13,6 +13,7 @@
  * @param status The address for the load balancer and for metrics.
  * @param peers The address for messages of other hosts.
  * @param readyPath The path of the readiness endpoint.
+ * @param firstStart Whether the whole system starts for the first time, so that no request was served before.
  * @param times The time limits and bounds.
  */
 public record ProxySettings(
@@ -23,6 +24,7 @@
         NetworkAddress status,
         NetworkAddress peers,
         String readyPath,
+        boolean firstStart,
         Times times) {
 
     public ProxySettings {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/BackendFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/BackendFollower.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.cranberrygauge.decision.backend.ColdServers;
 import org.cranberrygauge.proxy.backend.Backend;
@@ -43,6 +44,9 @@
 
     private final ColdServers cold;
 
+    /** Receives each snapshot that is published. */
+    private final Consumer<BackendSnapshot> observer;
+
     private final TopicRelay relay;
 
     private final long drainBoundMillis;
@@ -58,6 +62,7 @@
     /**
      * @param statedLeaving Tells by incarnation whether a server has stated in a response that it leaves.
      * @param cold Receives how long backend servers stay cold.
+     * @param observer Receives each snapshot that is published.
      * @param drainBoundMillis The time in milliseconds within which a draining backend server must receive no more
      *     requests.
      */
@@ -68,6 +73,7 @@
             RecordReader<Backend> reader,
             Predicate<String> statedLeaving,
             ColdServers cold,
+            Consumer<BackendSnapshot> observer,
             long drainBoundMillis) {
         this.relay = relay;
         this.context = context;
@@ -75,6 +81,7 @@
         this.reader = reader;
         this.statedLeaving = statedLeaving;
         this.cold = cold;
+        this.observer = observer;
         this.drainBoundMillis = drainBoundMillis;
     }
 
@@ -140,6 +147,7 @@
     private void publish(long now) {
         BackendSnapshot snapshot = registry.snapshot(now, statedLeaving);
         context.blackboard().publish(snapshot);
+        observer.accept(snapshot);
         Map<String, Backend> present = new HashMap<>();
         for (Backend listed : snapshot.all()) {
             Backend backend = listed.withoutColdTime();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
@@ -83,6 +83,23 @@
      */
     public record StoreEraChanged(long from, long to) implements Event {}
 
+    /**
+     * The shared log was read for the versions at which streams began, and whether it holds all of them has changed. Until
+     * it does, a stream that no host knows is rejected.
+     *
+     * @param complete Whether the log holds all of them.
+     * @param origins The number of versions, over all pools.
+     */
+    public record StreamOriginsRead(boolean complete, int origins) implements Event {}
+
+    /**
+     * A version was removed from those at which streams may have begun, since it has not been listed for a minute.
+     *
+     * @param pool The pool of the backend servers.
+     * @param version The version of their software.
+     */
+    public record StreamOriginRemoved(String pool, String version) implements Event {}
+
     /**
      * The usage of a window is not reported, since a lost record may have decided its figures.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicRelay.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicRelay.java
@@ -98,6 +98,11 @@
         return reader(readsLog());
     }
 
+    /** Tells whether no other host currently reads and writes for this one. */
+    public boolean readsAlone() {
+        return reader().isEmpty();
+    }
+
     /**
      * Reads records, through another host if possible.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendSelection.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendSelection.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.cranberrygauge.decision.backend.Availability;
 import org.cranberrygauge.decision.backend.Availability.Kind;
@@ -22,6 +23,9 @@
  */
 final class BackendSelection {
 
+    /** The usual time until the shared log holds a new version, in milliseconds. */
+    private static final long VERSION_STORED_MILLIS = 50;
+
     private final ExchangeContext context;
 
     private final ProxyRequest request;
@@ -72,12 +76,17 @@
         return permitted.isPresent();
     }
 
-    /** Returns where the stream must have begun if only one version of one pool served lately. */
-    Optional<StreamOrigin> onlyOrigin() {
+    /**
+     * Looks up where the stream must have begun if no host knows it.
+     *
+     * @param found Receives the origin, or empty if it may have begun at several; called once.
+     */
+    void findOnlyOrigin(Consumer<Optional<StreamOrigin>> found) {
         if (request.route().pools().size() > 1) {
-            return Optional.empty();
+            found.accept(Optional.empty());
+        } else {
+            context.origins().findOnly(pool.name(), found);
         }
-        return context.versions().onlyVersion(pool.name()).map(only -> new StreamOrigin(pool.name(), only));
     }
 
     /** Chooses among the servers that are available now; requests a permit if it is what a better one lacks. */
@@ -208,6 +217,10 @@
     }
 
     private Availability availability(long now, Backend backend) {
+        boolean begins = request.route().kind() == RouteKind.RESUMABLE_STREAM && version.isEmpty();
+        if (begins && !context.blackboard().mayBeginStream(backend)) {
+            return new Availability(Kind.VERSION_NOT_STORED, now + VERSION_STORED_MILLIS);
+        }
         return context.gate().availability(now, backend, version);
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
@@ -9,7 +9,6 @@
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.backend.BackendGate;
 import org.cranberrygauge.proxy.backend.BackendReachability;
-import org.cranberrygauge.proxy.backend.VersionHistory;
 import org.cranberrygauge.proxy.configuration.Pool;
 import org.cranberrygauge.proxy.leader.UsageCounter;
 import org.cranberrygauge.proxy.routing.BackendChooser;
@@ -17,6 +16,7 @@
 import org.cranberrygauge.proxy.routing.EngineProfiles;
 import org.cranberrygauge.proxy.routing.LoadTable;
 import org.cranberrygauge.proxy.routing.PlacementExchange;
+import org.cranberrygauge.proxy.stream.OriginLookup;
 import org.cranberrygauge.proxy.stream.StreamDirectory;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.time.TimeSource;
@@ -32,7 +32,7 @@
  * @param statements What backend servers state of themselves.
  * @param gate Tells whether a request may be sent to a backend server now.
  * @param streams Tells where streams began.
- * @param versions The versions of software that served lately.
+ * @param origins Tells where a stream began that no host knows.
  * @param customerUse The recent usage of customers in the fleet, by which queued requests are ordered.
  * @param queues The requests that wait until a backend server is available and has capacity.
  * @param crashingParts The parts of prompts, and the requests, that crash backend servers.
@@ -58,7 +58,7 @@
         BackendGate gate,
         PlacementExchange placements,
         StreamDirectory streams,
-        VersionHistory versions,
+        OriginLookup origins,
         CustomerUse customerUse,
         PoolWaitQueues queues,
         PoolRetryBudgets budgets,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
@@ -9,9 +9,11 @@
 import org.cranberrygauge.decision.engine.EngineProfile;
 import org.cranberrygauge.decision.engine.PrefillTokens;
 import org.cranberrygauge.decision.hostload.OtherHosts;
+import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.backend.BackendSnapshot;
 import org.cranberrygauge.proxy.configuration.ConfigurationView;
 import org.cranberrygauge.proxy.routing.PeerLoads;
+import org.cranberrygauge.proxy.stream.StreamOrigin;
 
 /**
  * The blackboard of the host, which controllers write and the request path reads. Each value is immutable and replaced
@@ -26,6 +28,9 @@
     /** The data centres whose backend servers get no requests by the operator's order. */
     private final AtomicReference<Set<String>> evacuated = new AtomicReference<>(Set.of());
 
+    /** The origins at which streams may begin. */
+    private final AtomicReference<Set<StreamOrigin>> streamOrigins = new AtomicReference<>(Set.of());
+
     /** The load caused by the other hosts. */
     private final AtomicReference<PeerLoads> peers = new AtomicReference<>(PeerLoads.NO_PEERS);
 
@@ -85,6 +90,16 @@
         backends.set(backends.get().withEvacuated(evacuated.get()));
     }
 
+    /** Tells whether a stream that callers may resume may begin at a backend server. */
+    public boolean mayBeginStream(Backend backend) {
+        return streamOrigins.get().contains(StreamOrigin.of(backend));
+    }
+
+    /** Publishes the origins at which streams may begin. */
+    public void publishStreamOrigins(Set<StreamOrigin> origins) {
+        streamOrigins.set(Set.copyOf(origins));
+    }
+
     public PeerLoads peers() {
         return peers.get();
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/StreamResumption.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/StreamResumption.java
@@ -28,17 +28,22 @@
     void resolve(Consumer<Optional<RejectReason>> done) {
         Optional<String> first = request.callerHeaders().firstRequestId();
         if (first.isPresent()) {
-            context.streams().find(first.get(), origin -> done.accept(confine(origin)));
+            context.streams().find(first.get(), origin -> confine(origin, done));
         } else {
-            done.accept(confine(Optional.empty()));
+            confine(Optional.empty(), done);
         }
     }
 
-    private Optional<RejectReason> confine(Optional<StreamOrigin> found) {
-        Optional<StreamOrigin> origin = found.or(selection::onlyOrigin);
-        if (origin.isEmpty()) {
-            return Optional.of(RejectReason.UNKNOWN_STREAM);
+    private void confine(Optional<StreamOrigin> found, Consumer<Optional<RejectReason>> done) {
+        if (found.isPresent()) {
+            done.accept(confine(found.get()));
+        } else {
+            selection.findOnlyOrigin(only ->
+                    done.accept(only.isEmpty() ? Optional.of(RejectReason.UNKNOWN_STREAM) : confine(only.get())));
         }
-        return selection.confineTo(origin.get()) ? Optional.empty() : Optional.of(RejectReason.NO_BACKEND_OF_VERSION);
+    }
+
+    private Optional<RejectReason> confine(StreamOrigin origin) {
+        return selection.confineTo(origin) ? Optional.empty() : Optional.of(RejectReason.NO_BACKEND_OF_VERSION);
     }
 }
