--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
@@ -110,8 +110,14 @@
             fail(AttemptOutcome.NOT_CONNECTED, "server leaves");
             return;
         }
+        try {
+            codec.encodeBackend(request.headers(), proxyHeaders, opened.headers());
+        } catch (IllegalArgumentException exception) {
+            opened.reset();
+            fail(AttemptOutcome.NOT_CONNECTED, "request can't be encoded: " + exception.getMessage());
+            return;
+        }
         listener.onSent();
-        codec.encodeBackend(request.headers(), proxyHeaders, opened.headers());
         (request.body().length() == 0 && !declaresBody() ? opened.send() : opened.send(request.body()))
                 .onSuccess(this::readHeaders)
                 .onFailure(failure -> failBroken(String.valueOf(failure.getMessage())));
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendClient.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendClient.java
@@ -56,6 +56,14 @@
      * @return The request to that server, of which nothing is sent yet; if this fails, nothing was sent.
      */
     Future<HttpClientRequest> open(ProxyRequest request, NetworkAddress server) {
+        try {
+            return openTo(request, server);
+        } catch (IllegalArgumentException exception) {
+            return Future.failedFuture(exception);
+        }
+    }
+
+    private Future<HttpClientRequest> openTo(ProxyRequest request, NetworkAddress server) {
         RequestOptions options = new RequestOptions()
                 .setServer(SocketAddress.inetSocketAddress(server.port(), server.host()))
                 .setHost(server.host())
