--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
@@ -29,6 +29,8 @@
 
     private static final int REDIRECT_STATUS = 300;
 
+    private static final int HIGHEST_STATUS = 599;
+
     /** The maximum size of a response body that is buffered. */
     static final int MAXIMUM_BUFFERED_BYTES = 8 << 20;
 
@@ -140,6 +142,10 @@
             failBroken("response names another request");
             return;
         }
+        if (!isFinal(backendResponse.statusCode())) {
+            failBroken("status " + backendResponse.statusCode());
+            return;
+        }
         listener.onHeaders(responseHeaders);
         if (responseHeaders.notRun()) {
             fail(AttemptOutcome.NOT_RUN, "status " + backendResponse.statusCode());
@@ -158,6 +164,10 @@
         }
     }
 
+    private static boolean isFinal(int status) {
+        return status >= SUCCESS_STATUS && status <= HIGHEST_STATUS;
+    }
+
     private void readBuffered(HttpClientResponse backendResponse) {
         Buffer body = Buffer.buffer();
         backendResponse.handler(bytes -> {
