A host with an odd address doesn't silence the others

What happened: one address of a host with a port out of range in the hosts' topic ended each round of reports of every host that had read it; the hosts neither sent reports nor published those of others.

Cause: the address was used as it stood, and the exception arose in the periodic timer.

Change: only an IP address with a port from 1 to 65535 is a host; others are logged.

Evidence: OddEntryTest.hostsHearOfEachOtherBesideOddAddressesOfHosts failed before (port out of range, five times a second) and passes.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
@@ -26,7 +26,9 @@
 import org.cranberrygauge.proxy.routing.PlacedPart;
 import org.cranberrygauge.proxy.routing.PlacementExchange;
 import org.cranberrygauge.proxy.routing.PromptPart;
+import org.cranberrygauge.proxy.store.AddressValidation;
 import org.cranberrygauge.proxy.store.StoreEra;
+import org.cranberrygauge.proxy.store.UnreadableRecordException;
 
 /**
  * Sends periodic reports of this host's load to all other hosts, and receives theirs.
@@ -151,12 +153,9 @@
         }
         try {
             HostAddress read = MessageCodec.read(value, new HostAddress());
-            network.peers()
-                    .addHost(
-                            context.time().monotonicMillis(),
-                            name,
-                            new NetworkAddress(read.getAddress(), read.getPort()));
-        } catch (TException exception) {
+            NetworkAddress address = AddressValidation.require(new NetworkAddress(read.getAddress(), read.getPort()));
+            network.peers().addHost(context.time().monotonicMillis(), name, address);
+        } catch (TException | UnreadableRecordException exception) {
             context.events().emit(new ControlEvents.RecordUnreadable(network.topic(), name, exception.getMessage()));
         }
     }
