Messages and records of hosts are read 16 levels deep

What happened: a datagram of 60,000 nested lists in an unknown field overflowed the stack of the event loop; so would a record.

Cause: the codec skips fields that it doesn't know by recursion, without a bound.

Evidence: BuildCompatibilityTest.bytesOfAnotherSenderAreReadOrRejected failed before (StackOverflowError on a stack of 256 KB) and passes.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/MessageCodec.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/MessageCodec.java
@@ -5,10 +5,18 @@
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.protocol.TProtocolUtil;
 
 /** Serializes the messages that hosts exchange. Stateless and thread-safe. */
 final class MessageCodec {
 
+    /** The maximum depth of fields of other builds that are skipped; the messages nest less than half as deep. */
+    private static final int MAXIMUM_DEPTH = 16;
+
+    static {
+        TProtocolUtil.setMaxSkipDepth(MAXIMUM_DEPTH);
+    }
+
     private MessageCodec() {}
 
     static byte[] write(TBase<?, ?> message) {
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/BuildCompatibilityTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/BuildCompatibilityTest.java
@@ -2,9 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicReference;
 import org.apache.thrift.TException;
 import org.cranberrygauge.protocol.generated.BackendWork;
 import org.cranberrygauge.protocol.generated.HostAddress;
@@ -41,6 +44,11 @@
     /** A field with number 200 and the text "new", followed by the end of its struct. */
     private static final String LATER_FIELD_AND_END = "08900303" + "6e6577" + "00";
 
+    /** The stack of a thread of the program. */
+    private static final long SMALL_STACK_BYTES = 256 * 1024;
+
+    private static final int MUTATIONS = 20_000;
+
     /** The end of a struct. */
     private static final String END = "00";
 
@@ -102,6 +110,40 @@
         assertThat(message("0c9003" + END + END).getSetField()).isNull();
     }
 
+    /** Guards against hosts that end because of bytes of another sender. */
+    @Test
+    void bytesOfAnotherSenderAreReadOrRejected() throws InterruptedException {
+        List<String> recorded = List.of(REPORT, PERMIT_QUESTION, PERMIT_ANSWER, STREAM_BEGAN, CRASHES, USAGE);
+        AtomicReference<Throwable> failure = new AtomicReference<>();
+        Thread reader = new Thread(null, () -> readMutated(recorded), "reader", SMALL_STACK_BYTES);
+        reader.setUncaughtExceptionHandler((thread, thrown) -> failure.set(thrown));
+        reader.start();
+        reader.join();
+        assertThat(failure).hasNullValue();
+    }
+
+    private static void readMutated(List<String> recorded) {
+        readOrReject(bytes("0c9003" + "19".repeat(60_000)));
+        readOrReject(bytes("0c9003" + "1c".repeat(60_000)));
+        Random random = new Random(49);
+        for (int round = 0; round < MUTATIONS; round++) {
+            byte[] mutated = bytes(recorded.get(random.nextInt(recorded.size())));
+            for (int change = random.nextInt(4); change >= 0; change--) {
+                mutated[random.nextInt(mutated.length)] = (byte) random.nextInt();
+            }
+            readOrReject(Arrays.copyOf(mutated, 1 + random.nextInt(mutated.length)));
+            readOrReject(mutated);
+        }
+    }
+
+    private static void readOrReject(byte[] bytes) {
+        try {
+            assertThat(MessageCodec.read(bytes, new HostMessage())).isNotNull();
+        } catch (TException exception) {
+            assertThat(exception).isNotNull();
+        }
+    }
+
     private static HostMessage message(String recorded) throws TException {
         return MessageCodec.read(bytes(recorded), new HostMessage());
     }
