A topic is followed on after a record that its reader fails on

What would happen: one record on which a reader fails, of whatever cause, ended the following of its topic until the process ended. No such record of the list of backend servers is known.

Cause: the failure arose in a callback, and the next read is scheduled after it.

Evidence: TopicFollowerTest.theRecordsAfterOneThatAListenerFailsOnAreReceived failed before and passes.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
@@ -61,22 +61,31 @@
     void poll() {
         if (next >= 0 && era == context.log().era().newest()) {
             relay.read(topic, next, settings.waitMillis(), settings.maximumAgeMillis())
-                    .onSuccess(this::apply)
+                    .onSuccess(result -> applyOrFail(() -> apply(result)))
                     .onFailure(this::failed);
             return;
         }
         Confirmation sent = Confirmation.now(context.time());
         context.log()
                 .newest(topic)
-                .onSuccess(newest -> {
+                .onSuccess(newest -> applyOrFail(() -> {
                     next = newest.end();
                     era = context.log().era().newest();
                     listener.onSnapshot(newest.values());
                     succeeded(sent, settings.pauseMillis());
-                })
+                }))
                 .onFailure(this::failed);
     }
 
+    /** Applies what was read; if that fails, the topic is read again later. */
+    private void applyOrFail(Runnable application) {
+        try {
+            application.run();
+        } catch (RuntimeException exception) {
+            failed(exception);
+        }
+    }
+
     private void apply(TopicReadResult result) {
         if (era != context.log().era().newest()) {
             failed(new SharedLogException(Kind.ERA_CHANGED, "the log has come back from an older copy"));
@@ -85,13 +94,22 @@
         long offset = next;
         for (byte[] record : result.records()) {
             long at = offset;
-            KeyedRecord.parse(record).ifPresent(keyed -> listener.onRecord(keyed, at));
+            KeyedRecord.parse(record).ifPresent(keyed -> deliver(keyed, at));
             offset++;
         }
         next = result.next();
         succeeded(result.confirmation(), pauseMillis(result));
     }
 
+    /** Delivers a record, which is skipped if the listener fails on it. */
+    private void deliver(KeyedRecord record, long offset) {
+        try {
+            listener.onRecord(record, offset);
+        } catch (RuntimeException exception) {
+            context.events().emit(new ControlEvents.RecordUnreadable(topic, record.key(), String.valueOf(exception)));
+        }
+    }
+
     /** Returns the pause before the next read. */
     private long pauseMillis(TopicReadResult result) {
         if (!result.relayed()) {
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicFollowerTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicFollowerTest.java
@@ -34,6 +34,9 @@
 
     private static final long TIMEOUT_SECONDS = 10;
 
+    /** The value of records that the listener fails on. */
+    private static final String FAILING = "failing";
+
     private final Vertx vertx = Vertx.vertx();
 
     private final RewindingLog log = new RewindingLog();
@@ -61,6 +64,20 @@
         assertThat(known).isEqualTo(log.newestValues());
     }
 
+    /** Guards against hosts that stop following a topic because of one record. */
+    @Test
+    void theRecordsAfterOneThatAListenerFailsOnAreReceived() throws Exception {
+        log.appendNumbered("old", 0, 5);
+        TopicFollower follower = follower();
+        poll(follower);
+        log.appendNumbered(FAILING, 5, 6);
+        log.appendNumbered("new", 6, 9);
+        poll(follower);
+        log.appendNumbered("newer", 9, 10);
+        poll(follower);
+        assertThat(known.keySet()).containsExactlyInAnyOrder("0", "1", "2", "3", "4", "6", "7", "8", "9");
+    }
+
     private TopicFollower follower() {
         ControllerContext context = new ControllerContext(
                 vertx, TimeSource.System.INSTANCE, log, new ProxyBlackboard(), EventLog.NoOp.INSTANCE);
@@ -89,6 +106,9 @@
 
         @Override
         public void onRecord(KeyedRecord record, long offset) {
+            if (FAILING.equals(new String(record.value().orElseThrow(), StandardCharsets.UTF_8))) {
+                throw new IllegalStateException("fails on this record");
+            }
             known.put(record.key(), new String(record.value().orElseThrow(), StandardCharsets.UTF_8));
         }
 
