Figures of reports that no host computes hold no longer than others

A limit or crash of the future outlasted all later ones, a rate that is no number counted as a limit, negative work made a server look free. Ages are at least 0 now, rates finite, work at least 0.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/CrashReports.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/CrashReports.java
@@ -35,7 +35,7 @@
     static BackendCrash read(long nowMillis, CrashSeen seen) {
         Map<Long, Integer> parts = new HashMap<>();
         seen.getParts().forEach(suspected -> parts.put(suspected.getPart(), suspected.getPosition()));
-        return new BackendCrash(seen.getIncarnation(), nowMillis - seen.getAgeMillis(), parts);
+        return new BackendCrash(seen.getIncarnation(), nowMillis - Math.max(0, seen.getAgeMillis()), parts);
     }
 
     /** @param nowMillis The current monotonic time in milliseconds. */
@@ -47,6 +47,6 @@
 
     /** @param nowMillis The current monotonic time in milliseconds. */
     static PartCompletion read(long nowMillis, PartCompleted completed) {
-        return new PartCompletion(completed.getPart(), nowMillis - completed.getAgeMillis());
+        return new PartCompletion(completed.getPart(), nowMillis - Math.max(0, completed.getAgeMillis()));
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
@@ -315,14 +315,19 @@
         Map<String, PrefillTokens> prefill = new HashMap<>();
         if (report.isSetPrefill()) {
             report.getPrefill()
-                    .forEach((pool, work) ->
-                            prefill.put(pool, new PrefillTokens(work.getShortTokens(), work.getLongTokens())));
+                    .forEach((pool, work) -> prefill.put(
+                            pool,
+                            new PrefillTokens(Math.max(0, work.getShortTokens()), Math.max(0, work.getLongTokens()))));
         }
         return prefill;
     }
 
     private static Work work(BackendWork entry) {
-        return new Work(entry.getRunning(), entry.getUnreadTokens(), entry.getHeldTokens(), entry.getShortRunning());
+        return new Work(
+                Math.max(0, entry.getRunning()),
+                Math.max(0, entry.getUnreadTokens()),
+                Math.max(0, entry.getHeldTokens()),
+                Math.max(0, entry.getShortRunning()));
     }
 
     /**
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/StatementReports.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/StatementReports.java
@@ -57,6 +57,9 @@
         }
         OptionalDouble perSecond =
                 stated.isSetPerSecond() ? OptionalDouble.of(stated.getPerSecond()) : OptionalDouble.empty();
-        return Optional.of(new Limit(perSecond, nowMillis - stated.getLimitAgeMillis()));
+        if (perSecond.isPresent() && !(Double.isFinite(perSecond.getAsDouble()) && perSecond.getAsDouble() >= 0)) {
+            return Optional.empty();
+        }
+        return Optional.of(new Limit(perSecond, nowMillis - Math.max(0, stated.getLimitAgeMillis())));
     }
 }
