Retry budgets are earned, so that a new process spends nothing that its predecessor spent (BUDGET)

Cause: a new process began with the whole of its host's part of the allowance, and while it knew no other host with all of it, though its predecessor had spent that part in the same window: state that a new process does not have, taken for none, and a share of a count that is not known yet. A host that heard nobody for 20 s had all of it, too.

Change: a host earns retries with its own requests and over time, and may spend them for a window; what is spent in a window was earned in it or in the one before, over all lives of its processes. Nothing is earned from the allowance before the list of hosts is read.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -364,7 +364,8 @@
                 this::findOnlyOrigin,
                 customerUse,
                 queues,
-                new PoolRetryBudgets(times.retryWindowMillis(), times.retryRatio(), times.retryAllowance()),
+                new PoolRetryBudgets(
+                        time.monotonicMillis(), times.retryWindowMillis(), times.retryRatio(), times.retryAllowance()),
                 crashingParts,
                 new CrashWatch(vertx, blackboard, statements, reachability, this::recordCrash),
                 reachability,
@@ -405,7 +406,7 @@
                 view.configuration().map(known -> known.version()).orElse(-1L),
                 view.loggedAgeMillis(time.monotonicMillis()),
                 blackboard.backends().all().size(),
-                blackboard.peers().hosts(),
+                blackboard.sharingHosts(),
                 ready());
         metrics.recordMemory(memory.reservedBytes());
         metrics.recordRestrictions(blackboard.evacuated().size(), cold.count(time.monotonicMillis()));
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
@@ -51,6 +51,8 @@
 
     private final Map<String, Peer> peers = new HashMap<>();
 
+    private final SharingHosts sharing = new SharingHosts();
+
     /** Receives the address of each host that is found. */
     private Consumer<NetworkAddress> hostFound = address -> {};
 
@@ -76,6 +78,7 @@
     void addHost(long nowMillis, String name, NetworkAddress address) {
         Peer current = peers.get(name);
         if (current == null) {
+            sharing.recordListed(nowMillis, name);
             peers.put(
                     name,
                     new Peer(
@@ -107,6 +110,7 @@
         if (current != null && isOlder(report, current)) {
             return false;
         }
+        sharing.recordHeard(nowMillis, report.getHost());
         if (report.isSetConfigurationVersion()) {
             configurationVersion = Math.max(configurationVersion, report.getConfigurationVersion());
         }
@@ -168,6 +172,20 @@
         return new PeerLoads(total, members(nowMillis), prefill, speeds);
     }
 
+    /** Records that all hosts in the shared log have been added. */
+    void recordListRead() {
+        sharing.recordListRead();
+    }
+
+    /**
+     * Returns the number of hosts that share retry budgets, including this one; 0 while it is not known.
+     *
+     * @param nowMillis The current monotonic time in milliseconds.
+     */
+    int sharingHosts(long nowMillis) {
+        return sharing.count(nowMillis);
+    }
+
     /** Returns the highest version of the configuration that another host had in force, or the lowest number. */
     public long configurationVersion() {
         return configurationVersion;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
@@ -131,6 +131,10 @@
                 .onSuccess(newest -> {
                     monitor.recordSuccess(context.time().monotonicMillis());
                     newest.values().forEach(this::addHost);
+                    network.peers().recordListRead();
+                    context.blackboard()
+                            .publishSharingHosts(
+                                    network.peers().sharingHosts(context.time().monotonicMillis()));
                 })
                 .onFailure(failure -> {
                     monitor.recordFailure(context.time().monotonicMillis(), String.valueOf(failure.getMessage()));
@@ -166,6 +170,7 @@
         network.channel()
                 .send(HostMessage.report(buildReport(now)), network.peers().addresses(now));
         context.blackboard().publish(network.peers().loads(now));
+        context.blackboard().publishSharingHosts(network.peers().sharingHosts(now));
         context.blackboard().publish(network.peers().otherHosts(now));
         context.blackboard().publishForwardingTargets(network.peers().forwardingTargets(now));
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -122,7 +122,9 @@
             finalResponse.reject(RejectReason.CRASHES_BACKENDS);
             return;
         }
-        context.budgets().of(selection.pool().name()).recordRequest(now());
+        context.budgets()
+                .of(selection.pool().name())
+                .recordRequest(now(), context.blackboard().sharingHosts());
         if (!attemptNext()) {
             finalResponse.rejectUnavailable(now(), otherwise);
         }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HostMetrics.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HostMetrics.java
@@ -19,7 +19,7 @@
 
     private final Gauge backends;
 
-    /** The hosts that share retry budgets, including this one. */
+    /** The hosts that share retry budgets, including this one; 0 while their number is not known. */
     private final Gauge hosts;
 
     private final Gauge ready;
@@ -42,7 +42,10 @@
         version = gauge(registry, "configuration_version", "Version of the configuration; -1 if none is known.");
         age = gauge(registry, "configuration_age_seconds", "Age of the last confirmation of the configuration.");
         backends = gauge(registry, "backends", "Backend servers that are listed.");
-        hosts = gauge(registry, "hosts", "Hosts that share the budget of repeats, this one included.");
+        hosts = gauge(
+                registry,
+                "hosts",
+                "Hosts that share the budget of repeats, this one included; 0 while their number is not known.");
         ready = gauge(registry, "ready", "1 while this host takes requests, else 0.");
         evacuated = gauge(registry, "evacuated_data_centres", "Data centres that the operator has evacuated.");
         cold = gauge(
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
@@ -34,6 +34,9 @@
     /** The load caused by the other hosts. */
     private final AtomicReference<PeerLoads> peers = new AtomicReference<>(PeerLoads.NO_PEERS);
 
+    /** The number of hosts that share retry budgets; 0 while it is not known. */
+    private final AtomicInteger sharingHosts = new AtomicInteger();
+
     /** The other hosts that reach backend servers. */
     private final AtomicReference<List<ForwardingTarget>> forwardingTargets = new AtomicReference<>(List.of());
 
@@ -108,6 +111,15 @@
         peers.set(loads);
     }
 
+    /** Returns the number of hosts that share retry budgets, including this one; 0 while it is not known. */
+    public int sharingHosts() {
+        return sharingHosts.get();
+    }
+
+    public void publishSharingHosts(int hosts) {
+        sharingHosts.set(hosts);
+    }
+
     /** Returns the other hosts that reach backend servers. */
     public List<ForwardingTarget> forwardingTargets() {
         return forwardingTargets.get();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/RetryGate.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/RetryGate.java
@@ -44,7 +44,7 @@
         }
         return context.budgets()
                 .of(selection.pool().name())
-                .tryAcquire(nowMillis, context.blackboard().peers().hosts());
+                .tryAcquire(nowMillis, context.blackboard().sharingHosts());
     }
 
     /** Tells whether this host is isolated from all backend servers, and another one may serve the request. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/retry/WindowedRetryBudget.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/retry/WindowedRetryBudget.java
@@ -3,88 +3,96 @@
 /**
  * This host's part of a retry budget that all hosts share for a pool.
  *
- * <p>The shared budget allows, in any window, a ratio of the requests of that window plus a fixed allowance. A host may
- * use the ratio of its own requests and an equal part of the allowance. Time is divided into slots, and a window is
- * rounded up by one slot, so that no sliding window exceeds the bound. Not thread-safe.
+ * <p>The shared budget allows, in any window, a ratio of the requests of that window plus a fixed allowance. A host earns
+ * retries with its own requests and, over time, with an equal part of the allowance, and may spend them for a window. What
+ * it spends in a window was earned in that window or in the one before, and so is bounded by the budget, also if the
+ * process is new and does not know what its predecessors on the host have spent in that window: a new process has earned
+ * nothing yet. Not thread-safe.
  */
 public final class WindowedRetryBudget {
 
     private static final int SLOTS_PER_WINDOW = 10;
 
-    /** The fraction of the budget that is used; the rest is reserved for hosts that are not known yet. */
-    private static final double USABLE_FRACTION = 0.8;
+    /** The fraction of the budget that is earned: less than a half, since two windows of earnings are spent in one. */
+    private static final double EARNED_FRACTION = 0.45;
 
-    /** One more than in a window, since a window that starts within a slot touches one more. */
-    private static final int RETAINED_SLOTS = SLOTS_PER_WINDOW + 1;
+    /** The retries that are earned in each slot for a host that shares the allowance with none. */
+    private final double allowancePerSlot;
 
-    private final long slotMillis;
-
-    /** The retries allowed for each request. */
-    private final double ratio;
-
-    /** The retries allowed in addition, for all hosts together. */
-    private final double allowance;
+    /** The retries that are earned with each request. */
+    private final double earnedPerRequest;
 
-    private final long[] requests = new long[RETAINED_SLOTS];
+    private final long slotMillis;
 
-    private final long[] retries = new long[RETAINED_SLOTS];
+    /** The retries that were earned in recent slots and not spent. */
+    private final double[] unspent = new double[SLOTS_PER_WINDOW];
 
     private long newestSlot;
 
     /**
+     * @param startMillis The monotonic time at which this process started, in milliseconds.
      * @param windowMillis The length of the window in milliseconds.
      * @param ratio The retries allowed for each request.
      * @param allowance The retries allowed in addition in each window, for all hosts together.
      */
-    public WindowedRetryBudget(long windowMillis, double ratio, double allowance) {
+    public WindowedRetryBudget(long startMillis, long windowMillis, double ratio, double allowance) {
         this.slotMillis = windowMillis / SLOTS_PER_WINDOW;
-        this.ratio = ratio;
-        this.allowance = allowance;
+        this.earnedPerRequest = EARNED_FRACTION * ratio;
+        this.allowancePerSlot = EARNED_FRACTION * allowance / SLOTS_PER_WINDOW;
+        this.newestSlot = Math.floorDiv(startMillis, slotMillis);
     }
 
     /**
      * Records a request of a caller.
      *
      * @param nowMillis The current monotonic time in milliseconds.
+     * @param hosts The number of hosts that share the budget; 0 if it is not known.
      */
-    public void recordRequest(long nowMillis) {
-        requests[advance(nowMillis)]++;
+    public void recordRequest(long nowMillis, int hosts) {
+        advance(nowMillis, hosts);
+        unspent[index(newestSlot)] += earnedPerRequest;
     }
 
     /**
      * Takes one retry from the budget if it allows one.
      *
      * @param nowMillis The current monotonic time in milliseconds.
-     * @param hosts The number of hosts that share the budget.
+     * @param hosts The number of hosts that share the budget; 0 if it is not known.
      */
     public boolean tryAcquire(long nowMillis, int hosts) {
-        int slot = advance(nowMillis);
-        double allowed = USABLE_FRACTION * (ratio * total(requests) + allowance / Math.max(1, hosts));
-        if (total(retries) + 1 > allowed) {
+        advance(nowMillis, hosts);
+        double earned = 0;
+        for (double left : unspent) {
+            earned += left;
+        }
+        if (earned < 1) {
             return false;
         }
-        retries[slot]++;
+        spendOldest();
         return true;
     }
 
-    /** Clears the slots that have expired and returns the index of the current slot. */
-    private int advance(long nowMillis) {
+    /** Takes one retry from what was earned first and would expire first. */
+    private void spendOldest() {
+        double due = 1;
+        for (long slot = newestSlot - SLOTS_PER_WINDOW + 1; slot <= newestSlot && due > 0; slot++) {
+            double spent = Math.min(due, unspent[index(slot)]);
+            unspent[index(slot)] -= spent;
+            due -= spent;
+        }
+    }
+
+    /** Drops what has expired, and earns the part of the allowance of the slots that have begun; none without a count. */
+    private void advance(long nowMillis, int hosts) {
         long current = Math.floorDiv(nowMillis, slotMillis);
-        long firstExpired = Math.max(newestSlot + 1, current - RETAINED_SLOTS + 1);
-        for (long expired = firstExpired; expired <= current; expired++) {
-            int index = (int) Math.floorMod(expired, (long) RETAINED_SLOTS);
-            requests[index] = 0;
-            retries[index] = 0;
+        double earned = hosts == 0 ? 0 : allowancePerSlot / hosts;
+        for (long slot = Math.max(newestSlot + 1, current - SLOTS_PER_WINDOW + 1); slot <= current; slot++) {
+            unspent[index(slot)] = earned;
         }
         newestSlot = Math.max(newestSlot, current);
-        return (int) Math.floorMod(newestSlot, (long) RETAINED_SLOTS);
     }
 
-    private static long total(long[] slots) {
-        long sum = 0;
-        for (long count : slots) {
-            sum += count;
-        }
-        return sum;
+    private static int index(long slot) {
+        return (int) Math.floorMod(slot, (long) SLOTS_PER_WINDOW);
     }
 }
