Passing a request on to another host is a retry if servers have received it (BUDGET)

A host that reaches no server passes a request on. A host that got it sent it to its first server without taking a retry, also where another host had passed on its rejection by servers, and counted the request as one of its own, which earned retries twice.

Change: a rejection between hosts tells how many servers have received the request; these count towards the route's attempts, and the next host is tried only with a retry from the budget of the host that the caller chose, where the request is counted once.

Evidence: IsolatedHostTest.requestsThatServersRejectAreRepeatedAtOtherHostsWithinTheBudget.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
@@ -53,6 +53,9 @@
     /** Whether the caller is another host that forwards the request. */
     private final boolean forwarded;
 
+    /** The number of backend servers that the request was sent to. */
+    private int sentAttempts;
+
     private boolean closeAfter;
 
     /** Whether the connection is closed once the body has been read, and not right after the response. */
@@ -86,6 +89,11 @@
         callback.run();
     }
 
+    /** Records that the request is sent to a backend server. */
+    void recordSent() {
+        sentAttempts++;
+    }
+
     /** Sets the identifier of the request for log events. */
     void setRequestId(String id) {
         requestId = id;
@@ -126,7 +134,7 @@
     public void reject(RejectReason reason, OptionalLong retryAfterMillis) {
         response.setStatusCode(reason.status());
         if (forwarded) {
-            Forwarding.markNotRun(response.headers(), reason.isNotRun());
+            Forwarding.markNotRun(response.headers(), reason.isNotRun(), sentAttempts);
         }
         retryAfterMillis.ifPresent(millis -> response.putHeader(
                 HttpHeaders.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", millis / MILLIS_PER_SECOND)));
@@ -162,7 +170,7 @@
         response.setStatusCode(status);
         response.headers().addAll(headers);
         if (forwarded) {
-            Forwarding.markNotRun(response.headers(), false);
+            Forwarding.markNotRun(response.headers(), false, sentAttempts);
         }
         end(body);
     }
@@ -172,7 +180,7 @@
         response.setStatusCode(status);
         response.headers().addAll(headers);
         if (forwarded) {
-            Forwarding.markNotRun(response.headers(), false);
+            Forwarding.markNotRun(response.headers(), false, sentAttempts);
         }
         response.setChunked(true);
         announceClose();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -122,14 +122,21 @@
             finalResponse.reject(RejectReason.CRASHES_BACKENDS);
             return;
         }
-        context.budgets()
-                .of(selection.pool().name())
-                .recordRequest(now(), context.blackboard().sharingHosts());
+        recordForBudget();
         if (!attemptNext()) {
             finalResponse.rejectUnavailable(now(), otherwise);
         }
     }
 
+    /** Records a request of a caller; one that another host passed on was recorded there. */
+    private void recordForBudget() {
+        if (!request.forwarded()) {
+            context.budgets()
+                    .of(selection.pool().name())
+                    .recordRequest(now(), context.blackboard().sharingHosts());
+        }
+    }
+
     @Override
     public LateSend beforeSend(Backend backend, long startedMillis) {
         return LateSend.decide(now(), startedMillis, response::isAwaited, () -> selection.takesRequests(backend));
@@ -138,6 +145,7 @@
     @Override
     public void onSent() {
         sent = true;
+        response.recordSent();
         timers.startSilence(() -> context.reachability().checkSilence(now()));
     }
 
@@ -278,7 +286,8 @@
     private void forwardToHost() {
         end("forwarded", 0);
         int remainingAttempts = request.route().maximumAttempts() - history.sent();
-        new ForwardedRequest(context, request, response, remainingAttempts, history.mayHaveRun()).start();
+        new ForwardedRequest(context, request, selection.pool(), response, remainingAttempts, history.mayHaveRun())
+                .start();
     }
 
     /** Queues the request until it can be sent, and returns its first choice. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
@@ -9,8 +9,10 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.proxy.admission.RejectReason;
+import org.cranberrygauge.proxy.configuration.Pool;
 
 /**
  * A request that this host passes on to another one, since it reaches no backend server itself.
@@ -35,8 +37,11 @@
 
     private final CallerResponse response;
 
+    /** The pool that serves the request. */
+    private final Pool pool;
+
     /** How many backend servers the request may still be sent to. */
-    private final int remainingAttempts;
+    private int remainingAttempts;
 
     /** Whether the request may have run before it was passed on. */
     private final boolean mayHaveRun;
@@ -68,11 +73,13 @@
     ForwardedRequest(
             ExchangeContext context,
             ProxyRequest request,
+            Pool pool,
             CallerResponse response,
             int remainingAttempts,
             boolean mayHaveRun) {
         this.context = context;
         this.request = request;
+        this.pool = pool;
         this.response = response;
         this.remainingAttempts = remainingAttempts;
         this.mayHaveRun = mayHaveRun;
@@ -132,11 +139,12 @@
             return;
         }
         hostResponse.exceptionHandler(failure -> failBroken(hostResponse.request()));
-        if (Forwarding.takeNotRun(hostResponse.headers())) {
+        OptionalInt rejected = Forwarding.takeNotRun(hostResponse.headers());
+        if (rejected.isPresent()) {
             if (hostResponse.statusCode() == UNAVAILABLE_STATUS) {
                 rejection = Optional.of(hostResponse.headers());
             }
-            tryNext();
+            continueAfter(rejected.getAsInt());
             return;
         }
         if (hostResponse.headers().contains(HttpHeaders.TRANSFER_ENCODING)) {
@@ -146,6 +154,27 @@
         }
     }
 
+    /**
+     * Tries the next host after a rejection; if backend servers have received the request, that is a retry.
+     *
+     * @param attempts The number of backend servers that rejected the request at the last host.
+     */
+    private void continueAfter(int attempts) {
+        remainingAttempts -= attempts;
+        if (attempts == 0 || (remainingAttempts > 0 && acquireRetry())) {
+            tryNext();
+        } else {
+            rejectUnavailable();
+        }
+    }
+
+    private boolean acquireRetry() {
+        return context.budgets()
+                .of(pool.name())
+                .tryAcquire(
+                        context.time().monotonicMillis(), context.blackboard().sharingHosts());
+    }
+
     private void readBuffered(HttpClientResponse hostResponse) {
         Buffer body = Buffer.buffer();
         hostResponse.handler(bytes -> {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Forwarding.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Forwarding.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.MultiMap;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /**
  * How a request came to this host: from its caller, or from another host that reaches no backend server. Immutable.
@@ -20,7 +21,10 @@
 
     private static final String REMAINING_ATTEMPTS = "Cranberrygauge-Remaining-Attempts";
 
-    /** On a rejection by the host that a request was forwarded to: the request has not run and never will. */
+    /**
+     * On a rejection by the host that a request was forwarded to: the request has not run and never will. The value is the
+     * number of backend servers that it was sent to.
+     */
     private static final String NOT_RUN = "Cranberrygauge-Not-Run";
 
     /** Writes this into the headers of a request to another host. */
@@ -31,19 +35,32 @@
     }
 
     /** Marks a response to a forwarded request as a rejection of one that has not run, or as any other. */
-    static void markNotRun(MultiMap responseHeaders, boolean notRun) {
+    static void markNotRun(MultiMap responseHeaders, boolean notRun, int sent) {
         if (notRun) {
-            responseHeaders.set(NOT_RUN, "1");
+            responseHeaders.set(NOT_RUN, Integer.toString(sent));
         } else {
             responseHeaders.remove(NOT_RUN);
         }
     }
 
-    /** Reads and removes the mark that a request has not run. */
-    static boolean takeNotRun(MultiMap responseHeaders) {
-        boolean notRun = responseHeaders.contains(NOT_RUN);
+    /**
+     * Reads and removes the mark that a request has not run.
+     *
+     * @return The number of backend servers that rejected the request; empty without the mark.
+     */
+    static OptionalInt takeNotRun(MultiMap responseHeaders) {
+        String sent = responseHeaders.get(NOT_RUN);
         responseHeaders.remove(NOT_RUN);
-        return notRun;
+        return sent == null ? OptionalInt.empty() : OptionalInt.of(count(sent));
+    }
+
+    /** Reads a number of backend servers; one that is malformed counts as one server. */
+    private static int count(String sent) {
+        try {
+            return Math.max(0, Integer.parseInt(sent));
+        } catch (NumberFormatException exception) {
+            return 1;
+        }
     }
 
     /**
