--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -131,9 +131,7 @@
     /** Records a request of a caller; one that another host passed on was recorded there. */
     private void recordForBudget() {
         if (!request.forwarded()) {
-            context.budgets()
-                    .of(selection.pool().name())
-                    .recordRequest(now(), context.blackboard().sharingHosts());
+            context.budgets().of(selection.pool().name()).recordRequest(now());
         }
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/retry/WindowedRetryBudget.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/retry/WindowedRetryBudget.java
@@ -3,29 +3,39 @@
 /**
  * This host's part of a retry budget that all hosts share for a pool.
  *
- * <p>The shared budget allows, in any window, a ratio of the requests of that window plus a fixed allowance. A host earns
- * retries with its own requests and, over time, with an equal part of the allowance, and may spend them for a window. What
- * it spends in a window was earned in that window or in the one before, and so is bounded by the budget, also if the
- * process is new and does not know what its predecessors on the host have spent in that window: a new process has earned
- * nothing yet. Not thread-safe.
+ * <p>The shared budget allows, in any window, a ratio of the requests of that window plus a fixed allowance. A host may
+ * use the ratio of its own requests and an equal part of the allowance. Time is divided into slots, and a window is
+ * rounded up by one slot, so that no sliding window exceeds the bound. A new process does not know what the one before it on
+ * this host has spent in the same window, and presumes all that it may have; it uses a part of what is reserved. Not
+ * thread-safe.
  */
 public final class WindowedRetryBudget {
 
     private static final int SLOTS_PER_WINDOW = 10;
 
-    /** The fraction of the budget that is earned: less than a half, since two windows of earnings are spent in one. */
-    private static final double EARNED_FRACTION = 0.45;
+    /** The fraction of the budget that is used; the rest is reserved for new processes and for hosts not known yet. */
+    private static final double USABLE_FRACTION = 0.8;
 
-    /** The retries that are earned in each slot for a host that shares the allowance with none. */
-    private final double allowancePerSlot;
+    /** The fraction of the budget that a process uses until it is older than a window. */
+    private static final double NEW_PROCESS_FRACTION = 0.1;
 
-    /** The retries that are earned with each request. */
-    private final double earnedPerRequest;
+    /** One more than in a window, since a window that starts within a slot touches one more. */
+    private static final int RETAINED_SLOTS = SLOTS_PER_WINDOW + 1;
 
     private final long slotMillis;
 
-    /** The retries that were earned in recent slots and not spent. */
-    private final double[] unspent = new double[SLOTS_PER_WINDOW];
+    /** The retries allowed for each request. */
+    private final double ratio;
+
+    /** The retries allowed in addition, for all hosts together. */
+    private final double allowance;
+
+    private final long[] requests = new long[RETAINED_SLOTS];
+
+    private final long[] retries = new long[RETAINED_SLOTS];
+
+    /** The slot in which the process started. */
+    private final long firstSlot;
 
     private long newestSlot;
 
@@ -37,62 +47,64 @@
      */
     public WindowedRetryBudget(long startMillis, long windowMillis, double ratio, double allowance) {
         this.slotMillis = windowMillis / SLOTS_PER_WINDOW;
-        this.earnedPerRequest = EARNED_FRACTION * ratio;
-        this.allowancePerSlot = EARNED_FRACTION * allowance / SLOTS_PER_WINDOW;
-        this.newestSlot = Math.floorDiv(startMillis, slotMillis);
+        this.ratio = ratio;
+        this.allowance = allowance;
+        this.firstSlot = Math.floorDiv(startMillis, slotMillis);
+        this.newestSlot = firstSlot;
     }
 
     /**
      * Records a request of a caller.
      *
      * @param nowMillis The current monotonic time in milliseconds.
-     * @param hosts The number of hosts that share the budget; 0 if it is not known.
      */
-    public void recordRequest(long nowMillis, int hosts) {
-        advance(nowMillis, hosts);
-        unspent[index(newestSlot)] += earnedPerRequest;
+    public void recordRequest(long nowMillis) {
+        requests[advance(nowMillis)]++;
     }
 
     /**
      * Takes one retry from the budget if it allows one.
      *
      * @param nowMillis The current monotonic time in milliseconds.
-     * @param hosts The number of hosts that share the budget; 0 if it is not known.
+     * @param hosts The number of hosts that share the budget; 0 if it is not known, so that there is no allowance.
      */
     public boolean tryAcquire(long nowMillis, int hosts) {
-        advance(nowMillis, hosts);
-        double earned = 0;
-        for (double left : unspent) {
-            earned += left;
-        }
-        if (earned < 1) {
+        int slot = advance(nowMillis);
+        double ownAllowance = hosts == 0 ? 0 : allowance / hosts;
+        if (total(retries) + 1 > allowed(ownAllowance)) {
             return false;
         }
-        spendOldest();
+        retries[slot]++;
         return true;
     }
 
-    /** Takes one retry from what was earned first and would expire first. */
-    private void spendOldest() {
-        double due = 1;
-        for (long slot = newestSlot - SLOTS_PER_WINDOW + 1; slot <= newestSlot && due > 0; slot++) {
-            double spent = Math.min(due, unspent[index(slot)]);
-            unspent[index(slot)] -= spent;
-            due -= spent;
-        }
+    /** Returns the retries that are allowed in the retained slots; the allowance of a new process grows with its age. */
+    private double allowed(double ownAllowance) {
+        long age = newestSlot - firstSlot;
+        double earned = ratio * total(requests);
+        return age >= RETAINED_SLOTS
+                ? USABLE_FRACTION * (earned + ownAllowance)
+                : NEW_PROCESS_FRACTION * (earned + ownAllowance * age / SLOTS_PER_WINDOW);
     }
 
-    /** Drops what has expired, and earns the part of the allowance of the slots that have begun; none without a count. */
-    private void advance(long nowMillis, int hosts) {
+    /** Clears the slots that have expired and returns the index of the current slot. */
+    private int advance(long nowMillis) {
         long current = Math.floorDiv(nowMillis, slotMillis);
-        double earned = hosts == 0 ? 0 : allowancePerSlot / hosts;
-        for (long slot = Math.max(newestSlot + 1, current - SLOTS_PER_WINDOW + 1); slot <= current; slot++) {
-            unspent[index(slot)] = earned;
+        long firstExpired = Math.max(newestSlot + 1, current - RETAINED_SLOTS + 1);
+        for (long expired = firstExpired; expired <= current; expired++) {
+            int index = (int) Math.floorMod(expired, (long) RETAINED_SLOTS);
+            requests[index] = 0;
+            retries[index] = 0;
         }
         newestSlot = Math.max(newestSlot, current);
+        return (int) Math.floorMod(newestSlot, (long) RETAINED_SLOTS);
     }
 
-    private static int index(long slot) {
-        return (int) Math.floorMod(slot, (long) SLOTS_PER_WINDOW);
+    private static long total(long[] slots) {
+        long sum = 0;
+        for (long count : slots) {
+            sum += count;
+        }
+        return sum;
     }
 }
