--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
@@ -34,6 +34,8 @@
     /** The maximum size of a response body that is buffered. */
     static final int MAXIMUM_BUFFERED_BYTES = 8 << 20;
 
+    private final BackendClient client;
+
     private final HeaderCodec codec;
 
     private final ProxyRequest request;
@@ -55,7 +57,8 @@
 
     private boolean ended;
 
-    BackendAttempt(HeaderCodec codec, ProxyRequest request, Backend backend, Listener listener) {
+    BackendAttempt(BackendClient client, HeaderCodec codec, ProxyRequest request, Backend backend, Listener listener) {
+        this.client = client;
         this.codec = codec;
         this.request = request;
         this.backend = backend;
@@ -68,7 +71,7 @@
      * @param nowMillis The current monotonic time in milliseconds.
      * @param lastEventId The event after which a stream is to be resumed, if any.
      */
-    void start(BackendClient client, long nowMillis, Optional<String> lastEventId) {
+    void start(long nowMillis, Optional<String> lastEventId) {
         long remainingMillis = request.deadlineMillis() - nowMillis;
         BackendHeaders proxyHeaders = new BackendHeaders(
                 request.id(), backend.id(), remainingMillis, request.customer(), request.urgency(), lastEventId);
@@ -148,6 +151,7 @@
         }
         listener.onHeaders(responseHeaders);
         if (responseHeaders.notRun()) {
+            client.discard(backendResponse);
             fail(AttemptOutcome.NOT_RUN, "status " + backendResponse.statusCode());
             return;
         }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendClient.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendClient.java
@@ -6,10 +6,12 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.SocketAddress;
+import java.util.concurrent.atomic.AtomicLong;
 import org.cranberrygauge.model.backend.NetworkAddress;
 
 /**
@@ -31,6 +33,12 @@
     /** The maximum size of all response headers. */
     private static final int MAXIMUM_HEADER_BYTES = 32_768;
 
+    /** The time within which the rest of a response that is not needed must end, in milliseconds. */
+    private static final long DISCARD_MILLIS = 500;
+
+    /** The maximum size of such a rest. */
+    private static final int MAXIMUM_DISCARDED_BYTES = 64 << 10;
+
     private final Vertx vertx;
 
     /** Reuses connections. */
@@ -79,6 +87,24 @@
         return opened.future();
     }
 
+    /**
+     * Releases the connection of a response of which nothing more is needed: its body is read to the end, or the connection
+     * is closed if the end takes too long or too many bytes.
+     */
+    void discard(HttpClientResponse response) {
+        HttpClientRequest request = response.request();
+        long timer = vertx.setTimer(DISCARD_MILLIS, fired -> request.reset());
+        AtomicLong discardedBytes = new AtomicLong();
+        response.exceptionHandler(failure -> vertx.cancelTimer(timer));
+        response.endHandler(end -> vertx.cancelTimer(timer));
+        response.handler(bytes -> {
+            if (discardedBytes.addAndGet(bytes.length()) > MAXIMUM_DISCARDED_BYTES) {
+                request.reset();
+            }
+        });
+        response.resume();
+    }
+
     /**
      * Runs an action after all input that the event loop has ready. Netty reports a connection whose end it has read in
      * a task, which precedes the second of two tasks that are started one by the other.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -361,9 +361,9 @@
         }
         selection.use(now, backend);
         record = new AttemptRecord(context, request, selection.pool(), backend, evidence, now);
-        attempt = new BackendAttempt(context.codec(), request, backend, this);
+        attempt = new BackendAttempt(context.client(), context.codec(), request, backend, this);
         sent = false;
-        attempt.start(context.client(), now, lastEventId);
+        attempt.start(now, lastEventId);
     }
 
     /** Records the first events, and writes the headers of the response unless that is done. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
@@ -141,6 +141,7 @@
         hostResponse.exceptionHandler(failure -> failBroken(hostResponse.request()));
         OptionalInt rejected = Forwarding.takeNotRun(hostResponse.headers());
         if (rejected.isPresent()) {
+            context.client().discard(hostResponse);
             if (hostResponse.statusCode() == UNAVAILABLE_STATUS) {
                 rejection = Optional.of(hostResponse.headers());
             }
