--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -221,16 +221,21 @@
         events.emit(new ProxyEvents.ProxyDraining(blackboard.active().get()));
         controlContext.runOnContext(run -> election.leave());
         DrainWait wait = new DrainWait(startMillis, settings.times().graceMillis());
-        while (!wait.isOver(time.monotonicMillis(), blackboard.active().get())) {
+        while (!wait.isOver(time.monotonicMillis(), unfinished())) {
             wait.pause();
         }
         controlContext.runOnContext(run -> usageWriter.flush());
         wait.pause();
-        int active = blackboard.active().get();
+        int active = unfinished();
         events.emit(new ProxyEvents.ProxyStopped(active, time.monotonicMillis() - startMillis));
         return active;
     }
 
+    /** Returns the number of requests without a complete response, and of responses that are not wholly written. */
+    private int unfinished() {
+        return blackboard.active().get() + memory.unwrittenResponses();
+    }
+
     private Future<Void> startControllers(AtomicReference<Map<String, Work>> ownWork, UsageCounter usage) {
         ProxySettings.Times times = settings.times();
         ControllerContext context = new ControllerContext(vertx, time, dependencies.log(), blackboard, events);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxyEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxyEvents.java
@@ -33,7 +33,7 @@
     /**
      * The process exits.
      *
-     * @param active The number of requests that are cut off.
+     * @param active The number of requests that are cut off, also within a response that their callers read slowly.
      * @param afterMillis The time since the stop signal in milliseconds.
      */
     public record ProxyStopped(int active, long afterMillis) implements Event {}
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
@@ -63,6 +63,9 @@
 
     private boolean written;
 
+    /** Whether the response is complete and not wholly written. */
+    private boolean unwritten;
+
     private String requestId = "-";
 
     private long stallMillis = MINIMUM_STALL_MILLIS;
@@ -209,7 +212,8 @@
 
     /** Ends a stream that is complete. */
     public void endStream() {
-        response.end().onComplete(written -> closeIfAnnounced());
+        startFinalWrite();
+        response.end().onComplete(written -> finishWrite());
     }
 
     /** Closes the connection before the end of the response. */
@@ -238,6 +242,7 @@
     void release() {
         unread.close();
         memory.removeUnread(this);
+        recordFinalWrite();
     }
 
     /** Tells whether the write queue is full because the caller reads more slowly than the backend server writes. */
@@ -261,12 +266,31 @@
         }
         Buffer rest = body.slice(last, body.length());
         recordQueued(rest.length());
+        startFinalWrite();
         response.end(rest).onComplete(written -> {
             recordWritten(rest.length());
-            closeIfAnnounced();
+            finishWrite();
         });
     }
 
+    private void startFinalWrite() {
+        unwritten = true;
+        memory.addUnwritten();
+    }
+
+    private void finishWrite() {
+        recordFinalWrite();
+        closeIfAnnounced();
+    }
+
+    /** Records that the response is written, or dropped with its connection. */
+    private void recordFinalWrite() {
+        if (unwritten) {
+            unwritten = false;
+            memory.removeUnwritten();
+        }
+    }
+
     private void announceClose() {
         closeAfter = closeAfter || draining.getAsBoolean();
         if (closeAfter) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/RequestMemory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/RequestMemory.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cranberrygauge.decision.memory.ByteBudget;
 import org.cranberrygauge.decision.memory.Reservation;
 import org.cranberrygauge.runtime.event.EventLog;
@@ -34,6 +35,9 @@
     /** The responses with bytes that their callers have not read yet, the oldest first. */
     private final Set<CallerResponse> unread = new LinkedHashSet<>();
 
+    /** The number of responses that are complete and not wholly written; read by any thread. */
+    private final AtomicInteger unwritten = new AtomicInteger();
+
     /** The refusals up to the last update. */
     private long knownRefusals;
 
@@ -76,6 +80,19 @@
         return budget.reservedBytes();
     }
 
+    /** Returns the number of responses that are complete and not wholly written to their callers. */
+    public int unwrittenResponses() {
+        return unwritten.get();
+    }
+
+    void addUnwritten() {
+        unwritten.incrementAndGet();
+    }
+
+    void removeUnwritten() {
+        unwritten.decrementAndGet();
+    }
+
     Reservation open() {
         return budget.open();
     }
