--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/OriginRecorder.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/OriginRecorder.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 import org.cranberrygauge.proxy.backend.BackendSnapshot;
 import org.cranberrygauge.proxy.control.StreamOriginExchange.Timers;
+import org.cranberrygauge.proxy.store.StoreEra;
 import org.cranberrygauge.proxy.stream.OriginLookup;
 import org.cranberrygauge.proxy.stream.OriginRecords;
 import org.cranberrygauge.proxy.stream.StoredOrigins;
@@ -138,6 +139,11 @@
         });
     }
 
+    /**
+     * Reads the topic before anything is stored, and retries until that has succeeded.
+     *
+     * @param emptyIsComplete Whether an empty topic lacks nothing, which is then stored.
+     */
     private void initialize(boolean emptyIsComplete) {
         long era = era();
         topic.read()
@@ -145,12 +151,12 @@
                         ? topic.storeCompleteIfEmpty(era()).otherwiseEmpty().compose(stored -> topic.read())
                         : Future.succeededFuture(read))
                 .onSuccess(read -> {
-                    if (initialized || era != 0 && era != era()) {
-                        return;
+                    boolean outdated = era != StoreEra.UNKNOWN && era != era();
+                    if (!initialized && !outdated) {
+                        initialized = true;
+                        applyRead(read);
+                        storeMissing();
                     }
-                    initialized = true;
-                    applyRead(read);
-                    storeMissing();
                 })
                 .onFailure(failure -> timers.after(RETRY_MILLIS, () -> {
                     if (!initialized) {
