--- a/cranberrygauge-protocol/src/main/thrift/proxy.thrift
+++ b/cranberrygauge-protocol/src/main/thrift/proxy.thrift
@@ -186,8 +186,9 @@
   1: required i64 era
 }
 
-// The final figures of a window, decided before they are reported.
+// The final figures of a window, decided before they are reported, and the era of the log in which that was stored.
 struct UsageDecided {
   1: required i64 window
   2: required map<string, i64> byCustomer
+  3: optional i64 era
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -280,7 +280,12 @@
                 new ControllerContext(vertx, usageTime, dependencies.log(), blackboard, events);
         usageWriter = new UsageCountWriter(usageContext, network, usage, incarnation);
         usageWriter.start();
-        new UsageReportController(usageContext, election, dependencies.controlPlane(), times.usageWindowMillis())
+        new UsageReportController(
+                        usageContext,
+                        election,
+                        dependencies.controlPlane(),
+                        times.usageWindowMillis(),
+                        settings.firstStart())
                 .start();
         new FleetController(context, election, dependencies.controlPlane(), ownWork).start();
         permitExchange =
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageReportController.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageReportController.java
@@ -9,6 +9,7 @@
 import org.cranberrygauge.protocol.generated.UsageDecided;
 import org.cranberrygauge.proxy.leader.ControlPlaneClient;
 import org.cranberrygauge.proxy.leader.ControlPlaneClient.ControlPlaneOutcome;
+import org.cranberrygauge.proxy.leader.LostDecisions;
 import org.cranberrygauge.proxy.leader.UsageLedger;
 import org.cranberrygauge.proxy.store.SharedLog.LogSlice;
 import org.cranberrygauge.proxy.store.SharedLogException;
@@ -51,8 +52,8 @@
     /** The windows whose decided figures the log holds. */
     private final TreeSet<Long> logged = new TreeSet<>();
 
-    /** The wall-clock time at which the log last came back from an older copy, in milliseconds since the epoch. */
-    private long rollbackWallMillis = Long.MIN_VALUE;
+    /** Tells of which windows the log may have lost the figures. */
+    private final LostDecisions lost;
 
     /** The offset of the next record with counts. */
     private long nextCounted;
@@ -63,12 +64,18 @@
     /** Whether a report is in progress. */
     private boolean busy;
 
+    /** @param firstStart Whether the whole system starts for the first time. */
     public UsageReportController(
-            ControllerContext context, LeaderElection election, ControlPlaneClient controlPlane, long windowMillis) {
+            ControllerContext context,
+            LeaderElection election,
+            ControlPlaneClient controlPlane,
+            long windowMillis,
+            boolean firstStart) {
         this.context = context;
         this.election = election;
         this.controlPlane = controlPlane;
         this.windowMillis = windowMillis;
+        this.lost = new LostDecisions(firstStart, windowMillis, SETTLING_MILLIS);
     }
 
     public void start() {
@@ -100,12 +107,7 @@
         nextCounted = 0;
         nextDecided = 0;
         logged.clear();
-        rollbackWallMillis = context.time().wallMillis();
-    }
-
-    /** Tells whether a window was due before the log came back from a copy, so that a lost record may have decided it. */
-    private boolean mayHaveBeenReported(long window) {
-        return (window + 1) * windowMillis + SETTLING_MILLIS <= rollbackWallMillis;
+        lost.recordRollback(context.time().wallMillis());
     }
 
     private boolean hasEarlierUnreported(long newest) {
@@ -132,7 +134,7 @@
         if (decided != null) {
             return report(window, decided);
         }
-        if (mayHaveBeenReported(window)) {
+        if (lost.mayHaveBeenReported(window)) {
             reported.add(window);
             context.events().emit(new ControlEvents.UsageWindowGivenUp(window));
             return Future.succeededFuture();
@@ -157,7 +159,7 @@
 
     /** Writes decided figures if the log has not grown since it was read. */
     private Future<Void> writeDecided(long window, Map<String, Long> figures) {
-        byte[] record = MessageCodec.write(new UsageDecided(window, figures));
+        byte[] record = MessageCodec.write(new UsageDecided(window, figures).setEra(era()));
         return context.log()
                 .append(DECIDED_TOPIC, record, OptionalLong.of(nextDecided))
                 .map(offset -> {
@@ -202,6 +204,7 @@
                 applyDecided(record);
             }
             nextDecided = slice.next();
+            lost.recordRead(context.time().wallMillis(), slice.end() == 0);
             return null;
         });
     }
@@ -230,11 +233,18 @@
             UsageDecided decided = MessageCodec.read(record, new UsageDecided());
             ledger.recordDecided(decided.getWindow(), decided.getByCustomer());
             logged.add(decided.getWindow());
+            if (decided.isSetEra() && decided.getEra() == era()) {
+                lost.recordStored(decided.getWindow());
+            }
         } catch (TException exception) {
             context.events().emit(new ControlEvents.RecordUnreadable(DECIDED_TOPIC, "", exception.getMessage()));
         }
     }
 
+    private long era() {
+        return context.log().era().newest();
+    }
+
     /** Logs a failure; the next tick tries again. */
     private void logFailure(Throwable failure) {
         context.events().emit(new ControlEvents.DependencyLost("usage report", String.valueOf(failure.getMessage())));
--- /dev/null
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/leader/LostDecisions.java
@@ -0,0 +1,80 @@
+package org.cranberrygauge.proxy.leader;
+
+/**
+ * Tells which usage windows may have been reported with figures that the shared log has lost by coming back from an older
+ * copy.
+ *
+ * <p>A process that has seen the log come back knows when that was. One that has not knows only that it was before its
+ * first read, unless the log holds figures that were stored since, in the era that it is in now. Not thread-safe.
+ */
+public final class LostDecisions {
+
+    private final long windowMillis;
+
+    /** The time after the end of a window at which its figures are decided, in milliseconds. */
+    private final long settlingMillis;
+
+    /** The wall-clock time up to which a lost record may have decided windows, in milliseconds since the epoch. */
+    private long lostBeforeMillis = Long.MIN_VALUE;
+
+    /** Whether the system may have started for the first time. */
+    private final boolean firstStart;
+
+    /** Whether it is known when the log last came back, or that it never did. */
+    private boolean known;
+
+    /** The newest window whose figures were stored in the current era. */
+    private long newestOfEra = Long.MIN_VALUE;
+
+    /**
+     * @param firstStart Whether the whole system starts for the first time; that counts only if the log holds nothing.
+     * @param windowMillis The length of a window in milliseconds.
+     * @param settlingMillis The time after the end of a window at which its figures are decided, in milliseconds.
+     */
+    public LostDecisions(boolean firstStart, long windowMillis, long settlingMillis) {
+        this.firstStart = firstStart;
+        this.windowMillis = windowMillis;
+        this.settlingMillis = settlingMillis;
+    }
+
+    /**
+     * Records that the log has come back.
+     *
+     * @param wallMillis The time in milliseconds since the epoch.
+     */
+    public void recordRollback(long wallMillis) {
+        known = true;
+        lostBeforeMillis = wallMillis;
+        newestOfEra = Long.MIN_VALUE;
+    }
+
+    /** Records that the log holds figures that were stored in the current era. */
+    public void recordStored(long window) {
+        newestOfEra = Math.max(newestOfEra, window);
+    }
+
+    /**
+     * Records that all figures in the log have been read.
+     *
+     * @param wallMillis The time in milliseconds since the epoch at which the read ended.
+     * @param empty Whether the log holds none.
+     */
+    public void recordRead(long wallMillis, boolean empty) {
+        if (known) {
+            return;
+        }
+        known = true;
+        if (!firstStart || !empty) {
+            lostBeforeMillis = newestOfEra == Long.MIN_VALUE ? wallMillis : dueMillis(newestOfEra);
+        }
+    }
+
+    /** Tells whether a window may have been reported though the log holds no figures of it. */
+    public boolean mayHaveBeenReported(long window) {
+        return dueMillis(window) <= lostBeforeMillis;
+    }
+
+    private long dueMillis(long window) {
+        return (window + 1) * windowMillis + settlingMillis;
+    }
+}
