--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -6,11 +6,9 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Consumer;
 import org.cranberrygauge.decision.backend.BackendLimits;
 import org.cranberrygauge.decision.backend.BackendStatements;
 import org.cranberrygauge.decision.backend.ColdServers;
@@ -61,7 +59,6 @@
 import org.cranberrygauge.proxy.routing.PeerLoads.Work;
 import org.cranberrygauge.proxy.routing.PlacementExchange;
 import org.cranberrygauge.proxy.stream.StreamDirectory;
-import org.cranberrygauge.proxy.stream.StreamOrigin;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.lifecycle.Program;
 import org.cranberrygauge.runtime.time.TimeSource;
@@ -355,6 +352,8 @@
         ServerCapacity capacity = new ServerCapacity();
         HostMetrics hostMetrics = new HostMetrics(registry);
         SpeedReporter speeds = new SpeedReporter(capacity, blackboard, hostMetrics, events);
+        EventLoopStreams eventLoopStreams =
+                new EventLoopStreams(controlContext, requestContext, () -> streams, () -> origins);
         ExchangeContext context = new ExchangeContext(
                 vertx,
                 time,
@@ -370,8 +369,8 @@
                 statements,
                 new BackendGate(limits, permits, this::requestPermit),
                 placements,
-                new EventLoopStreamDirectory(),
-                this::findOnlyOrigin,
+                eventLoopStreams,
+                eventLoopStreams,
                 customerUse,
                 queues,
                 new PoolRetryBudgets(
@@ -426,25 +425,4 @@
     private long maximumKeyAgeMillis() {
         return settings.times().keyWithdrawalMillis() - KEY_BOUND_MARGIN_MILLIS;
     }
-
-    /** Looks up an origin on the event loop of the controllers, and returns it on that of requests. */
-    private void findOnlyOrigin(String pool, Consumer<Optional<StreamOrigin>> found) {
-        controlContext.runOnContext(
-                run -> origins.findOnly(pool, only -> requestContext.runOnContext(next -> found.accept(only))));
-    }
-
-    /** Calls the directory of streams on the event loop of the controllers, and returns results on that of requests. */
-    private final class EventLoopStreamDirectory implements StreamDirectory {
-
-        @Override
-        public void record(String requestId, StreamOrigin origin) {
-            controlContext.runOnContext(run -> streams.record(requestId, origin));
-        }
-
-        @Override
-        public void find(String requestId, Consumer<Optional<StreamOrigin>> found) {
-            controlContext.runOnContext(run ->
-                    streams.find(requestId, origin -> requestContext.runOnContext(next -> found.accept(origin))));
-        }
-    }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
@@ -14,7 +14,6 @@
 import org.cranberrygauge.decision.hostload.OtherHosts;
 import org.cranberrygauge.decision.topology.RendezvousHash;
 import org.cranberrygauge.model.backend.NetworkAddress;
-import org.cranberrygauge.protocol.generated.BackendWork;
 import org.cranberrygauge.protocol.generated.HostReport;
 import org.cranberrygauge.proxy.exchange.ForwardingTarget;
 import org.cranberrygauge.proxy.routing.PeerLoads;
@@ -40,11 +39,6 @@
     /** The maximum age of the last report of a host that is queried for reads or permits. */
     private static final long HEARD_MILLIS = 1_000;
 
-    /** The maximum number of speed ratios that are read of one report. */
-    private static final int MAXIMUM_SPEEDS = 64;
-
-    private static final double PERCENT = 100;
-
     private final String host;
 
     private final String dataCentre;
@@ -114,23 +108,19 @@
         if (report.isSetConfigurationVersion()) {
             configurationVersion = Math.max(configurationVersion, report.getConfigurationVersion());
         }
-        Map<String, Work> work = new HashMap<>();
-        report.getWork().forEach((incarnation, entry) -> work.put(incarnation, work(entry)));
         peers.put(
                 report.getHost(),
                 new Peer(
                         address,
                         report.getStartedAtMillis(),
                         report.getSequence(),
-                        work,
-                        prefill(report),
+                        LoadReports.work(report),
+                        LoadReports.prefill(report),
                         speeds(report, Optional.ofNullable(current)),
                         report.getDataCentre(),
                         report.isReadsLog(),
                         report.isReachesBackends(),
-                        report.isSetLoopDelayMillis()
-                                ? OptionalInt.of(report.getLoopDelayMillis())
-                                : OptionalInt.empty(),
+                        LoadReports.loopDelay(report),
                         nowMillis,
                         nowMillis));
         if (current == null) {
@@ -328,43 +318,12 @@
         return report.getSequence() <= current.sequence();
     }
 
-    /** Returns the prefill work in a report; none if its host does not report it. */
-    private static Map<String, PrefillTokens> prefill(HostReport report) {
-        Map<String, PrefillTokens> prefill = new HashMap<>();
-        if (report.isSetPrefill()) {
-            report.getPrefill()
-                    .forEach((pool, work) -> prefill.put(
-                            pool,
-                            new PrefillTokens(Math.max(0, work.getShortTokens()), Math.max(0, work.getLongTokens()))));
-        }
-        return prefill;
-    }
-
-    private static Work work(BackendWork entry) {
-        return new Work(
-                Math.max(0, entry.getRunning()),
-                Math.max(0, entry.getUnreadTokens()),
-                Math.max(0, entry.getHeldTokens()),
-                Math.max(0, entry.getShortRunning()));
-    }
-
-    /**
-     * Returns the speed ratios that a host reported last, without values that no host computes; not every report holds them.
-     *
-     * @param before What is known of the host, if anything.
-     */
+    /** Returns the speed ratios that a host has reported last in its current incarnation. */
     private static Map<String, Double> speeds(HostReport report, Optional<Peer> before) {
-        if (!report.isSetServerSpeedPercent()) {
-            return before.filter(peer -> peer.startedAtMillis() == report.getStartedAtMillis())
-                    .map(Peer::speeds)
-                    .orElse(Map.of());
-        }
-        Map<String, Double> speeds = new HashMap<>();
-        report.getServerSpeedPercent().entrySet().stream()
-                .filter(entry -> entry.getValue() > 0)
-                .limit(MAXIMUM_SPEEDS)
-                .forEach(entry -> speeds.put(entry.getKey(), entry.getValue() / PERCENT));
-        return speeds;
+        return LoadReports.speeds(report)
+                .or(() -> before.filter(peer -> peer.startedAtMillis() == report.getStartedAtMillis())
+                        .map(Peer::speeds))
+                .orElse(Map.of());
     }
 
     /**
