The first process of a host uses its whole part of the retry budget at once

Cause: every young process presumed that one before it had spent its part. Change: a host reads the addresses of hosts before it writes its own, one call more at its start; if its own is not among them, no process ran there before. The setting for the first start of the system is not trusted for this, since it may stand over restarts.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -415,7 +415,7 @@
                 view.configuration().map(known -> known.version()).orElse(-1L),
                 view.loggedAgeMillis(time.monotonicMillis()),
                 blackboard.backends().all().size(),
-                blackboard.sharingHosts(),
+                blackboard.budgetShare().hosts(),
                 ready());
         metrics.recordMemory(memory.reservedBytes());
         metrics.recordRestrictions(blackboard.evacuated().size(), cold.count(time.monotonicMillis()));
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicReference;
@@ -22,11 +23,13 @@
 import org.cranberrygauge.proxy.ProxySettings;
 import org.cranberrygauge.proxy.backend.BackendEvents;
 import org.cranberrygauge.proxy.backend.BackendReachability;
+import org.cranberrygauge.proxy.retry.BudgetShare;
 import org.cranberrygauge.proxy.routing.PeerLoads.Work;
 import org.cranberrygauge.proxy.routing.PlacedPart;
 import org.cranberrygauge.proxy.routing.PlacementExchange;
 import org.cranberrygauge.proxy.routing.PromptPart;
 import org.cranberrygauge.proxy.store.AddressValidation;
+import org.cranberrygauge.proxy.store.SharedLog.KeyedValues;
 import org.cranberrygauge.proxy.store.StoreEra;
 import org.cranberrygauge.proxy.store.UnreadableRecordException;
 
@@ -79,6 +82,9 @@
 
     private final DependencyMonitor monitor;
 
+    /** Whether no process ran on this host before; empty until the addresses have been read. */
+    private Optional<Boolean> firstProcess = Optional.empty();
+
     /** The sequence number of the last report. */
     private long sequence;
 
@@ -121,20 +127,20 @@
         });
     }
 
-    /** Writes this host's address and reads those of the others. */
+    /** Writes this host's address and reads those of the others, at first also the one that it replaces. */
     private void publishAddress() {
+        Future<KeyedValues> before = firstProcess.isPresent()
+                ? Future.succeededFuture()
+                : context.log().newest(network.topic()).onSuccess(this::readOwnAddress);
         byte[] value = MessageCodec.write(
                 new HostAddress(settings.peers().host(), settings.peers().port(), startedAtMillis));
-        context.log()
-                .put(network.topic(), settings.host(), value)
+        before.compose(read -> context.log().put(network.topic(), settings.host(), value))
                 .compose(offset -> context.log().newest(network.topic()))
                 .onSuccess(newest -> {
                     monitor.recordSuccess(context.time().monotonicMillis());
                     newest.values().forEach(this::addHost);
                     network.peers().recordListRead();
-                    context.blackboard()
-                            .publishSharingHosts(
-                                    network.peers().sharingHosts(context.time().monotonicMillis()));
+                    publishBudgetShare(context.time().monotonicMillis());
                 })
                 .onFailure(failure -> {
                     monitor.recordFailure(context.time().monotonicMillis(), String.valueOf(failure.getMessage()));
@@ -142,6 +148,15 @@
                 });
     }
 
+    /** Finds out whether a process ran on this host before, which has written its address. */
+    private void readOwnAddress(KeyedValues addresses) {
+        firstProcess = Optional.of(!addresses.values().containsKey(settings.host()));
+    }
+
+    private void publishBudgetShare(long now) {
+        context.blackboard().publish(new BudgetShare(network.peers().sharingHosts(now), firstProcess.orElse(false)));
+    }
+
     /** Writes the address again after the log has come back from an older copy, unless any copy must hold it. */
     private void publishAddressAgain() {
         if (context.time().wallMillis() - startedAtMillis < REWRITTEN_MILLIS) {
@@ -170,7 +185,7 @@
         network.channel()
                 .send(HostMessage.report(buildReport(now)), network.peers().addresses(now));
         context.blackboard().publish(network.peers().loads(now));
-        context.blackboard().publishSharingHosts(network.peers().sharingHosts(now));
+        publishBudgetShare(now);
         context.blackboard().publish(network.peers().otherHosts(now));
         context.blackboard().publishForwardingTargets(network.peers().forwardingTargets(now));
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
@@ -173,7 +173,7 @@
         return context.budgets()
                 .of(pool.name())
                 .tryAcquire(
-                        context.time().monotonicMillis(), context.blackboard().sharingHosts());
+                        context.time().monotonicMillis(), context.blackboard().budgetShare());
     }
 
     private void readBuffered(HttpClientResponse hostResponse) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
@@ -12,6 +12,7 @@
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.backend.BackendSnapshot;
 import org.cranberrygauge.proxy.configuration.ConfigurationView;
+import org.cranberrygauge.proxy.retry.BudgetShare;
 import org.cranberrygauge.proxy.routing.PeerLoads;
 import org.cranberrygauge.proxy.stream.StreamOrigin;
 
@@ -34,8 +35,8 @@
     /** The load caused by the other hosts. */
     private final AtomicReference<PeerLoads> peers = new AtomicReference<>(PeerLoads.NO_PEERS);
 
-    /** The number of hosts that share retry budgets; 0 while it is not known. */
-    private final AtomicInteger sharingHosts = new AtomicInteger();
+    /** What this host knows of its part of the retry budgets. */
+    private final AtomicReference<BudgetShare> budgetShare = new AtomicReference<>(BudgetShare.UNKNOWN);
 
     /** The other hosts that reach backend servers. */
     private final AtomicReference<List<ForwardingTarget>> forwardingTargets = new AtomicReference<>(List.of());
@@ -111,13 +112,13 @@
         peers.set(loads);
     }
 
-    /** Returns the number of hosts that share retry budgets, including this one; 0 while it is not known. */
-    public int sharingHosts() {
-        return sharingHosts.get();
+    /** Returns what this host knows of its part of the retry budgets. */
+    public BudgetShare budgetShare() {
+        return budgetShare.get();
     }
 
-    public void publishSharingHosts(int hosts) {
-        sharingHosts.set(hosts);
+    public void publish(BudgetShare share) {
+        budgetShare.set(share);
     }
 
     /** Returns the other hosts that reach backend servers. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/RetryGate.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/RetryGate.java
@@ -44,7 +44,7 @@
         }
         return context.budgets()
                 .of(selection.pool().name())
-                .tryAcquire(nowMillis, context.blackboard().sharingHosts());
+                .tryAcquire(nowMillis, context.blackboard().budgetShare());
     }
 
     /** Tells whether this host is isolated from all backend servers, and another one may serve the request. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/retry/WindowedRetryBudget.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/retry/WindowedRetryBudget.java
@@ -6,8 +6,8 @@
  * <p>The shared budget allows, in any window, a ratio of the requests of that window plus a fixed allowance. A host may
  * use the ratio of its own requests and an equal part of the allowance. Time is divided into slots, and a window is
  * rounded up by one slot, so that no sliding window exceeds the bound. A new process does not know what the one before it on
- * this host has spent in the same window, and presumes all that it may have; it uses a part of what is reserved. Not
- * thread-safe.
+ * this host has spent in the same window, and presumes all that it may have; it uses a part of what is reserved, unless it is
+ * the first one. Not thread-safe.
  */
 public final class WindowedRetryBudget {
 
@@ -66,12 +66,11 @@
      * Takes one retry from the budget if it allows one.
      *
      * @param nowMillis The current monotonic time in milliseconds.
-     * @param hosts The number of hosts that share the budget; 0 if it is not known, so that there is no allowance.
+     * @param share What this host knows of its part.
      */
-    public boolean tryAcquire(long nowMillis, int hosts) {
+    public boolean tryAcquire(long nowMillis, BudgetShare share) {
         int slot = advance(nowMillis);
-        double ownAllowance = hosts == 0 ? 0 : allowance / hosts;
-        if (total(retries) + 1 > allowed(ownAllowance)) {
+        if (total(retries) + 1 > allowed(share)) {
             return false;
         }
         retries[slot]++;
@@ -79,10 +78,11 @@
     }
 
     /** Returns the retries that are allowed in the retained slots; the allowance of a new process grows with its age. */
-    private double allowed(double ownAllowance) {
+    private double allowed(BudgetShare share) {
         long age = newestSlot - firstSlot;
         double earned = ratio * total(requests);
-        return age >= RETAINED_SLOTS
+        double ownAllowance = share.of(allowance);
+        return share.firstProcess() || age >= RETAINED_SLOTS
                 ? USABLE_FRACTION * (earned + ownAllowance)
                 : NEW_PROCESS_FRACTION * (earned + ownAllowance * age / SLOTS_PER_WINDOW);
     }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/retry/WindowedRetryBudgetTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/retry/WindowedRetryBudgetTest.java
@@ -17,6 +17,10 @@
 
     private static final int HOSTS = 4;
 
+    private static final BudgetShare SHARE = new BudgetShare(HOSTS, false);
+
+    private static final BudgetShare ALONE = new BudgetShare(1, false);
+
     private final Random random = new Random(11);
 
     private final List<Long> requests = new ArrayList<>();
@@ -69,39 +73,50 @@
     void aHostThatDoesNotKnowHowManyShareTheBudgetEarnsNoPartOfTheAllowance() {
         WindowedRetryBudget budget = new WindowedRetryBudget(0, WINDOW_MILLIS, RATIO, ALLOWANCE);
         for (long now = 0; now < 60_000; now += 500) {
-            assertThat(budget.tryAcquire(now, 0)).isFalse();
+            assertThat(budget.tryAcquire(now, BudgetShare.UNKNOWN)).isFalse();
         }
-        assertThat(budget.tryAcquire(70_000, 1)).isTrue();
+        assertThat(budget.tryAcquire(70_000, ALONE)).isTrue();
     }
 
     @Test
     void allowsNothingWithoutRequestsAndAllowance() {
         WindowedRetryBudget budget = new WindowedRetryBudget(0, WINDOW_MILLIS, RATIO, 0);
-        assertThat(budget.tryAcquire(1_000, 1)).isFalse();
+        assertThat(budget.tryAcquire(1_000, ALONE)).isFalse();
     }
 
     @Test
     void aNewProcessSpendsATenthUntilItIsOlderThanAWindow() {
         WindowedRetryBudget budget = new WindowedRetryBudget(50_000, WINDOW_MILLIS, 0, ALLOWANCE);
-        assertThat(budget.tryAcquire(50_000, 1)).isFalse();
+        assertThat(budget.tryAcquire(50_000, ALONE)).isFalse();
         int spent = 0;
         for (long now = 50_000; now < 61_000; now += 50) {
-            spent += budget.tryAcquire(now, 1) ? 1 : 0;
+            spent += budget.tryAcquire(now, ALONE) ? 1 : 0;
         }
         assertThat(spent).isEqualTo(5);
-        assertThat(budget.tryAcquire(61_000, 1)).isTrue();
+        assertThat(budget.tryAcquire(61_000, ALONE)).isTrue();
+    }
+
+    /** Guards against requests that fail at a host that never ran before, though nothing was spent there. */
+    @Test
+    void theFirstProcessOfAHostSpendsItsWholePart() {
+        WindowedRetryBudget budget = new WindowedRetryBudget(50_000, WINDOW_MILLIS, 0, 5);
+        int spent = 0;
+        while (budget.tryAcquire(50_000, new BudgetShare(1, true))) {
+            spent++;
+        }
+        assertThat(spent).isEqualTo(4);
     }
 
     @Test
     void retriesExpireAfterTheWindow() {
         WindowedRetryBudget budget = new WindowedRetryBudget(0, WINDOW_MILLIS, 0, 5);
         int first = 0;
-        while (budget.tryAcquire(50_000, 1)) {
+        while (budget.tryAcquire(50_000, ALONE)) {
             first++;
         }
         assertThat(first).isEqualTo(4);
-        assertThat(budget.tryAcquire(59_999, 1)).isFalse();
-        assertThat(budget.tryAcquire(61_000, 1)).isTrue();
+        assertThat(budget.tryAcquire(59_999, ALONE)).isFalse();
+        assertThat(budget.tryAcquire(61_000, ALONE)).isTrue();
     }
 
     private static List<WindowedRetryBudget> fleet(long startMillis) {
@@ -130,7 +145,7 @@
                 requests.add(now);
             }
             for (int wanted = 0; wanted < retriesPerStep; wanted++) {
-                if (budgets.get(random.nextInt(HOSTS)).tryAcquire(now, HOSTS)) {
+                if (budgets.get(random.nextInt(HOSTS)).tryAcquire(now, SHARE)) {
                     retries.add(now);
                 }
             }
