--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -242,6 +242,34 @@
                 .log()
                 .era()
                 .onChange((previous, current) -> events.emit(new ControlEvents.StoreEraChanged(previous, current)));
+        startFollowers(context, network);
+        election = new LeaderElection(context, network.relay(), incarnation, times.leaseMillis());
+        election.start();
+        startUsage(network, usage, incarnation);
+        new FleetController(context, election, dependencies.controlPlane(), ownWork).start();
+        permitExchange =
+                new PermitExchange(time, network.peers(), network.channel(), limits, permits, this::dispatchQueued);
+        streams = new StreamOriginExchange(time, this::runAfter, network.peers(), network.channel());
+        crashExchange =
+                new CrashExchange(time, network.peers(), network.channel(), crashingParts, events, new Random());
+        vertx.setPeriodic(CrashExchange.INTERVAL_MILLIS, fired -> crashExchange.update());
+        return new PeerReportExchange(
+                        context,
+                        settings,
+                        network,
+                        time.wallMillis(),
+                        placements,
+                        statements,
+                        permitExchange,
+                        reachability,
+                        customerUse,
+                        ownWork)
+                .start();
+    }
+
+    /** Starts to follow the configuration and the list of backend servers, and to store the versions of the latter. */
+    private void startFollowers(ControllerContext context, HostNetwork network) {
+        ProxySettings.Times times = settings.times();
         new ConfigurationFollower(
                         context,
                         network.relay(),
@@ -252,10 +280,9 @@
                         new EvacuationFollower(context, dependencies.evacuationKeyPrefix(), cold),
                         times.configurationMillis())
                 .start();
-        StreamOriginExchange.Timers timers = (millis, action) -> vertx.setTimer(millis, fired -> action.run());
         origins = new OriginRecorder(
                 context,
-                timers,
+                this::runAfter,
                 dependencies.originTopic(),
                 settings.host(),
                 settings.firstStart(),
@@ -271,38 +298,24 @@
                         origins::observe,
                         times.leavingMillis())
                 .start();
-        election = new LeaderElection(context, network.relay(), incarnation, times.leaseMillis());
-        election.start();
-        ControllerContext usageContext =
-                new ControllerContext(vertx, usageTime, dependencies.log(), blackboard, events);
-        usageWriter = new UsageCountWriter(usageContext, network, usage, incarnation);
+    }
+
+    /** Starts to write and report usage, by clocks that ignore short jumps. */
+    private void startUsage(HostNetwork network, UsageCounter usage, String incarnation) {
+        ControllerContext context = new ControllerContext(vertx, usageTime, dependencies.log(), blackboard, events);
+        usageWriter = new UsageCountWriter(context, network, usage, incarnation);
         usageWriter.start();
         new UsageReportController(
-                        usageContext,
+                        context,
                         election,
                         dependencies.controlPlane(),
-                        times.usageWindowMillis(),
+                        settings.times().usageWindowMillis(),
                         settings.firstStart())
                 .start();
-        new FleetController(context, election, dependencies.controlPlane(), ownWork).start();
-        permitExchange =
-                new PermitExchange(time, network.peers(), network.channel(), limits, permits, this::dispatchQueued);
-        streams = new StreamOriginExchange(time, timers, network.peers(), network.channel());
-        crashExchange =
-                new CrashExchange(time, network.peers(), network.channel(), crashingParts, events, new Random());
-        vertx.setPeriodic(CrashExchange.INTERVAL_MILLIS, fired -> crashExchange.update());
-        return new PeerReportExchange(
-                        context,
-                        settings,
-                        network,
-                        time.wallMillis(),
-                        placements,
-                        statements,
-                        permitExchange,
-                        reachability,
-                        customerUse,
-                        ownWork)
-                .start();
+    }
+
+    private void runAfter(long millis, Runnable action) {
+        vertx.setTimer(millis, fired -> action.run());
     }
 
     /** Returns the requests per second that a cold server of a pool takes; 0 if it takes any rate or is unknown. */
