Parts that crash backend servers stay blocked after the loss of all hosts (BUDGET)

Cause: blame lives in the memory of the hosts: state that a new process does not have, taken for none.

Change: the crashes of blocked parts are stored when the set of these parts changes (CrashRecorder), by the hosts that read the log for others; a host that starts reads them, one call more.

--- a/cranberrygauge-protocol/src/main/thrift/proxy.thrift
+++ b/cranberrygauge-protocol/src/main/thrift/proxy.thrift
@@ -151,6 +151,13 @@
   3: required bool asks
 }
 
+// The crashes for which parts of prompts were blocked, as stored in the shared log, and the time in milliseconds since the
+// epoch to which their ages refer.
+struct CrashesStored {
+  1: required i64 storedAtMillis
+  2: required CrashReport report
+}
+
 // The content of a datagram from one host to another.
 union HostMessage {
   1: HostReport report
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -27,6 +27,7 @@
 import org.cranberrygauge.proxy.control.ControlEvents;
 import org.cranberrygauge.proxy.control.ControllerContext;
 import org.cranberrygauge.proxy.control.CrashExchange;
+import org.cranberrygauge.proxy.control.CrashRecorder;
 import org.cranberrygauge.proxy.control.EvacuationFollower;
 import org.cranberrygauge.proxy.control.FleetController;
 import org.cranberrygauge.proxy.control.HostNetwork;
@@ -253,6 +254,9 @@
         crashExchange =
                 new CrashExchange(time, network.peers(), network.channel(), crashingParts, events, new Random());
         vertx.setPeriodic(CrashExchange.INTERVAL_MILLIS, fired -> crashExchange.update());
+        new CrashRecorder(
+                        context, this::runAfter, dependencies.crashTopic(), crashExchange, network.relay()::readsAlone)
+                .start();
         return new PeerReportExchange(
                         context,
                         settings,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxyDependencies.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxyDependencies.java
@@ -16,6 +16,7 @@
  * @param hostTopic The topic in which hosts publish their addresses.
  * @param backendTopic The topic in which backend servers register.
  * @param originTopic The topic in which hosts store at which versions of backend servers streams may have begun.
+ * @param crashTopic The topic in which hosts store the crashes for which parts of prompts are blocked.
  * @param controlPlane The control-plane calls of the leader.
  */
 public record ProxyDependencies(
@@ -28,5 +29,6 @@
         String backendTopic,
         RecordReader<Backend> backends,
         String originTopic,
+        String crashTopic,
         ControlPlaneClient controlPlane,
         HeaderCodec codec) {}
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/CrashExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/CrashExchange.java
@@ -59,6 +59,9 @@
 
     private Set<Long> blocked = Set.of();
 
+    /** Called when parts are blocked or released. */
+    private Runnable blockedChange = () -> {};
+
     /** Whether no host has answered since this one asked. */
     private boolean asking = true;
 
@@ -87,6 +90,26 @@
         transport.onMessage(HostMessage._Fields.CRASHES, (message, sender) -> receive(message.getCrashes(), sender));
     }
 
+    /** Sets what is called when parts are blocked or released. */
+    void onBlockedChange(Runnable action) {
+        blockedChange = action;
+    }
+
+    /** Returns the crashes from which a host that knows none comes to block the same parts. */
+    CrashReport blockedReport() {
+        return new CrashReport(write(time.monotonicMillis(), crashingParts.crashesOfBlockedParts()), List.of(), false);
+    }
+
+    /**
+     * Records crashes that an earlier process has stored.
+     *
+     * @param ageMillis The time since they were stored, in milliseconds.
+     */
+    void receiveStored(CrashReport report, long ageMillis) {
+        long storedMillis = time.monotonicMillis() - Math.max(0, ageMillis);
+        report.getCrashes().forEach(seen -> crashingParts.recordCrash(CrashReports.read(storedMillis, seen)));
+    }
+
     /** Asks a host that was found, until one has answered. */
     private void ask(NetworkAddress host) {
         if (asking && asked < REPEATED_HOSTS) {
@@ -137,14 +160,16 @@
         if (withBlocked) {
             crashes.addAll(crashingParts.crashesOfBlockedParts());
         }
-        List<CrashSeen> seen =
-                crashes.stream().map(crash -> CrashReports.write(now, crash)).toList();
         return new CrashReport(
-                seen,
+                write(now, crashes),
                 CrashReports.writeCompletions(now, crashingParts.recentCompletions(now, REPEATED_COMPLETION_MILLIS)),
                 false);
     }
 
+    private static List<CrashSeen> write(long now, List<BackendCrash> crashes) {
+        return crashes.stream().map(crash -> CrashReports.write(now, crash)).toList();
+    }
+
     private Collection<NetworkAddress> someHosts(long now) {
         List<NetworkAddress> addresses = new ArrayList<>(peers.addresses(now));
         Collections.shuffle(addresses, random);
@@ -160,5 +185,8 @@
         removed.removeAll(current);
         removed.forEach(part -> events.emit(new ControlEvents.PromptPartReleased(Long.toHexString(part))));
         blocked = current;
+        if (!added.isEmpty() || !removed.isEmpty()) {
+            blockedChange.run();
+        }
     }
 }
