Responses that end only with their connection are logged

Whether a host passes on an end that it can't know was not to be seen in its log: unframed_response_ended names the request, the server, the status, the last event and the size.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -174,6 +174,9 @@
     @Override
     public void onStreamEnd(int status, MultiMap headers, boolean framed) {
         beginStream(status, headers);
+        if (!framed) {
+            recorder.recordUnframedStream(attempt.backend(), status, lastEventId);
+        }
         record.recordStreamEnd(now(), framed);
         response.endStream();
         finish("served", status);
@@ -181,7 +184,7 @@
 
     @Override
     public void onResponse(BufferedResponse buffered) {
-        recorder.recordStart();
+        recorder.recordResponse(attempt.backend(), buffered);
         if (buffered.isServerError()) {
             serverError = Optional.of(buffered);
             onFailure(AttemptOutcome.SERVER_ERROR, "status " + buffered.status());
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeEvents.java
@@ -67,6 +67,19 @@
             String parts)
             implements Event {}
 
+    /**
+     * A response has ended that had neither a length nor chunks, so that nothing but the end of its connection shows that it
+     * is complete.
+     *
+     * @param request The identifier of the request.
+     * @param backend The identifier of the backend server.
+     * @param status The HTTP status of the response.
+     * @param afterEvent The identifier of the last event of a stream; a dash if there is none.
+     * @param bytes The size of the body in bytes; -1 for a stream.
+     */
+    public record UnframedResponseEnded(String request, String backend, int status, String afterEvent, int bytes)
+            implements Event {}
+
     /**
      * A stream is resumed at a backend server.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeRecorder.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeRecorder.java
@@ -6,6 +6,7 @@
 import org.cranberrygauge.decision.backend.BackendStatement;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.backend.BackendEvents;
+import org.cranberrygauge.proxy.exchange.BackendAttempt.BufferedResponse;
 import org.cranberrygauge.proxy.retry.AttemptHistory;
 import org.cranberrygauge.proxy.retry.AttemptOutcome;
 import org.cranberrygauge.proxy.retry.NextStep;
@@ -135,6 +136,24 @@
                         backend.version()));
     }
 
+    /** Records that a stream has ended of which only the end of the connection shows that it is complete. */
+    void recordUnframedStream(Backend backend, int status, Optional<String> lastEventId) {
+        recordUnframed(backend, status, lastEventId.orElse(ABSENT), -1);
+    }
+
+    /** Records a response that is no stream. */
+    void recordResponse(Backend backend, BufferedResponse response) {
+        recordStart();
+        if (!response.isFramed()) {
+            recordUnframed(backend, response.status(), ABSENT, response.body().length());
+        }
+    }
+
+    private void recordUnframed(Backend backend, int status, String afterEvent, int bytes) {
+        context.events()
+                .emit(new ExchangeEvents.UnframedResponseEnded(request.id(), backend.id(), status, afterEvent, bytes));
+    }
+
     /** Records what a backend server states of itself in a response, and logs what is new. */
     void recordStatement(long nowMillis, Backend backend, BackendStatement statement) {
         for (BackendNotice notice : context.statements().observe(nowMillis, backend.incarnation(), statement)) {
