Events of a resumed stream have to follow those before (ORDER)

Cause: a host forwarded whatever complete events an attempt brought, and so vouched for an order that it never looked at.

EventSequence holds the order over all attempts of a response: numbers rise; the first event of an attempt that resumes the stream has a number that follows the last one, by no larger step than others of the response; text that is no event is none. An attempt that breaks this counts as broken before anything of it is forwarded, so that the next server goes on or the stream is cut. A stream whose last event has no number is not resumed, as nothing could show the order.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
@@ -5,12 +5,12 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpHeaders;
-import java.util.Optional;
 import org.cranberrygauge.decision.hostload.LateSend;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.exchange.HeaderCodec.BackendHeaders;
 import org.cranberrygauge.proxy.exchange.HeaderCodec.BackendResponseHeaders;
 import org.cranberrygauge.proxy.retry.AttemptOutcome;
+import org.cranberrygauge.proxy.stream.EventSequence;
 import org.cranberrygauge.proxy.stream.EventSplitter;
 
 /**
@@ -46,6 +46,9 @@
 
     private final EventSplitter splitter = new EventSplitter();
 
+    /** The events of this response so far, also those of earlier attempts. */
+    private final EventSequence sequence;
+
     /** Null until a connection is established. */
     private HttpClientRequest backendRequest;
 
@@ -57,24 +60,31 @@
 
     private boolean ended;
 
-    BackendAttempt(BackendClient client, HeaderCodec codec, ProxyRequest request, Backend backend, Listener listener) {
+    BackendAttempt(
+            BackendClient client,
+            HeaderCodec codec,
+            ProxyRequest request,
+            EventSequence sequence,
+            Backend backend,
+            Listener listener) {
         this.client = client;
         this.codec = codec;
         this.request = request;
+        this.sequence = sequence;
         this.backend = backend;
         this.listener = listener;
     }
 
     /**
-     * Opens a connection and sends the request.
+     * Opens a connection and sends the request, which resumes the stream after the last event of its sequence.
      *
      * @param nowMillis The current monotonic time in milliseconds.
-     * @param lastEventId The event after which a stream is to be resumed, if any.
      */
-    void start(long nowMillis, Optional<String> lastEventId) {
+    void start(long nowMillis) {
+        sequence.beginAttempt();
         long remainingMillis = request.deadlineMillis() - nowMillis;
         BackendHeaders proxyHeaders = new BackendHeaders(
-                request.id(), backend.id(), remainingMillis, request.customer(), request.urgency(), lastEventId);
+                request.id(), backend.id(), remainingMillis, request.customer(), request.urgency(), sequence.lastId());
         client.open(request, backend.address())
                 .onSuccess(opened -> send(opened, nowMillis, proxyHeaders))
                 .onFailure(failure -> fail(AttemptOutcome.NOT_CONNECTED, String.valueOf(failure.getMessage())));
@@ -204,10 +214,14 @@
             }
             Buffer events = splitter.append(bytes);
             reserve(splitter.partialBytes() - reservedBytes);
-            if (events.length() > 0) {
-                listener.onEvents(backendResponse.statusCode(), backendResponse.headers(), events, splitter.lastId());
+            int accepted = sequence.accept(events);
+            if (accepted > 0) {
+                listener.onEvents(
+                        backendResponse.statusCode(), backendResponse.headers(), events.getBuffer(0, accepted));
             }
-            if (splitter.isTooLong()) {
+            if (accepted < events.length()) {
+                failBroken("event does not follow " + sequence.lastId().orElse("-"));
+            } else if (splitter.isTooLong()) {
                 failBroken("event exceeds the limit");
             }
         });
@@ -278,12 +292,8 @@
         /** Called when the headers of a response to this request have arrived. */
         void onHeaders(BackendResponseHeaders headers);
 
-        /**
-         * Called when complete events of a stream have arrived.
-         *
-         * @param lastEventId The identifier of the last event that has one.
-         */
-        void onEvents(int status, MultiMap headers, Buffer events, Optional<String> lastEventId);
+        /** Called when complete events of a stream have arrived that follow those before. */
+        void onEvents(int status, MultiMap headers, Buffer events);
 
         /**
          * Called when a stream has ended completely.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -13,6 +13,7 @@
 import org.cranberrygauge.proxy.retry.NextStep;
 import org.cranberrygauge.proxy.retry.RetryPolicy;
 import org.cranberrygauge.proxy.routing.BackendChooser.Choice;
+import org.cranberrygauge.proxy.stream.EventSequence;
 
 /**
  * The lifecycle of one request, from admission to the final response.
@@ -50,8 +51,8 @@
     /** What the attempt in progress shows of its server; null before the first one. */
     private AttemptRecord record;
 
-    /** The identifier of the last event that was forwarded, or at first the one that the caller sent. */
-    private Optional<String> lastEventId;
+    /** The events that the caller has. */
+    private final EventSequence sequence;
 
     /** The last server error of a backend server. */
     private Optional<BufferedResponse> serverError = Optional.empty();
@@ -71,11 +72,11 @@
         this.response = response;
         this.selection = new BackendSelection(context, request);
         this.evidence = new CrashEvidence(context, request);
-        this.retryGate = new RetryGate(context, request, selection, evidence);
+        this.sequence = new EventSequence(request.callerHeaders().lastEventId());
+        this.retryGate = new RetryGate(context, request, selection, evidence, sequence);
         this.finalResponse = new FinalResponse(context, request, response, selection, this::finish);
         this.timers = new ExchangeTimers(context.vertx());
         this.recorder = new ExchangeRecorder(context, request);
-        this.lastEventId = request.callerHeaders().lastEventId();
     }
 
     /** Takes the request over, which ends at its deadline or when its caller disconnects, also before it has started. */
@@ -157,12 +158,11 @@
     }
 
     @Override
-    public void onEvents(int status, MultiMap headers, Buffer events, Optional<String> lastId) {
+    public void onEvents(int status, MultiMap headers, Buffer events) {
         if (ended) {
             return;
         }
         beginStream(status, headers);
-        lastEventId = lastId.or(() -> lastEventId);
         record.recordEvents(now());
         response.write(events);
         if (response.isFull()) {
@@ -175,7 +175,7 @@
     public void onStreamEnd(int status, MultiMap headers, boolean framed) {
         beginStream(status, headers);
         if (!framed) {
-            recorder.recordUnframedStream(attempt.backend(), status, lastEventId);
+            recorder.recordUnframedStream(attempt.backend(), status, sequence.lastId());
         }
         record.recordStreamEnd(now(), framed);
         response.endStream();
@@ -360,13 +360,13 @@
         Backend backend = choice.backend();
         recorder.recordChoice(choice);
         if (history.streaming() || request.resumesStream()) {
-            recorder.recordResumption(backend, lastEventId, history.streaming());
+            recorder.recordResumption(backend, sequence.lastId(), history.streaming());
         }
         selection.use(now, backend);
         record = new AttemptRecord(context, request, selection.pool(), backend, evidence, now);
-        attempt = new BackendAttempt(context.client(), context.codec(), request, backend, this);
+        attempt = new BackendAttempt(context.client(), context.codec(), request, sequence, backend, this);
         sent = false;
-        attempt.start(now, lastEventId);
+        attempt.start(now);
     }
 
     /** Records the first events, and writes the headers of the response unless that is done. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/RetryGate.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/RetryGate.java
@@ -4,6 +4,7 @@
 import org.cranberrygauge.proxy.retry.AttemptOutcome;
 import org.cranberrygauge.proxy.retry.NextStep;
 import org.cranberrygauge.proxy.retry.RetryPolicy;
+import org.cranberrygauge.proxy.stream.EventSequence;
 
 /** Tells whether a request may be sent again, here or by another host. Not thread-safe. */
 final class RetryGate {
@@ -16,11 +17,19 @@
 
     private final CrashEvidence evidence;
 
-    RetryGate(ExchangeContext context, ProxyRequest request, BackendSelection selection, CrashEvidence evidence) {
+    private final EventSequence sequence;
+
+    RetryGate(
+            ExchangeContext context,
+            ProxyRequest request,
+            BackendSelection selection,
+            CrashEvidence evidence,
+            EventSequence sequence) {
         this.context = context;
         this.request = request;
         this.selection = selection;
         this.evidence = evidence;
+        this.sequence = sequence;
     }
 
     /**
@@ -34,9 +43,9 @@
         return next == NextStep.TRY_ANOTHER && !retry ? RetryPolicy.withoutRetry(history, outcome) : next;
     }
 
-    /** Checks the blame for crashes and the retry budget for another attempt. */
+    /** Checks the blame for crashes, the last event and the retry budget for another attempt. */
     private boolean mayRetry(long nowMillis, AttemptOutcome outcome) {
-        if (evidence.isBlocked()) {
+        if (evidence.isBlocked() || !sequence.isResumable()) {
             return false;
         }
         if (outcome == AttemptOutcome.NOT_CONNECTED) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/stream/EventSplitter.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/stream/EventSplitter.java
@@ -1,8 +1,6 @@
 package org.cranberrygauge.proxy.stream;
 
 import io.vertx.core.buffer.Buffer;
-import java.nio.charset.StandardCharsets;
-import java.util.Optional;
 
 /**
  * Splits the bytes of an event stream at event boundaries.
@@ -12,9 +10,6 @@
  */
 public final class EventSplitter {
 
-    /** The prefix of the line with an event's identifier. */
-    private static final String ID_FIELD = "id:";
-
     /**
      * The maximum size of an event that arrives in several pieces. Events of language models have a few hundred bytes;
      * the limit bounds what a backend server that never ends an event can make the host retain.
@@ -24,8 +19,6 @@
     /** The bytes after the last complete event. */
     private Buffer partialEvent = Buffer.buffer();
 
-    private Optional<String> lastId = Optional.empty();
-
     private boolean tooLong;
 
     private long examinedBytes;
@@ -49,15 +42,9 @@
         Buffer completeEvents = joined.getBuffer(0, end);
         partialEvent = joined.getBuffer(end, joined.length());
         enforceLimit();
-        readLastId(completeEvents);
         return completeEvents;
     }
 
-    /** Returns the identifier of the last complete event that has one, or empty if there was none. */
-    public Optional<String> lastId() {
-        return lastId;
-    }
-
     /** Tells whether a part of an event is retained. */
     public boolean hasPartialEvent() {
         return partialEvent.length() > 0;
@@ -106,19 +93,4 @@
         }
         return 0;
     }
-
-    /** Updates the last identifier. */
-    private void readLastId(Buffer completeEvents) {
-        String text = completeEvents.toString(StandardCharsets.ISO_8859_1);
-        int start = text.startsWith(ID_FIELD) ? 0 : -1;
-        int lastLine = text.lastIndexOf("\n" + ID_FIELD);
-        if (lastLine >= 0) {
-            start = lastLine + 1;
-        }
-        if (start < 0) {
-            return;
-        }
-        int end = text.indexOf('\n', start);
-        lastId = Optional.of(text.substring(start + ID_FIELD.length(), end).trim());
-    }
 }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/stream/EventSplitterTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/stream/EventSplitterTest.java
@@ -13,10 +13,8 @@
     void returnsCompleteEventsOnly() {
         assertThat(splitter.append(Buffer.buffer("id: 1\ndata: a\n\nid: 2\nda")).toString())
                 .isEqualTo("id: 1\ndata: a\n\n");
-        assertThat(splitter.lastId()).contains("1");
         assertThat(splitter.hasPartialEvent()).isTrue();
         assertThat(splitter.append(Buffer.buffer("ta: b\n\n")).toString()).isEqualTo("id: 2\ndata: b\n\n");
-        assertThat(splitter.lastId()).contains("2");
         assertThat(splitter.hasPartialEvent()).isFalse();
     }
 
@@ -29,23 +27,10 @@
                     fresh.append(Buffer.buffer(stream.substring(0, split))).toString()
                             + fresh.append(Buffer.buffer(stream.substring(split)));
             assertThat(forwarded).isEqualTo(stream);
-            assertThat(fresh.lastId()).contains("3");
             assertThat(fresh.hasPartialEvent()).isFalse();
         }
     }
 
-    @Test
-    void returnsTheLastIdentifierOfSeveralEvents() {
-        splitter.append(Buffer.buffer("id: 4\ndata: a\n\nid: 5\ndata: id: 9\n\n"));
-        assertThat(splitter.lastId()).contains("5");
-    }
-
-    @Test
-    void hasNoIdentifierBeforeTheFirstEvent() {
-        splitter.append(Buffer.buffer("id: 1\n"));
-        assertThat(splitter.lastId()).isEmpty();
-    }
-
     /** Guards against searching the whole partial event again with each piece, which takes quadratic time. */
     @Test
     void examinesEachByteOfALongEventOnce() {
