--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/AttemptRecord.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/AttemptRecord.java
@@ -72,19 +72,24 @@
         observation.recordPause();
     }
 
-    /** @param framed Whether more than the end of the connection shows that the stream is complete. */
+    /**
+     * Records the end of a stream, and ends the load of the attempt.
+     *
+     * @param framed Whether more than the end of the connection shows that the stream is complete.
+     */
     void recordStreamEnd(long nowMillis, boolean framed) {
         evidence.recordResponse(nowMillis, backend, framed);
         load().recordSuccess();
         observation.recordStreamEnd(nowMillis);
         context.profiles().recordEnd(pool.name(), placement, elapsedMillis(nowMillis));
+        placement.end();
     }
 
     /** Records a complete response that is no server error. */
     void recordResponse(long nowMillis, BufferedResponse buffered) {
         load().recordSuccess();
         observation.recordResponse(nowMillis, buffered);
-        evidence.recordResponse(nowMillis, backend, buffered.isFramed());
+        evidence.recordResponse(nowMillis, backend, buffered.framed());
     }
 
     /** Records that the attempt has failed, and ends its load. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
@@ -4,7 +4,6 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpHeaders;
 import org.cranberrygauge.decision.hostload.LateSend;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.exchange.HeaderCodec.BackendHeaders;
@@ -203,7 +202,8 @@
                 return;
             }
             ended = true;
-            listener.onResponse(new BufferedResponse(backendResponse.statusCode(), backendResponse.headers(), body));
+            listener.onResponse(new BufferedResponse(
+                    backendResponse.statusCode(), backendResponse.headers(), body, isFramed(backendResponse)));
         });
     }
 
@@ -216,8 +216,7 @@
             reserve(splitter.partialBytes() - reservedBytes);
             int accepted = sequence.accept(events);
             if (accepted > 0) {
-                listener.onEvents(
-                        backendResponse.statusCode(), backendResponse.headers(), events.getBuffer(0, accepted));
+                listener.onEvents(backendResponse, isFramed(backendResponse), events.getBuffer(0, accepted));
             }
             if (accepted < events.length()) {
                 failBroken("event does not follow " + sequence.lastId().orElse("-"));
@@ -232,8 +231,7 @@
             }
             if (!ended) {
                 ended = true;
-                listener.onStreamEnd(
-                        backendResponse.statusCode(), backendResponse.headers(), isFramed(backendResponse.headers()));
+                listener.onStreamEnd(backendResponse, isFramed(backendResponse));
             }
         });
     }
@@ -292,15 +290,19 @@
         /** Called when the headers of a response to this request have arrived. */
         void onHeaders(BackendResponseHeaders headers);
 
-        /** Called when complete events of a stream have arrived that follow those before. */
-        void onEvents(int status, MultiMap headers, Buffer events);
+        /**
+         * Called when complete events of a stream have arrived that follow those before.
+         *
+         * @param framed Whether more than the end of the connection will show that the response is complete.
+         */
+        void onEvents(HttpClientResponse response, boolean framed, Buffer events);
 
         /**
-         * Called when a stream has ended completely.
+         * Called when a stream has ended, and not within an event.
          *
          * @param framed Whether more than the end of the connection shows that it is complete.
          */
-        void onStreamEnd(int status, MultiMap headers, boolean framed);
+        void onStreamEnd(HttpClientResponse response, boolean framed);
 
         /** Called when a response that is no stream has arrived completely. */
         void onResponse(BufferedResponse response);
@@ -309,18 +311,16 @@
         void onFailure(AttemptOutcome outcome, String detail);
     }
 
-    /** Tells whether a response declares its length or chunks, so that it does not end with its connection. */
-    private static boolean isFramed(MultiMap headers) {
-        return headers.contains(HttpHeaders.CONTENT_LENGTH) || headers.contains(HttpHeaders.TRANSFER_ENCODING);
+    private boolean isFramed(HttpClientResponse backendResponse) {
+        return ResponseFraming.isFramed(request.method(), backendResponse.statusCode(), backendResponse.headers());
     }
 
-    /** A complete response. */
-    record BufferedResponse(int status, MultiMap headers, Buffer body) {
-
-        /** Tells whether more than the end of the connection shows that the response is complete. */
-        boolean isFramed() {
-            return BackendAttempt.isFramed(headers);
-        }
+    /**
+     * A response that has ended.
+     *
+     * @param framed Whether more than the end of the connection shows that it is complete.
+     */
+    record BufferedResponse(int status, MultiMap headers, Buffer body, boolean framed) {
 
         boolean isServerError() {
             return status >= SERVER_ERROR_STATUS;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
@@ -1,5 +1,6 @@
 package org.cranberrygauge.proxy.exchange;
 
+import io.vertx.core.Future;
 import io.vertx.core.Handler;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
@@ -18,7 +19,8 @@
 /**
  * Writes the response to a caller.
  *
- * <p>Invariants: exactly one response is written; a stream that breaks off is never terminated properly; while the host
+ * <p>Invariants: exactly one response is written; a stream that breaks off is never terminated properly; the response has no
+ * framing where that of the backend server has none; while the host
  * drains, the connection is closed after the response; bytes are reserved until the caller's connection has taken them. Not thread-safe.
  */
 public final class CallerResponse {
@@ -56,6 +58,9 @@
     /** The number of backend servers that the request was sent to. */
     private int sentAttempts;
 
+    /** Whether the response has a length or chunks. */
+    private boolean framed = true;
+
     private boolean closeAfter;
 
     /** Whether the connection is closed once the body has been read, and not right after the response. */
@@ -168,27 +173,62 @@
         reject(reason, retryAfterMillis);
     }
 
-    /** Writes a complete response of a backend server. */
-    public void forward(int status, MultiMap headers, Buffer body) {
+    /**
+     * Writes a response of a backend server that has ended.
+     *
+     * @param framed Whether more than the end of its connection shows that it is complete; otherwise this is so for the caller,
+     *     too.
+     */
+    public void forward(int status, MultiMap headers, Buffer body, boolean framed) {
         response.setStatusCode(status);
         response.headers().addAll(headers);
         if (forwarded) {
             Forwarding.markNotRun(response.headers(), false, sentAttempts);
         }
+        if (!framed) {
+            endWithConnection();
+        }
         end(body);
     }
 
-    /** Writes the status and headers of a stream. */
-    public void startStream(int status, MultiMap headers) {
+    /**
+     * Writes the status and headers of a stream.
+     *
+     * @param framed Whether more than the end of the server's connection shows that its response is complete; otherwise this
+     *     is so for the caller, too.
+     */
+    public void startStream(int status, MultiMap headers, boolean framed) {
         response.setStatusCode(status);
         response.headers().addAll(headers);
         if (forwarded) {
             Forwarding.markNotRun(response.headers(), false, sentAttempts);
         }
-        response.setChunked(true);
+        if (framed) {
+            response.setChunked(true);
+        } else {
+            endWithConnection();
+        }
         announceClose();
     }
 
+    /**
+     * Makes the response one with neither a length nor chunks. Until it has ended, its connection is reset rather than closed,
+     * also by the end of this process, so that no caller takes a break for the end.
+     */
+    private void endWithConnection() {
+        framed = false;
+        closeAfter = true;
+        ConnectionChannel.resetOnClose(request.connection(), true);
+        // Vert.x accepts no HTTP/1.1 response without framing, but sends the headers that are left.
+        response.putHeader(HttpHeaders.CONTENT_LENGTH, "0");
+        response.headersEndHandler(end -> response.headers().remove(HttpHeaders.CONTENT_LENGTH));
+    }
+
+    /** Tells whether more than the end of the connection shows the caller that the response is complete. */
+    boolean isFramed() {
+        return framed;
+    }
+
     /** Writes events of a stream. */
     public void write(Buffer events) {
         recordQueued(events.length());
@@ -210,10 +250,10 @@
         }
     }
 
-    /** Ends a stream that is complete. */
+    /** Ends a stream that is complete, or one without framing whose server has ended it. */
     public void endStream() {
         startFinalWrite();
-        response.end().onComplete(written -> finishWrite());
+        endWith(Buffer.buffer()).onComplete(written -> finishWrite());
     }
 
     /** Closes the connection before the end of the response. */
@@ -259,7 +299,9 @@
         announceClose();
         int last = 0;
         if (body.length() > SLICE_BYTES) {
-            response.putHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(body.length()));
+            if (framed) {
+                response.putHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(body.length()));
+            }
             for (; body.length() - last > SLICE_BYTES; last += SLICE_BYTES) {
                 write(body.slice(last, last + SLICE_BYTES));
             }
@@ -267,12 +309,23 @@
         Buffer rest = body.slice(last, body.length());
         recordQueued(rest.length());
         startFinalWrite();
-        response.end(rest).onComplete(written -> {
+        endWith(rest).onComplete(written -> {
             recordWritten(rest.length());
             finishWrite();
         });
     }
 
+    /** Ends the response with the last bytes; one without framing is closed in order once all of it was sent. */
+    private Future<Void> endWith(Buffer rest) {
+        if (framed) {
+            return response.end(rest);
+        }
+        return response.write(rest).compose(sent -> {
+            ConnectionChannel.resetOnClose(request.connection(), false);
+            return response.end();
+        });
+    }
+
     private void startFinalWrite() {
         unwritten = true;
         memory.addUnwritten();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -1,7 +1,7 @@
 package org.cranberrygauge.proxy.exchange;
 
-import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
 import java.util.Optional;
 import org.cranberrygauge.decision.hostload.LateSend;
 import org.cranberrygauge.proxy.admission.RejectReason;
@@ -54,6 +54,8 @@
     /** The events that the caller has. */
     private final EventSequence sequence;
 
+    private final StreamEnd streamEnd = new StreamEnd();
+
     /** The last server error of a backend server. */
     private Optional<BufferedResponse> serverError = Optional.empty();
 
@@ -123,19 +125,12 @@
             finalResponse.reject(RejectReason.CRASHES_BACKENDS);
             return;
         }
-        recordForBudget();
+        retryGate.recordRequest(now());
         if (!attemptNext()) {
             finalResponse.rejectUnavailable(now(), otherwise);
         }
     }
 
-    /** Records a request of a caller; one that another host passed on was recorded there. */
-    private void recordForBudget() {
-        if (!request.forwarded()) {
-            context.budgets().of(selection.pool().name()).recordRequest(now());
-        }
-    }
-
     @Override
     public LateSend beforeSend(Backend backend, long startedMillis) {
         return LateSend.decide(now(), startedMillis, response::isAwaited, () -> selection.takesRequests(backend));
@@ -150,19 +145,20 @@
 
     @Override
     public void onHeaders(BackendResponseHeaders headers) {
-        Backend backend = attempt.backend();
         long now = now();
         timers.cancelSilence();
         context.reachability().recordHeard(now);
-        recorder.recordStatement(now, backend, headers.statement());
+        recorder.recordStatement(now, attempt.backend(), headers.statement());
     }
 
     @Override
-    public void onEvents(int status, MultiMap headers, Buffer events) {
+    public void onEvents(HttpClientResponse backendResponse, boolean framed, Buffer events) {
         if (ended) {
             return;
         }
-        beginStream(status, headers);
+        beginStream(backendResponse, framed);
+        streamEnd.recordEvents();
+        timers.cancelEndConfirmation();
         record.recordEvents(now());
         response.write(events);
         if (response.isFull()) {
@@ -172,14 +168,29 @@
     }
 
     @Override
-    public void onStreamEnd(int status, MultiMap headers, boolean framed) {
-        beginStream(status, headers);
-        if (!framed) {
-            recorder.recordUnframedStream(attempt.backend(), status, sequence.lastId());
-        }
+    public void onStreamEnd(HttpClientResponse backendResponse, boolean framed) {
+        beginStream(backendResponse, framed);
         record.recordStreamEnd(now(), framed);
-        response.endStream();
-        finish("served", status);
+        if (framed) {
+            finalResponse.endStream("served");
+            return;
+        }
+        recorder.recordUnframedStream(attempt.backend(), backendResponse.statusCode(), sequence.lastId());
+        selection.dispatchQueued();
+        boolean agreed = streamEnd.recordUnframedEnd();
+        endAttempt(AttemptOutcome.END_UNKNOWN);
+        if (agreed) {
+            proceed(NextStep.CUT, lastOutcome);
+        } else {
+            timers.startEndConfirmation(this::endUnconfirmed);
+            continueAfter(lastOutcome, "only the connection ended the stream");
+        }
+    }
+
+    /** Ends a stream whose end no other server has confirmed in time. */
+    private void endUnconfirmed() {
+        abandonAttempt();
+        proceed(NextStep.CUT, AttemptOutcome.END_UNKNOWN);
     }
 
     @Override
@@ -192,7 +203,7 @@
         }
         record.recordResponse(now(), buffered);
         if (history.streaming()) {
-            finalResponse.abort("resumed_with_status");
+            finalResponse.cutStream("resumed_with_status", streamEnd);
             return;
         }
         recorder.recordFirstEvent(now());
@@ -209,10 +220,7 @@
         if (outcome == AttemptOutcome.BROKEN && !request.route().kind().streams()) {
             recorder.recordStart();
         }
-        history = history.withOutcome(outcome);
-        lastOutcome = outcome;
-        sent = false;
-        timers.cancelSilence();
+        endAttempt(outcome);
         if (outcome == AttemptOutcome.NOT_CONNECTED || outcome == AttemptOutcome.BROKEN) {
             context.reachability().check(isolated -> continueAfter(outcome, detail));
         } else {
@@ -220,36 +228,32 @@
         }
     }
 
-    /** Decides what follows a failed attempt, once it is known whether this host is isolated. */
+    private void endAttempt(AttemptOutcome outcome) {
+        history = history.withOutcome(outcome);
+        lastOutcome = outcome;
+        sent = false;
+        timers.cancelSilence();
+    }
+
+    /** Decides what follows an attempt that gave no complete response, once it is known whether this host is isolated. */
     private void continueAfter(AttemptOutcome outcome, String detail) {
         if (ended) {
             return;
         }
         long now = now();
-        Backend backend = attempt.backend();
         long remaining = request.deadlineMillis() - now;
         NextStep next = retryGate.next(now, history, outcome);
-        recorder.recordFailedAttempt(backend, outcome, detail, next, history, remaining, record.elapsedMillis(now));
+        recorder.recordFailedAttempt(
+                attempt.backend(), outcome, detail, next, history, remaining, record.elapsedMillis(now));
         proceed(next, outcome);
     }
 
-    /** Performs the next step after a failed attempt. */
+    /** Performs the next step after an attempt that gave no complete response. */
     private void proceed(NextStep next, AttemptOutcome outcome) {
-        if (next == NextStep.TRY_ANOTHER) {
-            if (attemptNext()) {
-                return;
-            }
+        if (next != NextStep.TRY_ANOTHER) {
+            finalResponse.give(now(), next, outcome, serverError, streamEnd);
+        } else if (!attemptNext()) {
             proceed(RetryPolicy.withoutRetry(history, outcome), outcome);
-            return;
-        }
-        switch (next) {
-            case REFUSE ->
-                finalResponse.rejectUnavailable(
-                        now(),
-                        outcome == AttemptOutcome.NOT_RUN ? RejectReason.BACKENDS_FULL : RejectReason.NO_BACKEND);
-            case PASS_ON -> finalResponse.forward(serverError.orElseThrow(), "server_error");
-            case CUT -> finalResponse.abort("stream_broken");
-            default -> finalResponse.forwardOrReject(serverError);
         }
     }
 
@@ -286,9 +290,7 @@
     /** Ends this exchange and passes the request on to another host. */
     private void forwardToHost() {
         end("forwarded", 0);
-        int remainingAttempts = request.route().maximumAttempts() - history.sent();
-        new ForwardedRequest(context, request, selection.pool(), response, remainingAttempts, history.mayHaveRun())
-                .start();
+        new ForwardedRequest(context, request, selection.pool(), response, history).start();
     }
 
     /** Queues the request until it can be sent, and returns its first choice. */
@@ -370,7 +372,7 @@
     }
 
     /** Records the first events, and writes the headers of the response unless that is done. */
-    private void beginStream(int status, MultiMap headers) {
+    private void beginStream(HttpClientResponse backendResponse, boolean framed) {
         record.recordPrefilled();
         recorder.recordStart();
         if (history.streaming()) {
@@ -380,7 +382,7 @@
         selection.begin(attempt.backend());
         record.recordFirstEvent(now());
         recorder.recordFirstEvent(now());
-        finalResponse.startStream(status, headers);
+        finalResponse.startStream(backendResponse, framed);
     }
 
     /** Ends the request at its deadline. */
@@ -391,7 +393,7 @@
         boolean mayHaveRun = history.mayHaveRun() || sent;
         abandonAttempt();
         if (history.streaming()) {
-            finalResponse.abort("timed_out_midway");
+            finalResponse.cutStream("timed_out_midway", streamEnd);
             return;
         }
         finalResponse.reject(mayHaveRun ? RejectReason.TIMED_OUT : RejectReason.EXPIRED);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeRecorder.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeRecorder.java
@@ -144,7 +144,7 @@
     /** Records a response that is no stream. */
     void recordResponse(Backend backend, BufferedResponse response) {
         recordStart();
-        if (!response.isFramed()) {
+        if (!response.framed()) {
             recordUnframed(backend, response.status(), ABSENT, response.body().length());
         }
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/FinalResponse.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/FinalResponse.java
@@ -1,15 +1,20 @@
 package org.cranberrygauge.proxy.exchange;
 
 import io.vertx.core.MultiMap;
+import io.vertx.core.http.HttpClientResponse;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.ObjIntConsumer;
 import org.cranberrygauge.proxy.admission.RejectReason;
 import org.cranberrygauge.proxy.exchange.BackendAttempt.BufferedResponse;
+import org.cranberrygauge.proxy.retry.AttemptOutcome;
+import org.cranberrygauge.proxy.retry.NextStep;
 
 /** Gives the final response to the caller, and ends the exchange with it. Not thread-safe. */
 final class FinalResponse {
 
+    private static final int SUCCESS_STATUS = 200;
+
     private final ExchangeContext context;
 
     private final ProxyRequest request;
@@ -35,14 +40,38 @@
     }
 
     /**
-     * Forwards a complete response.
+     * Ends a request that is not sent again.
+     *
+     * @param nowMillis The current monotonic time in milliseconds.
+     * @param outcome The outcome of the last attempt.
+     * @param serverError The last server error of a backend server.
+     */
+    void give(
+            long nowMillis,
+            NextStep step,
+            AttemptOutcome outcome,
+            Optional<BufferedResponse> serverError,
+            StreamEnd streamEnd) {
+        switch (step) {
+            case REFUSE ->
+                rejectUnavailable(
+                        nowMillis,
+                        outcome == AttemptOutcome.NOT_RUN ? RejectReason.BACKENDS_FULL : RejectReason.NO_BACKEND);
+            case PASS_ON -> forward(serverError.orElseThrow(), "server_error");
+            case CUT -> cutStream("stream_broken", streamEnd);
+            default -> forwardOrReject(serverError);
+        }
+    }
+
+    /**
+     * Forwards a response that has ended.
      *
      * @param outcome The outcome of the request.
      */
     void forward(BufferedResponse buffered, String outcome) {
         MultiMap forwarded = MultiMap.caseInsensitiveMultiMap();
         context.codec().copyResponse(buffered.headers(), forwarded);
-        response.forward(buffered.status(), forwarded, buffered.body());
+        response.forward(buffered.status(), forwarded, buffered.body(), buffered.framed());
         end.accept(outcome, buffered.status());
     }
 
@@ -56,10 +85,30 @@
     }
 
     /** Writes the status and headers of a stream. */
-    void startStream(int status, MultiMap headers) {
+    void startStream(HttpClientResponse backendResponse, boolean framed) {
         MultiMap forwarded = MultiMap.caseInsensitiveMultiMap();
-        context.codec().copyResponse(headers, forwarded);
-        response.startStream(status, forwarded);
+        context.codec().copyResponse(backendResponse.headers(), forwarded);
+        response.startStream(backendResponse.statusCode(), forwarded, framed);
+    }
+
+    /** Ends a stream that is complete, or one without framing as its server has ended it. */
+    void endStream(String outcome) {
+        response.endStream();
+        end.accept(outcome, SUCCESS_STATUS);
+    }
+
+    /**
+     * Ends a stream that can't go on. If its server has ended it with the connection alone, and the caller's response has no
+     * framing either, the caller learns just that; otherwise the stream is broken off.
+     *
+     * @param outcome The outcome of a stream that is broken off.
+     */
+    void cutStream(String outcome, StreamEnd streamEnd) {
+        if (streamEnd.isCredible() && !response.isFramed()) {
+            endStream("served_unframed");
+        } else {
+            abort(streamEnd.isStated() ? "end_unknown" : outcome);
+        }
     }
 
     /** Rejects a request that has waited for as long as it may. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
@@ -4,7 +4,6 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpHeaders;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -13,6 +12,7 @@
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.proxy.admission.RejectReason;
 import org.cranberrygauge.proxy.configuration.Pool;
+import org.cranberrygauge.proxy.retry.AttemptHistory;
 
 /**
  * A request that this host passes on to another one, since it reaches no backend server itself.
@@ -71,18 +71,13 @@
     private long deadlineTimer;
 
     ForwardedRequest(
-            ExchangeContext context,
-            ProxyRequest request,
-            Pool pool,
-            CallerResponse response,
-            int remainingAttempts,
-            boolean mayHaveRun) {
+            ExchangeContext context, ProxyRequest request, Pool pool, CallerResponse response, AttemptHistory history) {
         this.context = context;
         this.request = request;
         this.pool = pool;
         this.response = response;
-        this.remainingAttempts = remainingAttempts;
-        this.mayHaveRun = mayHaveRun;
+        this.remainingAttempts = request.route().maximumAttempts() - history.sent();
+        this.mayHaveRun = history.mayHaveRun();
         this.hosts = targets(context, request);
     }
 
@@ -148,10 +143,12 @@
             continueAfter(rejected.getAsInt());
             return;
         }
-        if (hostResponse.headers().contains(HttpHeaders.TRANSFER_ENCODING)) {
-            readStream(hostResponse);
+        boolean framed = ResponseFraming.isFramed(request.method(), hostResponse.statusCode(), hostResponse.headers());
+        boolean unframedStream = !framed && request.route().kind().streams();
+        if (unframedStream || ResponseFraming.isChunked(hostResponse.headers())) {
+            readStream(hostResponse, framed);
         } else {
-            readBuffered(hostResponse);
+            readBuffered(hostResponse, framed);
         }
     }
 
@@ -176,7 +173,7 @@
                         context.time().monotonicMillis(), context.blackboard().budgetShare());
     }
 
-    private void readBuffered(HttpClientResponse hostResponse) {
+    private void readBuffered(HttpClientResponse hostResponse, boolean framed) {
         Buffer body = Buffer.buffer();
         hostResponse.handler(bytes -> {
             if (body.length() + bytes.length() > BackendAttempt.MAXIMUM_BUFFERED_BYTES) {
@@ -191,15 +188,15 @@
         });
         hostResponse.endHandler(end -> {
             if (!ended) {
-                response.forward(hostResponse.statusCode(), forwarded(hostResponse.headers()), body);
+                response.forward(hostResponse.statusCode(), forwarded(hostResponse.headers()), body, framed);
                 finish(hostResponse.statusCode());
             }
         });
     }
 
-    private void readStream(HttpClientResponse hostResponse) {
+    private void readStream(HttpClientResponse hostResponse, boolean framed) {
         streaming = true;
-        response.startStream(hostResponse.statusCode(), forwarded(hostResponse.headers()));
+        response.startStream(hostResponse.statusCode(), forwarded(hostResponse.headers()), framed);
         hostResponse.handler(bytes -> {
             if (ended) {
                 return;
@@ -260,7 +257,7 @@
         if (mayHaveRun) {
             reject(RejectReason.BACKEND_BROKE);
         } else if (rejection.isPresent()) {
-            response.forward(UNAVAILABLE_STATUS, forwarded(rejection.get()), Buffer.buffer());
+            response.forward(UNAVAILABLE_STATUS, forwarded(rejection.get()), Buffer.buffer(), true);
             finish(UNAVAILABLE_STATUS);
         } else {
             reject(RejectReason.NO_BACKEND);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/RetryGate.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/RetryGate.java
@@ -56,6 +56,13 @@
                 .tryAcquire(nowMillis, context.blackboard().budgetShare());
     }
 
+    /** Records a request of a caller for the retry budget; one that another host passed on was recorded there. */
+    void recordRequest(long nowMillis) {
+        if (!request.forwarded()) {
+            context.budgets().of(selection.pool().name()).recordRequest(nowMillis);
+        }
+    }
+
     /** Tells whether this host is isolated from all backend servers, and another one may serve the request. */
     boolean mayForward(AttemptHistory history) {
         return context.reachability().isIsolated()
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/retry/AttemptHistory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/retry/AttemptHistory.java
@@ -17,7 +17,8 @@
         return switch (outcome) {
             case NOT_CONNECTED -> new AttemptHistory(sent, failedConnects + 1, mayHaveRun, streaming);
             case NOT_RUN -> new AttemptHistory(sent + 1, failedConnects, mayHaveRun, streaming);
-            case BROKEN, SERVER_ERROR, STREAM_BROKEN -> new AttemptHistory(sent + 1, failedConnects, true, streaming);
+            case BROKEN, SERVER_ERROR, STREAM_BROKEN, END_UNKNOWN ->
+                new AttemptHistory(sent + 1, failedConnects, true, streaming);
         };
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/retry/AttemptOutcome.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/retry/AttemptOutcome.java
@@ -11,5 +11,7 @@
     /** The backend server responded with a server error. */
     SERVER_ERROR,
     /** The stream broke after events had been forwarded. */
-    STREAM_BROKEN
+    STREAM_BROKEN,
+    /** Only the end of its connection ended the stream, which may be complete or broken. */
+    END_UNKNOWN
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/retry/RetryPolicy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/retry/RetryPolicy.java
@@ -37,7 +37,7 @@
     /** Decides how a request ends that is not retried. */
     public static NextStep withoutRetry(AttemptHistory history, AttemptOutcome outcome) {
         return switch (outcome) {
-            case STREAM_BROKEN -> NextStep.CUT;
+            case STREAM_BROKEN, END_UNKNOWN -> NextStep.CUT;
             case SERVER_ERROR -> history.streaming() ? NextStep.CUT : NextStep.PASS_ON;
             case BROKEN -> history.streaming() ? NextStep.CUT : NextStep.REPORT_UNKNOWN;
             case NOT_CONNECTED, NOT_RUN -> withoutRetryAfterNotRun(history);
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionChannel.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionChannel.java
@@ -1,6 +1,7 @@
 package org.cranberrygauge.runtime.http;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
@@ -13,6 +14,9 @@
  */
 public final class ConnectionChannel {
 
+    /** The value of the socket option for a close in the background. */
+    private static final int NO_LINGER = -1;
+
     private ConnectionChannel() {}
 
     /** Closes a connection without writing what is queued for it; bypasses the handlers that would write it first. */
@@ -20,6 +24,17 @@
         ((ConnectionBase) connection).channel().pipeline().firstContext().close();
     }
 
+    /**
+     * Sets whether the end of a connection resets it, so that the peer does not take it for an orderly close. This also holds
+     * for the end of the process. What was not sent by then is dropped.
+     */
+    public static void resetOnClose(HttpConnection connection, boolean reset) {
+        Channel channel = ((ConnectionBase) connection).channel();
+        if (channel.isOpen()) {
+            channel.config().setOption(ChannelOption.SO_LINGER, reset ? 0 : NO_LINGER);
+        }
+    }
+
     /**
      * Reads what the peer has sent, so that a connection that the peer has closed is closed here, too. Called on the event
      * loop of the connection, and not while it processes input of the connection.
