Gateway: a response that names no attempt counts only as the first on its connection

What callers saw: a backend server that wrote an earlier response once more on a kept connection, without X-Attempt-Id, had it taken for the answer to the next call. The caller of an at-most-once call that ran was told "not run, try again", and this refusal was recorded and would have been replayed; a chat got the tokens of another caller's chat.

Cause: all calls shared one pool of connections, and a response without the attempt's identifier was taken as the answer of whatever call came next. The host vouched for the origin of a response that it couldn't know.

Change: a call that must run at most once and each new attempt get a connection of their own. That a retry has its own connection lets a server that echoes only sometimes still answer.

--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatAttempt.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatAttempt.java
@@ -66,9 +66,13 @@
         return server;
     }
 
-    /** Opens the request and sends the body. */
-    void start(BackendClient client, String path, Map<String, String> headers, Buffer body) {
-        client.open(server, HttpMethod.POST, path, attempt, headers)
+    /**
+     * Opens the request and sends the body.
+     *
+     * @param ownConnection Whether to open a connection for this attempt only.
+     */
+    void start(BackendClient client, String path, boolean ownConnection, Map<String, String> headers, Buffer body) {
+        client.open(server, HttpMethod.POST, path, attempt, ownConnection, headers)
                 .onSuccess(opened -> send(opened, body))
                 .onFailure(failure -> fail(new AttemptFailure(Kind.NOT_CONNECTED, "no connection")));
     }
@@ -96,8 +100,7 @@
 
     private void receive(HttpClientResponse response) {
         response.exceptionHandler(failure -> fail(AttemptFailure.broken(failure, "stream broken")));
-        String echoed = response.getHeader(BackendClient.ATTEMPT_HEADER);
-        if (echoed != null && !echoed.equals(attempt)) {
+        if (!BackendClient.answers(response, attempt)) {
             fail(new AttemptFailure(Kind.INVALID_ANSWER, "response to another attempt"));
             return;
         }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatCall.java
@@ -260,7 +260,7 @@
                 String.valueOf(caller.serviceClass().tier()),
                 BackendClient.USAGE_LABEL_HEADER,
                 label.toString());
-        attempt.start(dependencies.client(), body.path(), headers, body.forBackend(meter.delivered()));
+        attempt.start(dependencies.client(), body.path(), attempts > 1, headers, body.forBackend(meter.delivered()));
     }
 
     private void onRefused(Refusal refusal) {
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
@@ -211,10 +211,17 @@
         attemptAtMillis = dependencies.time().monotonicMillis();
         server = chosen;
         String attempt = reply.requestId() + "-" + attempts;
+        boolean ownConnection = isAtMostOnce() || attempts > 1;
         events.started(attempt, chosen, dependencies.time().monotonicMillis() - arrivedAtMillis);
         dependencies
                 .client()
-                .open(chosen, HttpMethod.valueOf(request.method()), request.uri(), attempt, request.headers())
+                .open(
+                        chosen,
+                        HttpMethod.valueOf(request.method()),
+                        request.uri(),
+                        attempt,
+                        ownConnection,
+                        request.headers())
                 .onSuccess(this::send)
                 .onFailure(failure ->
                         onAttemptFailed(new AttemptFailure(AttemptFailure.Kind.NOT_CONNECTED, "no connection")));
@@ -236,8 +243,7 @@
         if (ended) {
             return Future.succeededFuture();
         }
-        String echoed = response.getHeader(BackendClient.ATTEMPT_HEADER);
-        if (echoed != null && !echoed.equals(reply.requestId() + "-" + attempts)) {
+        if (!BackendClient.answers(response, reply.requestId() + "-" + attempts)) {
             onAttemptFailed(new AttemptFailure(AttemptFailure.Kind.INVALID_ANSWER, "response to another attempt"));
             return Future.succeededFuture();
         }
--- /dev/null
+++ b/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/RawServer.java
@@ -0,0 +1,144 @@
+package org.cranberrygauge.gateway.call;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * A backend server that writes any bytes in place of responses.
+ *
+ * <p>Each connection has a thread of its own. Safe for use by several threads.
+ */
+final class RawServer implements AutoCloseable {
+
+    private static final Pattern ATTEMPT = Pattern.compile("(?i)\r\nX-Attempt-Id: ([^\r]+)\r\n");
+
+    private static final Pattern LENGTH = Pattern.compile("(?i)\r\nContent-Length: (\\d+)\r\n");
+
+    private static final String HEAD_END = "\r\n\r\n";
+
+    private final ServerSocket listener;
+
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+
+    private final List<Request> requests = new CopyOnWriteArrayList<>();
+
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+
+    private final Function<Request, Response> script;
+
+    RawServer(Function<Request, Response> script) throws IOException {
+        this.script = script;
+        listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        threads.execute(this::accept);
+    }
+
+    int port() {
+        return listener.getLocalPort();
+    }
+
+    /** Returns the requests so far in the order of arrival. */
+    List<Request> requests() {
+        return List.copyOf(requests);
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listener.accept();
+                sockets.add(socket);
+                threads.execute(() -> serve(socket));
+            }
+        } catch (IOException closed) {
+            // The test is over.
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            for (int number = 1; true; number++) {
+                String text = read(socket.getInputStream());
+                if (text.isEmpty()) {
+                    return;
+                }
+                Matcher attempt = ATTEMPT.matcher(text);
+                Request request = new Request(number, text, attempt.find() ? attempt.group(1) : "");
+                requests.add(request);
+                Response response = script.apply(request);
+                socket.getOutputStream().write(response.bytes().getBytes(StandardCharsets.ISO_8859_1));
+                if (response.end() == End.RESET) {
+                    socket.setSoLinger(true, 0);
+                }
+                if (response.end() != End.KEEP) {
+                    return;
+                }
+            }
+        } catch (IOException closed) {
+            // The gateway closed the connection.
+        }
+    }
+
+    /** Reads one request, or an empty text if the connection ends before. */
+    private static String read(InputStream input) throws IOException {
+        ByteArrayOutputStream received = new ByteArrayOutputStream();
+        int wanted = -1;
+        while (wanted < 0 || received.size() < wanted) {
+            int next = input.read();
+            if (next < 0) {
+                return "";
+            }
+            received.write(next);
+            String text = next == '\n' && wanted < 0 ? received.toString(StandardCharsets.ISO_8859_1) : "";
+            if (text.endsWith(HEAD_END)) {
+                Matcher length = LENGTH.matcher(text);
+                wanted = received.size() + (length.find() ? Integer.parseInt(length.group(1)) : 0);
+            }
+        }
+        return received.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+        threads.shutdown();
+    }
+
+    /** What becomes of the connection after a response. */
+    enum End {
+        KEEP,
+        CLOSE,
+        RESET
+    }
+
+    /**
+     * A request.
+     *
+     * @param number The number of the request on its connection, from 1.
+     * @param text The whole request.
+     * @param attempt The identifier of the attempt.
+     */
+    record Request(int number, String text, String attempt) {
+
+        /** Returns the path, by which tests tell calls apart. */
+        String path() {
+            return text.split(" ")[1];
+        }
+    }
+
+    /** Bytes to write, and what becomes of the connection then. */
+    record Response(String bytes, End end) {}
+}
