Gateway: a service response that only ends with its connection does so for the caller

What callers saw: a plain service that broke off in the middle of a response with neither a length nor chunks, and closed, left its caller a 200 with half a body, framed as whole by a Content-Length. For a call with an idempotency key this body was kept and replayed as the answer.

Cause: ServiceCall read the body to the end of the connection and answered with its length. The host vouched for an end that it couldn't know.

Evidence: UnframedServiceResponseTest on the code before, 3 of 6 failed: aServiceResponseWithoutFramingHasNoneForItsCaller and aServiceResponseWithAnotherTransferCodingHasNoFramingForItsCaller "HTTP/1.1 200 OK ... content-length: 9 ... half a bo" not to contain (ignoring case): "Content-Length" theBodyOfAServiceResponseWithoutFramingIsNotKeptForReplay "Expecting value to be false but was true" (bodyKept) Three held before: large bodies arrive whole, a reset of the server's connection is no answer, and framed responses keep their framing and are replayed.

Change: such a response has no framing for the caller either. Its connection is reset if it ends before all bytes were sent (SO_LINGER 0, which also holds for the end of the process), and closed in order after the last. Bytes are written in slices; a caller that takes none for 30 s is disconnected. The body isn't kept for replay, so that a repeated key gets "answer_not_kept".

Measured: UnframedServiceResponseTest 6 of 6, CallerReplyTest 2 of 2 and ResponseFramingTest 3 of 3 after the change, one run. That a killed process resets these connections follows from the socket option and was not run.

--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallReservation.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallReservation.java
@@ -59,9 +59,13 @@
         won = true;
     }
 
-    /** Records the response, without its body if that is too large to be stored. */
-    void recordResponse(int status, String contentType, Buffer body) {
-        boolean stored = body.length() <= MAX_STORED_BODY_BYTES;
+    /**
+     * Records the response, without its body if that is too large to be stored.
+     *
+     * @param whole Whether the body is known to be complete; otherwise it is not stored either.
+     */
+    void recordResponse(int status, String contentType, Buffer body, boolean whole) {
+        boolean stored = whole && body.length() <= MAX_STORED_BODY_BYTES;
         record(new ReservationOutcome(
                 id, Disposition.ANSWERED, status, contentType, stored ? body.toString() : "", stored));
     }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallerReply.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallerReply.java
@@ -3,16 +3,18 @@
 import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonObject;
 import java.util.concurrent.TimeUnit;
+import org.cranberrygauge.runtime.http.ConnectionChannel;
 
 /**
  * The response to one caller.
  *
- * <p>Invariants: at most one final response is sent, and everything after it is dropped. Used on the context of the
- * caller's connection.
+ * <p>Invariants: at most one final response is sent, and everything after it is dropped; a response that ends with its
+ * connection ends in order only once all of it was sent. Used on the context of the caller's connection.
  */
 public final class CallerReply {
 
@@ -28,6 +30,9 @@
     /** How long a caller may leave a full write queue unread before its connection is closed, in milliseconds. */
     private static final long WRITE_STALL_TIMEOUT_MILLIS = 30_000;
 
+    /** The maximum size of one write of a response that ends with its connection. Each must be read in time. */
+    private static final int SLICE_BYTES = 64 << 10;
+
     private final HttpConnection connection;
 
     private static final int TOO_MANY_REQUESTS = 429;
@@ -97,6 +102,47 @@
         }
     }
 
+    /**
+     * Sends a response with neither a length nor chunks, since only the end of a connection shows that the body is
+     * complete. Until all of it was sent, the connection is reset rather than closed, also by the end of this process, so
+     * that the caller does not take a break for the end. A caller that does not read for too long is disconnected.
+     */
+    public void answerUntilClose(int status, String contentType, Buffer body) {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        ConnectionChannel.resetOnClose(connection, true);
+        // Vert.x accepts no HTTP/1.1 response without framing, but sends the headers that are left.
+        response.headersEndHandler(end -> response.headers().remove(HttpHeaders.CONTENT_LENGTH));
+        response.setStatusCode(status)
+                .putHeader("Content-Type", contentType)
+                .putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE)
+                .putHeader(HttpHeaders.CONTENT_LENGTH, "0");
+        writeUntilClose(body);
+    }
+
+    /** Writes the next slice of a body, and closes the connection after the last one. */
+    private void writeUntilClose(Buffer rest) {
+        int sliceBytes = Math.min(rest.length(), SLICE_BYTES);
+        long timer =
+                context.owner().setTimer(WRITE_STALL_TIMEOUT_MILLIS, fired -> ConnectionChannel.closeNow(connection));
+        response.write(rest.slice(0, sliceBytes))
+                .onComplete(written -> context.owner().cancelTimer(timer))
+                .onSuccess(written -> context.runOnContext(next -> {
+                    if (sliceBytes < rest.length()) {
+                        writeUntilClose(rest.slice(sliceBytes, rest.length()));
+                    } else {
+                        closeInOrder();
+                    }
+                }));
+    }
+
+    private void closeInOrder() {
+        ConnectionChannel.resetOnClose(connection, false);
+        response.end().onComplete(ended -> connection.close());
+    }
+
     /** Sends one part of an event stream. A caller that does not read for too long is disconnected. */
     public void writeChunk(Buffer part) {
         if (closed) {
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
@@ -21,14 +21,16 @@
 import org.cranberrygauge.model.record.UsageFigures;
 import org.cranberrygauge.model.record.UsageKey;
 import org.cranberrygauge.model.service.Repetition;
+import org.cranberrygauge.runtime.http.ResponseFraming;
 
 /**
  * One call to a plain service, from admission to the end of its response.
  *
  * <p>Invariants: a call on an at-most-once route is sent at most once; a failure states "not run" exactly if no byte
  * was sent; a reserved call is sent only after its reservation won; a call on an at-most-once route continues after its
- * caller was answered or disconnected, so that its outcome is recorded. Used on the context of the caller's connection,
- * except for the methods that state otherwise.
+ * caller was answered or disconnected, so that its outcome is recorded; a response that only ends with its connection
+ * does so for the caller, too, and its body is not replayed. Used on the context of the caller's connection, except for
+ * the methods that state otherwise.
  */
 public final class ServiceCall implements ActiveCall {
 
@@ -249,12 +251,18 @@
         }
         String contentType = response.getHeader("Content-Type");
         String type = contentType == null ? "application/octet-stream" : contentType;
-        reservation.recordResponse(response.statusCode(), type, body);
+        boolean framed =
+                ResponseFraming.isFramed(response.request().getMethod(), response.statusCode(), response.headers());
+        reservation.recordResponse(response.statusCode(), type, body, framed);
         release();
         close();
         dependencies.quarantine().completed(fingerprint);
         retryBudget().succeeded();
-        reply.answer(response.statusCode(), type, body);
+        if (framed) {
+            reply.answer(response.statusCode(), type, body);
+        } else {
+            reply.answerUntilClose(response.statusCode(), type, body);
+        }
         events.succeeded(0, dependencies.time().monotonicMillis() - arrivedAtMillis);
         return Future.succeededFuture();
     }
--- a/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/CallBench.java
+++ b/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/CallBench.java
@@ -133,23 +133,28 @@
      * @throws IOException If the connection is reset.
      */
     String ask(String method, String path, String key, String body) throws IOException {
-        try (Socket socket = connect()) {
-            send(socket, method, path, key, body);
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
-        }
+        return ask(method, path, key, body, "Connection: close\r\n");
     }
 
-    Socket connect() throws IOException {
-        Socket socket = new Socket(InetAddress.getLoopbackAddress(), callers.actualPort());
-        socket.setSoTimeout(CALLER_TIMEOUT_MILLIS);
-        return socket;
+    /**
+     * Sends a request on a connection that the caller would use again, and returns all bytes of the response until the
+     * gateway closes the connection.
+     *
+     * @throws IOException If the connection is reset.
+     */
+    String askUntilClose(String method, String path) throws IOException {
+        return ask(method, path, "", "", "");
     }
 
-    static void send(Socket socket, String method, String path, String key, String body) throws IOException {
-        String named = key.isEmpty() ? "" : "Idempotency-Key: " + key + "\r\n";
-        String head = method + " " + path + " HTTP/1.1\r\nHost: gateway\r\nConnection: close\r\n" + named
-                + "Content-Length: " + body.length() + "\r\n\r\n";
-        socket.getOutputStream().write((head + body).getBytes(StandardCharsets.ISO_8859_1));
+    private String ask(String method, String path, String key, String body, String header) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), callers.actualPort())) {
+            socket.setSoTimeout(CALLER_TIMEOUT_MILLIS);
+            String named = key.isEmpty() ? "" : "Idempotency-Key: " + key + "\r\n";
+            String head = method + " " + path + " HTTP/1.1\r\nHost: gateway\r\n" + header + named + "Content-Length: "
+                    + body.length() + "\r\n\r\n";
+            socket.getOutputStream().write((head + body).getBytes(StandardCharsets.ISO_8859_1));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
     }
 
     private void dispatch(HttpServerRequest request, Buffer body) {
