Gateway: a service response that goes silent in its body ends with a timeout

What callers saw: a plain service that sent the head of its response and then nothing more left the caller without any answer (30 s in the test), also for a call that runs at most once. By reading, that lasts as long as the connection, and the slot of the backend server stays taken. docs/INTERFACES.md promises backend_timeout.

Cause: the idle timeout of the Vert.x request ends with the head of the response. Chats have a timer of their own for the body, service calls had none.

Change: the body is read with the inactivity timer that chats use.

--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
@@ -1,11 +1,13 @@
 package org.cranberrygauge.gateway.call;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import java.util.Optional;
+import java.util.concurrent.TimeoutException;
 import org.cranberrygauge.decision.admission.QueuedRequest;
 import org.cranberrygauge.decision.admission.Refusal;
 import org.cranberrygauge.decision.quarantine.RequestFingerprint;
@@ -237,10 +239,29 @@
         backendRequest = opened;
         sent = true;
         opened.send(request.body())
-                .compose(response -> response.body().compose(body -> onResponse(response, body)))
+                .compose(response -> readBody(response).compose(body -> onResponse(response, body)))
                 .onFailure(failure -> onAttemptFailed(AttemptFailure.broken(failure, "connection lost")));
     }
 
+    /** Reads a body. Fails if no byte comes for the timeout, which that of the request does not cover. */
+    private Future<Buffer> readBody(HttpClientResponse response) {
+        Promise<Buffer> whole = Promise.promise();
+        InactivityTimer inactivity = new InactivityTimer(
+                reply.context().owner(),
+                dependencies.time(),
+                dependencies.client().idleTimeoutMillis(),
+                () -> whole.tryFail(new TimeoutException("no byte of the body received within the timeout")));
+        Buffer body = Buffer.buffer();
+        response.exceptionHandler(whole::tryFail);
+        response.endHandler(end -> whole.tryComplete(body));
+        response.handler(part -> {
+            inactivity.recordActivity();
+            body.appendBuffer(part);
+        });
+        inactivity.start();
+        return whole.future().onComplete(done -> inactivity.stop());
+    }
+
     private Future<Void> onResponse(HttpClientResponse response, Buffer body) {
         if (ended) {
             return Future.succeededFuture();
