Gateway: a completion states no usage that its backend server did not state

What callers saw: an unstreamed completion whose engine broke off after the finish reason, or never states a usage, had "usage":{"prompt_tokens":-1, "completion_tokens":1,"total_tokens":0}.

Cause: the aggregator built the usage from a count that was unknown.

Change: without a stated usage the completion has none. The end itself is honest: all text came before the finish reason.

--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CompletionAggregator.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CompletionAggregator.java
@@ -35,9 +35,10 @@
     }
 
     /**
-     * Builds the response body.
+     * Builds the response body. It states no usage if the backend server stated none.
      *
      * @param chat Whether to build the response of a chat completion rather than that of a plain completion.
+     * @param promptTokens The number of prompt tokens as counted by the backend server; negative if not stated.
      */
     Buffer build(boolean chat, int promptTokens, int outputTokens) {
         JsonObject choice = new JsonObject().put("index", 0).put("finish_reason", finishReason);
@@ -46,15 +47,18 @@
         } else {
             choice.put("text", text.toString());
         }
+        JsonObject completion = last.copy()
+                .put("object", chat ? "chat.completion" : "text_completion")
+                .put("choices", new JsonArray().add(choice));
+        completion.remove("usage");
+        if (promptTokens < 0) {
+            return completion.toBuffer();
+        }
         JsonObject usage = new JsonObject()
                 .put("prompt_tokens", promptTokens)
                 .put("completion_tokens", outputTokens)
                 .put("total_tokens", promptTokens + outputTokens);
-        return last.copy()
-                .put("object", chat ? "chat.completion" : "text_completion")
-                .put("choices", new JsonArray().add(choice))
-                .put("usage", usage)
-                .toBuffer();
+        return completion.put("usage", usage).toBuffer();
     }
 
     private JsonObject message() {
