--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
@@ -11,6 +11,7 @@
 import org.cranberrygauge.proxy.retry.AttemptOutcome;
 import org.cranberrygauge.proxy.stream.EventSequence;
 import org.cranberrygauge.proxy.stream.EventSplitter;
+import org.cranberrygauge.runtime.http.ResponseFraming;
 
 /**
  * One attempt at a backend server.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
@@ -13,6 +13,7 @@
 import org.cranberrygauge.proxy.admission.RejectReason;
 import org.cranberrygauge.proxy.configuration.Pool;
 import org.cranberrygauge.proxy.retry.AttemptHistory;
+import org.cranberrygauge.runtime.http.ResponseFraming;
 
 /**
  * A request that this host passes on to another one, since it reaches no backend server itself.
