A read that ends before its topic does confirms nothing (CONFIG, REVOKE)

What callers would see: a key that was withdrawn stays valid beyond its bound, an old route stays in force, at the host that reads the log and at all hosts for which it reads.

Cause: a host vouches for what it can't know. A read of the log states where the topic ends, and may return fewer records: a page has its limit, and a response that names no length can break off between two records. Nobody compared the two: each read counted as complete, dated from its sending, and was relayed as such.

Change: LogSlice.isComplete compares the end that the log states with that of the records. TopicRelay confirms by complete reads only, as it did for relayed answers already; TopicFollower reads on at once. No call more where reads are whole.

Evidence: TopicRelayTest.aReadThatEndsBeforeTheTopicDoesConfirmsNothing (complete, where a record was missing) and aHostWhoseReadEndedBeforeTheTopicDoesRelaysNoNewerConfirmation (dated 10,300 instead of 10,000) failed before and pass.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
@@ -112,12 +112,12 @@
 
     /** Returns the pause before the next read. */
     private long pauseMillis(TopicReadResult result) {
-        if (!result.relayed()) {
-            return settings.pauseMillis();
-        }
         if (!result.complete()) {
             return 0;
         }
+        if (!result.relayed()) {
+            return settings.pauseMillis();
+        }
         return RELAYED_INTERVAL_MILLIS + ThreadLocalRandom.current().nextLong(RELAYED_JITTER_MILLIS);
     }
 
@@ -164,7 +164,7 @@
         /**
          * Called when all records up to a time have been received.
          *
-         * @param confirmation The time at which the read was sent.
+         * @param confirmation The time at which the read was sent; {@link Confirmation#NONE} if further records follow.
          */
         void onConfirmed(Confirmation confirmation);
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicRelay.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicRelay.java
@@ -16,6 +16,7 @@
 import org.cranberrygauge.proxy.store.Confirmation;
 import org.cranberrygauge.proxy.store.RecentRecords;
 import org.cranberrygauge.proxy.store.RecentRecords.Part;
+import org.cranberrygauge.proxy.store.SharedLog.LogSlice;
 import org.cranberrygauge.proxy.store.SharedLogException;
 import org.cranberrygauge.proxy.store.SharedLogException.Kind;
 import org.cranberrygauge.proxy.store.StoreEra;
@@ -132,8 +133,7 @@
         return context.log()
                 .read(topic, fromOffset, queried ? (long) (waitMillis * QUERIED_WAIT_FACTOR) : waitMillis)
                 .onSuccess(slice -> readMonitor.recordSuccess(context.time().monotonicMillis()))
-                .map(slice ->
-                        cache(topic, fromOffset, new TopicReadResult(slice.records(), slice.next(), sent, false, true)))
+                .map(slice -> cache(topic, fromOffset, toResult(slice, sent)))
                 .recover(failure -> {
                     if (failure instanceof SharedLogException known && isPositionLost(known)) {
                         return Future.failedFuture(failure);
@@ -190,6 +190,13 @@
         return tries == 1 ? answer : answer.recover(lost -> sendQuery(other, topic, fromOffset, tries - 1));
     }
 
+    /** Converts a read of the log, which confirms nothing if it ended before the topic does. */
+    private static TopicReadResult toResult(LogSlice slice, Confirmation sent) {
+        boolean complete = slice.isComplete();
+        Confirmation read = complete ? sent : Confirmation.NONE;
+        return new TopicReadResult(slice.records(), slice.next(), read, false, complete);
+    }
+
     /** Converts a response; its confirmation is dated from the time at which the query was sent. */
     private static TopicReadResult toResult(TopicAnswer answer, long fromOffset, Confirmation sent) {
         List<byte[]> records = new ArrayList<>();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/store/SharedLog.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/store/SharedLog.java
@@ -24,7 +24,7 @@
     Future<Long> put(String topic, String key, byte[] value);
 
     /**
-     * Reads records.
+     * Reads records. A read may end before the topic does, but returns one record at least if there is any.
      *
      * @param fromOffset The offset of the first record.
      * @param waitMillis The maximum time to wait for a record, in milliseconds.
@@ -55,7 +55,13 @@
      * @param next The offset after the last record that was read.
      * @param records The records in order.
      */
-    record LogSlice(long end, long next, List<byte[]> records) {}
+    record LogSlice(long end, long next, List<byte[]> records) {
+
+        /** Tells whether no records follow, as of the response. */
+        public boolean isComplete() {
+            return next >= end;
+        }
+    }
 
     /**
      * The newest value of each key.
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicRelayTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicRelayTest.java
@@ -129,6 +129,31 @@
         assertThat(secondLog.reads).isZero();
     }
 
+    /** Guards against a withdrawn key that counts as confirmed since a read ended before the record that withdrew it. */
+    @Test
+    void aReadThatEndsBeforeTheTopicDoesConfirmsNothing() throws Exception {
+        firstLog.records = List.of(new byte[] {1});
+        firstLog.unread = 1;
+        TopicReadResult part = read(first, 5);
+        assertThat(part.next()).isEqualTo(6);
+        assertThat(part.complete()).isFalse();
+        assertThat(part.confirmation()).isEqualTo(Confirmation.NONE);
+    }
+
+    /** Guards against a host that relays such a read as complete. */
+    @Test
+    void aHostWhoseReadEndedBeforeTheTopicDoesRelaysNoNewerConfirmation() throws Exception {
+        read(first, 5);
+        long complete = clock.now;
+        clock.advance(300);
+        firstLog.records = List.of(new byte[] {1});
+        firstLog.unread = 1;
+        read(first, 5);
+        TopicReadResult relayed = read(second, 5);
+        assertThat(relayed.records()).hasSize(1);
+        assertThat(relayed.confirmation().monotonicMillis()).isEqualTo(complete);
+    }
+
     @Test
     void aQueryIsRepeatedWhenADatagramIsLost() throws Exception {
         read(first, 5);
@@ -272,6 +297,9 @@
 
         private List<byte[]> records = List.of();
 
+        /** The number of records after those that a read returns. */
+        private int unread;
+
         private SharedLogException failure;
 
         private int reads;
@@ -283,7 +311,7 @@
                 return Future.failedFuture(failure);
             }
             long next = from + records.size();
-            return Future.succeededFuture(new LogSlice(next, next, records));
+            return Future.succeededFuture(new LogSlice(next + unread, next, records));
         }
     }
 }
