A window of usage is decided once all counts have been read (USAGE)

What the platform would see: figures of a window that are too low, and final, after the duties have moved to a host that has not read the counts yet.

A new leader read the topic of counts once and decided the window from what that read returned. The store returns 1 MB at most, the oldest first.

Change: SharedLog.readToEnd reads until the end that the log states; UsageReportController reads both topics with it. One call as before where one read is enough.

Whether the topic exceeds 1 MB on any deployment was not measured.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageReportController.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageReportController.java
@@ -209,11 +209,11 @@
         });
     }
 
-    /** Reads records, from the first retained one if earlier ones were trimmed. */
+    /** Reads all records, from the first retained one if earlier ones were trimmed. */
     private Future<LogSlice> read(String topic, long from) {
-        return context.log().read(topic, from, 0).recover(failure -> {
+        return context.log().readToEnd(topic, from).recover(failure -> {
             if (failure instanceof SharedLogException known && known.kind() == Kind.TRIMMED) {
-                return context.log().read(topic, known.firstOffset(), 0);
+                return context.log().readToEnd(topic, known.firstOffset());
             }
             return Future.failedFuture(failure);
         });
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/store/SharedLog.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/store/SharedLog.java
@@ -1,6 +1,7 @@
 package org.cranberrygauge.proxy.store;
 
 import io.vertx.core.Future;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -31,6 +32,18 @@
      */
     Future<LogSlice> read(String topic, long fromOffset, long waitMillis);
 
+    /**
+     * Reads all records up to the end of the topic, by as many reads as that takes.
+     *
+     * @param fromOffset The offset of the first record.
+     */
+    default Future<LogSlice> readToEnd(String topic, long fromOffset) {
+        return read(topic, fromOffset, 0)
+                .compose(slice -> slice.isComplete()
+                        ? Future.succeededFuture(slice)
+                        : readToEnd(topic, slice.next()).map(slice::followedBy));
+    }
+
     /** Reads the newest value of each key. */
     Future<KeyedValues> newest(String topic);
 
@@ -61,6 +74,13 @@
         public boolean isComplete() {
             return next >= end;
         }
+
+        /** Returns the records of this read and of a later one that began where this one ended. */
+        LogSlice followedBy(LogSlice later) {
+            List<byte[]> all = new ArrayList<>(records);
+            all.addAll(later.records());
+            return new LogSlice(later.end(), later.next(), all);
+        }
     }
 
     /**
