An answer to the process before answers no question (ORDER, LIMIT, CONFIG)

What callers would see: a stream that goes on at the version of another stream, more requests than a limit allows, a configuration confirmed by a read of another topic.

Cause: the same class, between hosts. Questions by datagram are numbered, and each process began at 1. A host that was frozen answers what lies in its socket once it wakes; a host that was restarted meanwhile took that answer for the one to its own question of this number.

Change: QuestionNumbers begins anywhere in 64 bits, for reads, streams and permits. No field more, hosts of other builds echo the number.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PermitExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PermitExchange.java
@@ -58,7 +58,7 @@
     /** The requests without an answer, by number. */
     private final Map<Long, PermitRequest> pending = new HashMap<>();
 
-    private long lastNumber;
+    private final QuestionNumbers numbers = new QuestionNumbers();
 
     public PermitExchange(
             TimeSource time,
@@ -93,10 +93,10 @@
             return;
         }
         issuer.pause(incarnation);
-        pending.put(++lastNumber, new PermitRequest(incarnation, now));
+        long number = numbers.next();
+        pending.put(number, new PermitRequest(incarnation, now));
         transport.send(
-                HostMessage.permitQuestion(new PermitQuestion(lastNumber, incarnation, count)),
-                List.of(issuingHost.get()));
+                HostMessage.permitQuestion(new PermitQuestion(number, incarnation, count)), List.of(issuingHost.get()));
     }
 
     /**
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/StreamOriginExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/StreamOriginExchange.java
@@ -51,7 +51,7 @@
     /** The lookups in progress, by number. */
     private final Map<Long, Lookup> lookups = new HashMap<>();
 
-    private long lastNumber;
+    private final QuestionNumbers numbers = new QuestionNumbers();
 
     public StreamOriginExchange(TimeSource time, Timers timers, PeerDirectory peers, MessageTransport transport) {
         this.time = time;
@@ -82,8 +82,9 @@
             return;
         }
         Lookup lookup = new Lookup(requestId, new HashSet<>(asked), found);
-        lookups.put(++lastNumber, lookup);
-        ask(lastNumber, lookup, TRIES);
+        long number = numbers.next();
+        lookups.put(number, lookup);
+        ask(number, lookup, TRIES);
     }
 
     /** Asks the hosts that have not answered yet, until the tries are used up. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicRelay.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicRelay.java
@@ -70,7 +70,7 @@
     /** The monotonic times until which hosts are not queried. */
     private final Map<NetworkAddress, Long> cooldownUntilMillis = new HashMap<>();
 
-    private long lastQueryNumber;
+    private final QuestionNumbers queryNumbers = new QuestionNumbers();
 
     /** The monotonic time of the last failed read. */
     private long lastFailureMillis = Long.MIN_VALUE / 2;
@@ -178,7 +178,7 @@
 
     /** Sends a query, and repeats it without a response until the tries are used up. */
     private Future<TopicAnswer> sendQuery(NetworkAddress other, String topic, long fromOffset, int tries) {
-        long queryNumber = ++lastQueryNumber;
+        long queryNumber = queryNumbers.next();
         Promise<TopicAnswer> promise = Promise.promise();
         pendingQueries.put(queryNumber, promise);
         long timer = context.vertx().setTimer(RESPONSE_TIMEOUT_MILLIS, fired -> promise.tryFail("no response in time"));
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/StreamOriginExchangeTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/StreamOriginExchangeTest.java
@@ -2,8 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import org.cranberrygauge.model.backend.NetworkAddress;
+import org.cranberrygauge.protocol.generated.HostMessage;
+import org.cranberrygauge.protocol.generated.StreamAnswer;
 import org.cranberrygauge.proxy.stream.StreamOrigin;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -15,6 +20,8 @@
  */
 class StreamOriginExchangeTest {
 
+    private static final NetworkAddress OTHER = new NetworkAddress("10.0.0.2", 1);
+
     private static final int STREAMS = 60;
 
     private static final int SEEDS = 5;
@@ -65,6 +72,29 @@
         assertThat(new StreamFleet(4, 1).find(0, "never begun")).isEmpty();
     }
 
+    /** Guards against a stream that goes on at the version of another one, of which an answer came late. */
+    @Test
+    void anAnswerToTheProcessBeforeAnswersNoLookup() {
+        RecordingTransport before = new RecordingTransport();
+        exchange(before).find("stream-1", found -> {});
+        StreamAnswer late =
+                new StreamAnswer(before.lastSent().getStreamQuestion().getNumber());
+        late.setPool("chat").setVersion("v1");
+        RecordingTransport after = new RecordingTransport();
+        List<Optional<StreamOrigin>> answers = new ArrayList<>();
+        exchange(after).find("stream-2", answers::add);
+        after.deliver(HostMessage.streamAnswer(late), OTHER);
+        assertThat(answers).isEmpty();
+    }
+
+    /** Starts a process of a host that knows one other. */
+    private static StreamOriginExchange exchange(MessageTransport transport) {
+        PeerDirectory peers = new PeerDirectory("host-1", "east");
+        VirtualTimeline timeline = new VirtualTimeline();
+        peers.addHost(timeline.monotonicMillis(), "host-2", OTHER);
+        return new StreamOriginExchange(timeline, timeline::after, peers, transport);
+    }
+
     @Test
     void aHostWithoutOthersKnowsItsOwnStreams() {
         StreamFleet fleet = new StreamFleet(1, 1);
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicRelayTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicRelayTest.java
@@ -161,6 +161,20 @@
         assertThat(read(second, 5).relayed()).isTrue();
     }
 
+    /** Guards against records and a confirmation of another read, of which the response came late. */
+    @Test
+    void aResponseToTheProcessBeforeIsDropped() throws Exception {
+        firstLog.records = List.of(new byte[] {1});
+        read(first, 5);
+        read(second, 5);
+        HostMessage late = network.lastResponse;
+        TopicRelay restarted = host("host-2", secondLog, "host-1");
+        network.beforeQuery = () -> network.deliver(late, "host-1", "host-2");
+        TopicReadResult result = read(restarted, 6);
+        assertThat(result.records()).isEmpty();
+        assertThat(result.next()).isEqualTo(6);
+    }
+
     @Test
     void aHostReadsRecordsByItselfThatTheOtherNoLongerHas() throws Exception {
         read(first, 5);
@@ -244,6 +258,10 @@
 
         private Runnable beforeResponse = () -> {};
 
+        private Runnable beforeQuery = () -> {};
+
+        private HostMessage lastResponse;
+
         private boolean broken;
 
         private int lost;
@@ -257,6 +275,10 @@
             directories.get("host-2").update(clock.now, TopicRelayTest.report(host, clock.now), address(host));
         }
 
+        void deliver(HostMessage message, String from, String to) {
+            handlers.get(address(to)).get(message.getSetField()).accept(copy(message), address(from));
+        }
+
         MessageTransport transport(String host) {
             Map<HostMessage._Fields, BiConsumer<HostMessage, NetworkAddress>> ownHandlers =
                     new EnumMap<>(HostMessage._Fields.class);
@@ -276,9 +298,11 @@
                     }
                     if (message.getSetField() == HostMessage._Fields.ANSWER) {
                         beforeResponse.run();
+                        lastResponse = message;
+                    } else {
+                        beforeQuery.run();
                     }
-                    receivers.forEach(receiver ->
-                            handlers.get(receiver).get(message.getSetField()).accept(copy(message), address(host)));
+                    receivers.forEach(receiver -> deliver(message, host, receiver.host()));
                 }
             };
         }
