A response on a kept connection that names no request is not taken for the answer (REFUSED, MIXED)

What callers saw: a server wrote an earlier refusal once more on a kept connection; requests that may be repeated were answered 503, not run, although they ran. Where a server names the request in no response at all, callers got the answer to another request with status 200 as well.

Cause: a response that names no request counted as the answer wherever it came. Class: a host vouches for what it can't know. Requests that must run at most once were not concerned, since each has a connection of its own (aRequestThatMustRunAtMostOnceHasAConnectionOfItsOwn held before).

Change: a response that names no request counts only as the first one of its connection, and closes that connection when it has ended, decided in the connection's pipeline before the pool can hand it out; so sound servers that name nothing are served as before, with more connections.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -377,7 +377,7 @@
                 settings.host(),
                 settings.regions(),
                 blackboard,
-                new BackendClient(vertx),
+                new BackendClient(vertx, dependencies.codec()),
                 dependencies.codec(),
                 new BackendChooser(settings.dataCentre(), loads, profiles, capacity, new SplittableRandom()),
                 loads,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendClient.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendClient.java
@@ -13,12 +13,15 @@
 import io.vertx.core.net.SocketAddress;
 import java.util.concurrent.atomic.AtomicLong;
 import org.cranberrygauge.model.backend.NetworkAddress;
+import org.cranberrygauge.runtime.http.UnnamedResponses;
 
 /**
  * Opens connections to backend servers.
  *
  * <p>Invariants: a connection carries one exchange at a time. A request that must run at most once gets a new
- * connection, since an idle one may be closed by the backend server while the request is on its way. Thread-safe.
+ * connection, since an idle one may be closed by the backend server while the request is on its way. On a connection that is
+ * reused, a response that names no request counts only if it is the first one there.
+ * Thread-safe.
  */
 public final class BackendClient {
 
@@ -47,10 +50,14 @@
     /** Opens a connection for each request. */
     private final HttpClient unpooled;
 
-    public BackendClient(Vertx vertx) {
+    public BackendClient(Vertx vertx, HeaderCodec codec) {
         this.vertx = vertx;
         PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS);
-        pooled = vertx.createHttpClient(options().setKeepAliveTimeout(KEEP_ALIVE_SECONDS), pool);
+        pooled = vertx.httpClientBuilder()
+                .with(options().setKeepAliveTimeout(KEEP_ALIVE_SECONDS))
+                .with(pool)
+                .withConnectHandler(connection -> UnnamedResponses.watch(connection, codec::namesRequest))
+                .build();
         unpooled = vertx.createHttpClient(options().setKeepAlive(false), new PoolOptions(pool));
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HeaderCodec.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HeaderCodec.java
@@ -20,6 +20,9 @@
      */
     void encodeBackend(MultiMap callerHeaders, BackendHeaders proxyHeaders, MultiMap target);
 
+    /** Tells whether the headers of a backend server's response name the request that it answers. */
+    boolean namesRequest(MultiMap responseHeaders);
+
     /** Decodes the status and the headers of a backend server's response. */
     BackendResponseHeaders decodeResponse(int status, MultiMap headers);
 
