--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeEvents.java
@@ -101,9 +101,10 @@
      * @param host The address of the last host that was tried, or a dash if there was none.
      * @param tried The number of hosts that were tried.
      * @param status The HTTP status of the response; 0 if a connection was closed.
+     * @param detail Why the response of the last host was not passed on; a dash if it was, or if there was none.
      * @param totalMillis The duration of the request in milliseconds.
      */
-    public record RequestForwarded(String request, String host, int tried, int status, long totalMillis)
+    public record RequestForwarded(String request, String host, int tried, int status, String detail, long totalMillis)
             implements Event {}
 
     /**
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
@@ -19,8 +19,8 @@
  * A request that this host passes on to another one, since it reaches no backend server itself.
  *
  * <p>Invariants: a host that received the request completely is the last one, unless it states that the request did not
- * run; exactly one final response is given, at the deadline at the latest; the other host learns when the caller
- * disconnects. Not thread-safe.
+ * run; a response that names another request is not passed on, and states nothing; exactly one final response is given, at
+ * the deadline at the latest; the other host learns when the caller disconnects. Not thread-safe.
  */
 final class ForwardedRequest {
 
@@ -32,6 +32,9 @@
 
     private static final int UNAVAILABLE_STATUS = 503;
 
+    /** The logged value for a missing address or detail. */
+    private static final String ABSENT = "-";
+
     private final ExchangeContext context;
 
     private final ProxyRequest request;
@@ -69,6 +72,9 @@
 
     private boolean ended;
 
+    /** Why no response of the current host was passed on. */
+    private String detail = ABSENT;
+
     private long deadlineTimer;
 
     ForwardedRequest(
@@ -118,7 +124,7 @@
 
     private void send(HttpClientRequest opened) {
         hostRequest = opened;
-        opened.exceptionHandler(failure -> failBroken(opened));
+        opened.exceptionHandler(failure -> failBroken(opened, failure.getMessage()));
         if (ended) {
             opened.reset();
             return;
@@ -127,14 +133,20 @@
         context.codec().copyRequest(request.headers(), opened.headers());
         new Forwarding(Optional.of(context.host()), Math.max(1, remainingMillis() - RETURN_MILLIS), remainingAttempts)
                 .write(opened.headers());
-        opened.send(request.body()).onSuccess(this::read).onFailure(failure -> failBroken(opened));
+        opened.send(request.body())
+                .onSuccess(this::read)
+                .onFailure(failure -> failBroken(opened, failure.getMessage()));
     }
 
     private void read(HttpClientResponse hostResponse) {
         if (ended || hostResponse.request() != hostRequest) {
             return;
         }
-        hostResponse.exceptionHandler(failure -> failBroken(hostResponse.request()));
+        hostResponse.exceptionHandler(failure -> failBroken(hostResponse.request(), failure.getMessage()));
+        if (namesAnother(hostResponse)) {
+            failBroken(hostResponse.request(), "response names another request");
+            return;
+        }
         OptionalInt rejected = Forwarding.takeNotRun(hostResponse.headers());
         if (rejected.isPresent()) {
             context.client().discard(hostResponse);
@@ -153,6 +165,14 @@
         }
     }
 
+    private boolean namesAnother(HttpClientResponse hostResponse) {
+        return context.codec()
+                .decodeResponse(hostResponse.statusCode(), hostResponse.headers())
+                .requestId()
+                .filter(id -> !id.equals(request.id()))
+                .isPresent();
+    }
+
     /**
      * Tries the next host after a rejection; if backend servers have received the request, that is a retry.
      *
@@ -178,7 +198,7 @@
         Buffer body = Buffer.buffer();
         hostResponse.handler(bytes -> {
             if (body.length() + bytes.length() > BackendAttempt.MAXIMUM_BUFFERED_BYTES) {
-                failBroken(hostResponse.request());
+                failBroken(hostResponse.request(), "response exceeds the buffer limit");
                 return;
             }
             body.appendBuffer(bytes);
@@ -222,11 +242,12 @@
         return forwarded;
     }
 
-    /** Ends the request because the connection to the host that has it broke, so that it may have run. */
-    private void failBroken(HttpClientRequest broken) {
+    /** Ends the request because the connection to the host that has it broke, or its response is unusable; it may have run. */
+    private void failBroken(HttpClientRequest broken, String reason) {
         if (ended || !sent || broken != hostRequest) {
             return;
         }
+        detail = String.valueOf(reason);
         endUnknown(RejectReason.BACKEND_BROKE);
     }
 
@@ -294,9 +315,10 @@
         context.events()
                 .emit(new ExchangeEvents.RequestForwarded(
                         request.id(),
-                        current == null ? "-" : current.toString(),
+                        current == null ? ABSENT : current.toString(),
                         tried,
                         status,
+                        detail,
                         context.time().monotonicMillis() - request.receivedMillis()));
     }
 
