--- a/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/RawServer.java
+++ b/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/RawServer.java
@@ -125,7 +125,7 @@
     }
 
     /**
-     * A request.
+     * What the gateway sent, head and body.
      *
      * @param number The number of the request on its connection, from 1.
      * @param text The whole request.
