Sound streams with blank lines, retry blocks or a byte order mark keep their order

The lines of a head that follow a cut event still passed as fields, and a number could go back across an identifier that is no number.

EventSequence now passes what dispatches no event, knows the fields of the format (others in the first line only), and compares with the last number.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/stream/EventSequence.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/stream/EventSequence.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.regex.Pattern;
 
 /**
@@ -15,17 +16,27 @@
  */
 public final class EventSequence {
 
-    private static final Pattern FIELD_NAME = Pattern.compile("[A-Za-z][A-Za-z0-9_-]*");
+    private static final Set<String> FIELDS = Set.of("data", "event", "id", "retry");
+
+    /** The names of fields that a platform may add in the first line of an event. */
+    private static final Pattern ADDED_FIELD = Pattern.compile("[A-Za-z][A-Za-z0-9_-]*");
 
     private static final String ID_FIELD = "id";
 
+    private static final String DATA_FIELD = "data";
+
     private static final char COMMENT = ':';
 
+    /** The byte order mark with which a stream may begin, in UTF-8. */
+    private static final String BYTE_ORDER_MARK = "\u00ef\u00bb\u00bf";
+
     /** The identifier of the last event that has one, or at first the one that the caller sent. */
     private Optional<String> lastId;
 
-    /** Whether events were accepted. */
-    private boolean begun;
+    /** The number of the last event that has one, or at first the one that the caller sent. */
+    private OptionalLong lastNumber;
+
+    private long acceptedEvents;
 
     /** Whether the next event is the first one of an attempt that resumes the stream. */
     private boolean resumes;
@@ -33,17 +44,18 @@
     /** The largest difference of the numbers of two successive events of one attempt; empty before there are two. */
     private OptionalLong largestStep = OptionalLong.empty();
 
-    /** Whether the last accepted event was one of the current attempt. */
+    /** Whether an event of the current attempt was accepted. */
     private boolean continues;
 
     /** @param lastId The identifier of the last event that the caller has; empty if the stream begins. */
     public EventSequence(Optional<String> lastId) {
         this.lastId = lastId;
+        this.lastNumber = number(lastId);
     }
 
     /** Records that another attempt starts; it resumes the stream if there was an event before. */
     public void beginAttempt() {
-        resumes = begun || lastId.isPresent();
+        resumes = !isEmpty();
         continues = false;
     }
 
@@ -52,9 +64,19 @@
         return lastId;
     }
 
+    /** Tells whether the caller has no event of the stream, neither of this response nor of an earlier one. */
+    public boolean isEmpty() {
+        return acceptedEvents == 0 && lastId.isEmpty();
+    }
+
+    /** Returns the number of accepted events, without comments. */
+    public long acceptedEvents() {
+        return acceptedEvents;
+    }
+
     /** Tells whether another attempt can go on after the accepted events, since the last one has a number. */
     public boolean isResumable() {
-        return !begun || number(lastId).isPresent();
+        return acceptedEvents == 0 || number(lastId).isPresent();
     }
 
     /**
@@ -66,7 +88,8 @@
     public int accept(Buffer events) {
         String text = events.toString(StandardCharsets.ISO_8859_1);
         int accepted = 0;
-        for (int end = endOfEvent(text, 0); end > 0; end = endOfEvent(text, accepted)) {
+        while (accepted < text.length()) {
+            int end = endOfEvent(text, accepted);
             if (!accept(text.substring(accepted, end))) {
                 return accepted;
             }
@@ -75,59 +98,69 @@
         return accepted;
     }
 
-    /** Returns the index after the empty line of the event that begins at an index, or 0 if there is none. */
+    /** Returns the index after the first empty line from an index on. */
     private static int endOfEvent(String text, int start) {
-        for (int lineEnd = text.indexOf('\n', start); lineEnd >= 0; lineEnd = text.indexOf('\n', lineEnd + 1)) {
-            boolean emptyLineFollows = text.startsWith("\n", lineEnd + 1);
-            if (emptyLineFollows) {
-                return lineEnd + 2;
+        int line = start;
+        while (line < text.length()) {
+            int lineEnd = text.indexOf('\n', line);
+            if (lineEnd < 0) {
+                return text.length();
             }
-            if (text.startsWith("\r\n", lineEnd + 1)) {
-                return lineEnd + 3;
+            boolean empty = lineEnd == line || (lineEnd == line + 1 && text.charAt(line) == '\r');
+            if (empty) {
+                return lineEnd + 1;
             }
+            line = lineEnd + 1;
         }
-        return 0;
+        return line;
     }
 
     private boolean accept(String event) {
         Optional<String> id = Optional.empty();
-        boolean comment = true;
+        boolean hasData = false;
+        boolean first = true;
         for (String line : event.split("\n")) {
-            String field = line.trim();
+            String field = withoutMark(line).trim();
             if (field.isEmpty() || field.charAt(0) == COMMENT) {
                 continue;
             }
-            comment = false;
             int colon = field.indexOf(COMMENT);
             String name = colon < 0 ? field : field.substring(0, colon);
-            if (!FIELD_NAME.matcher(name).matches()) {
+            if (!FIELDS.contains(name) && !(first && ADDED_FIELD.matcher(name).matches())) {
                 return false;
             }
+            first = false;
+            hasData |= name.equals(DATA_FIELD);
             if (name.equals(ID_FIELD)) {
                 id = Optional.of(colon < 0 ? "" : field.substring(colon + 1).trim());
             }
         }
-        return comment || acceptNext(id);
+        return (id.isEmpty() && !hasData) || acceptNext(id);
+    }
+
+    /** Returns a line without the mark with which an attempt may begin. */
+    private String withoutMark(String line) {
+        return !continues && line.startsWith(BYTE_ORDER_MARK) ? line.substring(BYTE_ORDER_MARK.length()) : line;
     }
 
     /** Accepts the next event if it may follow the last one. */
     private boolean acceptNext(Optional<String> id) {
-        OptionalLong last = number(lastId);
         OptionalLong next = number(id);
-        if (last.isPresent() && next.isPresent()) {
-            long step = next.getAsLong() - last.getAsLong();
+        if (lastNumber.isPresent() && next.isPresent()) {
+            long step = next.getAsLong() - lastNumber.getAsLong();
             if (step <= 0 || (resumes && step > largestStep.orElse(Long.MAX_VALUE))) {
                 return false;
             }
             if (continues) {
                 largestStep = OptionalLong.of(Math.max(step, largestStep.orElse(0)));
             }
-        } else if (resumes && last.isPresent()) {
+        } else if (resumes && lastNumber.isPresent()) {
             return false;
         }
         lastId = id.or(() -> lastId);
+        lastNumber = next.isPresent() ? next : lastNumber;
+        acceptedEvents++;
         continues = true;
-        begun = true;
         resumes = false;
         return true;
     }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/stream/EventSequenceTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/stream/EventSequenceTest.java
@@ -98,6 +98,41 @@
         assertThat(sequence.isResumable()).isFalse();
     }
 
+    /** Guards against a complete stream that is cut because its server sends more than events (MIXED). */
+    @ParameterizedTest
+    @ValueSource(strings = {"\n", "\r\n", ": ping\n\n", "retry: 3000\n\n", "\n\n: a\n: b\r\n\r\n"})
+    void emptyLinesAndBlocksWithoutAnEventDoNotBreakTheOrder(String filler) {
+        sequence.beginAttempt();
+        assertAccepted(filler + "id: 1\ndata: a\n\n" + filler + "id: 2\ndata: b\n\n");
+        sequence.beginAttempt();
+        assertAccepted(filler);
+        assertAccepted("id: 3\ndata: c\n\n" + filler);
+        assertThat(sequence.acceptedEvents()).isEqualTo(3);
+    }
+
+    @Test
+    void aStreamMayBeginWithAByteOrderMark() {
+        sequence.beginAttempt();
+        assertAccepted("\ufeffid: 1\ndata: a\n\n");
+        sequence.beginAttempt();
+        assertAccepted("\ufeffid: 2\ndata: b\n\n");
+    }
+
+    /** Guards against the head of another response that follows a cut event without a line end (ORDER, MIXED). */
+    @Test
+    void theLinesOfAHeadAreNoFieldsOfAnEvent() {
+        sequence.beginAttempt();
+        assertRejected("id: 2\ndata: evHTTP/1.1 200 OK\r\nX-Request: a\r\n\r\n");
+    }
+
+    @Test
+    void aNumberDoesNotGoBackAcrossAnIdentifierThatIsNone() {
+        sequence.beginAttempt();
+        assertAccepted("id: 5\ndata: a\n\nid: x\ndata: b\n\n");
+        assertRejected("id: 3\ndata: c\n\n");
+        assertAccepted("id: 6\ndata: c\n\n");
+    }
+
     @Test
     void theFirstAttemptMayStartAtAnyNumber() {
         sequence.beginAttempt();
@@ -106,7 +141,8 @@
     }
 
     private void assertAccepted(String events) {
-        assertThat(sequence.accept(Buffer.buffer(events))).as(events).isEqualTo(events.length());
+        Buffer bytes = Buffer.buffer(events);
+        assertThat(sequence.accept(bytes)).as(events).isEqualTo(bytes.length());
     }
 
     private void assertRejected(String event) {
