A stream that is cut is reset for callers of HTTP/1.0 (ORDER)

Such callers got 200, some events and an orderly close where a stream broke off: Vert.x writes no chunks to them, so that nothing but the connection showed the end.

Their response counts as one without framing now: its connection is reset unless the end is passed on.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.HttpVersion;
 import java.util.Locale;
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
@@ -195,7 +196,7 @@
      * Writes the status and headers of a stream.
      *
      * @param framed Whether more than the end of the server's connection shows that its response is complete; otherwise this
-     *     is so for the caller, too.
+     *     is so for the caller, too, and for callers that don't take chunks.
      */
     public void startStream(int status, MultiMap headers, boolean framed) {
         response.setStatusCode(status);
@@ -203,7 +204,8 @@
         if (forwarded) {
             Forwarding.markNotRun(response.headers(), false, sentAttempts);
         }
-        if (framed) {
+        boolean takesChunks = request.version() != HttpVersion.HTTP_1_0;
+        if (framed && takesChunks) {
             response.setChunked(true);
         } else {
             endWithConnection();
