An end without framing: no success without an event, comments refute nothing, attempts are used

A stream without framing that ends before its first event counts as broken: it is sent again or answered with 502. Only an event refutes an end. Another end without events no longer stops the attempts. An attempt that only confirms an end shows no speed of its server. The own router does not clear a request of blame by a response without framing.

--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
@@ -277,7 +277,9 @@
         reservation.recordResponse(response.statusCode(), type, body, framed);
         release();
         close();
-        dependencies.quarantine().completed(fingerprint);
+        if (framed) {
+            dependencies.quarantine().completed(fingerprint);
+        }
         retryBudget().succeeded();
         if (framed) {
             reply.answer(response.statusCode(), type, body);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/AttemptRecord.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/AttemptRecord.java
@@ -26,6 +26,9 @@
 
     private final SpeedObservation observation;
 
+    /** Whether events have arrived; an attempt that only confirms the end of a stream shows no speed. */
+    private boolean hasEvents;
+
     /** Places the load of an attempt that starts now. */
     AttemptRecord(
             ExchangeContext context,
@@ -52,6 +55,7 @@
 
     /** Records that events of a stream have arrived. */
     void recordEvents(long nowMillis) {
+        hasEvents = true;
         context.reachability().recordHeard(nowMillis);
         evidence.recordEvents(nowMillis);
         observation.recordEvents(nowMillis);
@@ -81,7 +85,9 @@
         evidence.recordResponse(nowMillis, backend, framed);
         load().recordSuccess();
         observation.recordStreamEnd(nowMillis);
-        context.profiles().recordEnd(pool.name(), placement, elapsedMillis(nowMillis));
+        if (hasEvents) {
+            context.profiles().recordEnd(pool.name(), placement, elapsedMillis(nowMillis));
+        }
         placement.end();
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
@@ -230,6 +230,10 @@
                 failBroken("stream ended within an event");
                 return;
             }
+            if (sequence.isEmpty() && !isFramed(backendResponse)) {
+                failBroken("stream ended before its first event");
+                return;
+            }
             if (!ended) {
                 ended = true;
                 listener.onStreamEnd(backendResponse, isFramed(backendResponse));
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -157,8 +157,7 @@
             return;
         }
         beginStream(backendResponse, framed);
-        streamEnd.recordEvents();
-        timers.cancelEndConfirmation();
+        streamEnd.recordEvents(sequence.acceptedEvents());
         record.recordEvents(now());
         response.write(events);
         if (response.isFull()) {
@@ -177,20 +176,18 @@
         }
         recorder.recordUnframedStream(attempt.backend(), backendResponse.statusCode(), sequence.lastId());
         selection.dispatchQueued();
-        boolean agreed = streamEnd.recordUnframedEnd();
+        streamEnd.recordUnframedEnd(sequence.acceptedEvents());
+        timers.startEndConfirmation(this::endUnconfirmed);
         endAttempt(AttemptOutcome.END_UNKNOWN);
-        if (agreed) {
-            proceed(NextStep.CUT, lastOutcome);
-        } else {
-            timers.startEndConfirmation(this::endUnconfirmed);
-            continueAfter(lastOutcome, "only the connection ended the stream");
-        }
+        continueAfter(lastOutcome, "only the connection ended the stream");
     }
 
     /** Ends a stream whose end no other server has confirmed in time. */
     private void endUnconfirmed() {
-        abandonAttempt();
-        proceed(NextStep.CUT, AttemptOutcome.END_UNKNOWN);
+        if (!ended && streamEnd.isStated()) {
+            abandonAttempt();
+            proceed(NextStep.CUT, AttemptOutcome.END_UNKNOWN);
+        }
     }
 
     @Override
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeTimers.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeTimers.java
@@ -44,11 +44,13 @@
         silence = OptionalLong.empty();
     }
 
+    /** Starts the time within which an end has to be confirmed, unless it runs already. */
     void startEndConfirmation(Runnable action) {
+        cancelEndConfirmation();
         endConfirmation = OptionalLong.of(vertx.setTimer(END_CONFIRMATION_MILLIS, fired -> action.run()));
     }
 
-    void cancelEndConfirmation() {
+    private void cancelEndConfirmation() {
         endConfirmation.ifPresent(vertx::cancelTimer);
         endConfirmation = OptionalLong.empty();
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/StreamEnd.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/StreamEnd.java
@@ -8,23 +8,31 @@
  */
 final class StreamEnd {
 
-    /** Whether the last server that sent something has ended the stream. */
+    /** Whether a server has ended the stream and no event has followed. */
     private boolean stated;
 
+    /** The number of events after which it did so. */
+    private long endedAfter;
+
     /** Whether events followed after a server had ended the stream. */
     private boolean refuted;
 
-    /** Records that a server has ended the stream with its connection, and returns whether another one did so before. */
-    boolean recordUnframedEnd() {
-        boolean agreed = stated;
+    /** @param acceptedEvents The number of events that the caller has. */
+    void recordUnframedEnd(long acceptedEvents) {
         stated = true;
-        return agreed;
+        endedAfter = acceptedEvents;
     }
 
-    /** Records that events have arrived. */
-    void recordEvents() {
-        refuted |= stated;
-        stated = false;
+    /**
+     * Records what has arrived from a server; comments alone refute no end.
+     *
+     * @param acceptedEvents The number of events that the caller has.
+     */
+    void recordEvents(long acceptedEvents) {
+        if (stated && acceptedEvents > endedAfter) {
+            refuted = true;
+            stated = false;
+        }
     }
 
     /** Tells whether a server has ended the stream and none has sent events since. */
