--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/stream/EventSequence.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/stream/EventSequence.java
@@ -118,6 +118,7 @@
     private boolean accept(String event) {
         Optional<String> id = Optional.empty();
         boolean hasData = false;
+        boolean hasAddedField = false;
         boolean first = true;
         for (String line : event.split("\n")) {
             String field = withoutMark(line).trim();
@@ -126,8 +127,11 @@
             }
             int colon = field.indexOf(COMMENT);
             String name = colon < 0 ? field : field.substring(0, colon);
-            if (!FIELDS.contains(name) && !(first && ADDED_FIELD.matcher(name).matches())) {
-                return false;
+            if (!FIELDS.contains(name)) {
+                if (!first || !ADDED_FIELD.matcher(name).matches()) {
+                    return false;
+                }
+                hasAddedField = true;
             }
             first = false;
             hasData |= name.equals(DATA_FIELD);
@@ -135,7 +139,8 @@
                 id = Optional.of(colon < 0 ? "" : field.substring(colon + 1).trim());
             }
         }
-        return (id.isEmpty() && !hasData) || acceptNext(id);
+        boolean dispatchesNothing = id.isEmpty() && !hasData;
+        return dispatchesNothing ? !hasAddedField : acceptNext(id);
     }
 
     /** Returns a line without the mark with which an attempt may begin. */
