--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/CrashRecorder.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/CrashRecorder.java
@@ -7,7 +7,9 @@
 
 /**
  * Stores the crashes for which parts of prompts are blocked in the shared log, so that the parts stay blocked after the
- * loss of all hosts. Not thread-safe.
+ * loss of all hosts.
+ *
+ * <p>Invariant: nothing is stored before what is stored was read, since the record is replaced as a whole. Not thread-safe.
  */
 public final class CrashRecorder {
 
@@ -31,6 +33,9 @@
     /** Whether what the log holds differs from what is to be stored. */
     private boolean changed;
 
+    /** Whether what earlier processes have stored was read. */
+    private boolean initialized;
+
     /** Whether a write is in progress. */
     private boolean storing;
 
@@ -62,6 +67,8 @@
                     if (newest.values().containsKey(KEY)) {
                         apply(newest.values().get(KEY));
                     }
+                    initialized = true;
+                    store();
                 })
                 .onFailure(failure -> timers.after(RETRY_MILLIS, this::read));
     }
@@ -83,7 +90,7 @@
 
     /** Stores the crashes of the parts that are blocked now, unless another host does so. */
     private void store() {
-        if (!changed || storing || !readsAlone.getAsBoolean()) {
+        if (!changed || !initialized || storing || !readsAlone.getAsBoolean()) {
             return;
         }
         changed = false;
