--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
@@ -226,6 +226,10 @@
         response.headersEndHandler(end -> response.headers().remove(HttpHeaders.CONTENT_LENGTH));
     }
 
+    int status() {
+        return response.getStatusCode();
+    }
+
     /** Tells whether more than the end of the connection shows the caller that the response is complete. */
     boolean isFramed() {
         return framed;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -248,7 +248,7 @@
     /** Performs the next step after an attempt that gave no complete response. */
     private void proceed(NextStep next, AttemptOutcome outcome) {
         if (next != NextStep.TRY_ANOTHER) {
-            finalResponse.give(now(), next, outcome, serverError, streamEnd);
+            finalResponse.conclude(now(), next, outcome, serverError, streamEnd);
         } else if (!attemptNext()) {
             proceed(RetryPolicy.withoutRetry(history, outcome), outcome);
         }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/FinalResponse.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/FinalResponse.java
@@ -13,8 +13,6 @@
 /** Gives the final response to the caller, and ends the exchange with it. Not thread-safe. */
 final class FinalResponse {
 
-    private static final int SUCCESS_STATUS = 200;
-
     private final ExchangeContext context;
 
     private final ProxyRequest request;
@@ -46,7 +44,7 @@
      * @param outcome The outcome of the last attempt.
      * @param serverError The last server error of a backend server.
      */
-    void give(
+    void conclude(
             long nowMillis,
             NextStep step,
             AttemptOutcome outcome,
@@ -94,7 +92,7 @@
     /** Ends a stream that is complete, or one without framing as its server has ended it. */
     void endStream(String outcome) {
         response.endStream();
-        end.accept(outcome, SUCCESS_STATUS);
+        end.accept(outcome, response.status());
     }
 
     /**
