A rejection by another host counts on a kept connection, too (REFUSED, RECOVER)

Traced: the test's host closed a connection that it had answered in whole, and the next request met it; its hosts keep such connections now. The trace showed a fault behind it: a host's own rejection names no request, so that on a kept connection between two hosts, after a response that names its request, it counted as broken. Callers of a host that reaches no server would have got 502 in place of another host's answer, or of 503 with Retry-After.

Change: the mark of a host's rejection counts as a name; hosts send none twice. aRejectionOnAKeptConnectionIsPassedOn failed without it and passes. responsesThatNameTheRequestOrNoneArePassedOn asks for the same answers, and for the number of connections.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendClient.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendClient.java
@@ -1,6 +1,7 @@
 package org.cranberrygauge.proxy.exchange;
 
 import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
@@ -56,11 +57,17 @@
         pooled = vertx.httpClientBuilder()
                 .with(options().setKeepAliveTimeout(KEEP_ALIVE_SECONDS))
                 .with(pool)
-                .withConnectHandler(connection -> UnnamedResponses.watch(connection, codec::namesRequest))
+                .withConnectHandler(
+                        connection -> UnnamedResponses.watch(connection, headers -> namesRequest(codec, headers)))
                 .build();
         unpooled = vertx.createHttpClient(options().setKeepAlive(false), new PoolOptions(pool));
     }
 
+    /** Tells whether a response names its request; the rejection of another host counts, as hosts send none twice. */
+    private static boolean namesRequest(HeaderCodec codec, MultiMap headers) {
+        return codec.namesRequest(headers) || Forwarding.isRejection(headers);
+    }
+
     /**
      * Opens a connection for a request.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Forwarding.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Forwarding.java
@@ -43,6 +43,11 @@
         }
     }
 
+    /** Tells whether a response is the rejection of another host. */
+    static boolean isRejection(MultiMap responseHeaders) {
+        return responseHeaders.contains(NOT_RUN);
+    }
+
     /**
      * Reads and removes the mark that a request has not run.
      *
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/exchange/ForwardedResponseTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/exchange/ForwardedResponseTest.java
@@ -23,6 +23,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cranberrygauge.decision.backend.BackendStatement;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.proxy.ProxyFixtures;
@@ -60,6 +61,12 @@
     /** Whether it resets the connection in place of closing it. */
     private volatile boolean resets;
 
+    /** Whether it keeps the connection open. */
+    private volatile boolean keeps;
+
+    /** The number of connections to the other host. */
+    private final AtomicInteger connections = new AtomicInteger();
+
     private volatile RouteKind kind = RouteKind.IDEMPOTENT;
 
     private ExchangeContext context;
@@ -114,12 +121,23 @@
 
     @Test
     void responsesThatNameTheRequestOrNoneArePassedOn() throws Exception {
-        answer = "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nContent-Length: 5\r\n\r\nright";
-        assertThat(ask("r-1")).startsWith("HTTP/1.1 200").endsWith("right");
+        keeps = true;
         answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nright";
+        assertThat(ask("r-1")).startsWith("HTTP/1.1 200").endsWith("right");
+        answer = "HTTP/1.1 200 OK\r\nX-Id: r-2\r\nContent-Length: 5\r\n\r\nright";
         assertThat(ask("r-2")).startsWith("HTTP/1.1 200").endsWith("right");
+        assertThat(connections).hasValue(2);
+    }
+
+    /** Guards against a rejection by another host that counts as a broken connection, since it names no request. */
+    @Test
+    void aRejectionOnAKeptConnectionIsPassedOn() throws Exception {
+        keeps = true;
+        answer = "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nContent-Length: 5\r\n\r\nright";
+        assertThat(ask("r-1")).startsWith("HTTP/1.1 200").endsWith("right");
         answer = "HTTP/1.1 503 S\r\nCranberrygauge-Not-Run: 0\r\nRetry-After: 0.25\r\nContent-Length: 0\r\n\r\n";
-        assertThat(ask("r-3")).startsWith("HTTP/1.1 503").contains("0.25");
+        assertThat(ask("r-2")).startsWith("HTTP/1.1 503").contains("0.25");
+        assertThat(connections).hasValue(1);
     }
 
     /** Guards against a success that is framed as whole although its head broke off between two hosts (MIXED, ORDER). */
@@ -187,16 +205,21 @@
     }
 
     private void serve(NetSocket socket) {
+        connections.incrementAndGet();
         StringBuilder received = new StringBuilder();
         socket.handler(bytes -> {
             received.append(bytes.toString(StandardCharsets.US_ASCII));
             if (received.toString().endsWith("\r\n\r\n" + BODY)) {
+                received.setLength(0);
                 socket.write(answer).onComplete(written -> end(socket));
             }
         });
     }
 
     private void end(NetSocket socket) {
+        if (keeps) {
+            return;
+        }
         if (resets) {
             ((ConnectionBase) socket).channel().config().setOption(ChannelOption.SO_LINGER, 0);
         }
