--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -313,8 +313,7 @@
                         context,
                         election,
                         dependencies.controlPlane(),
-                        settings.times().usageWindowMillis(),
-                        settings.firstStart())
+                        settings.times().usageWindowMillis())
                 .start();
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageReportController.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageReportController.java
@@ -64,29 +64,40 @@
     /** Whether a report is in progress. */
     private boolean busy;
 
-    /** @param firstStart Whether the whole system starts for the first time. */
     public UsageReportController(
             ControllerContext context,
             LeaderElection election,
             ControlPlaneClient controlPlane,
-            long windowMillis,
-            boolean firstStart) {
+            long windowMillis) {
         this.context = context;
         this.election = election;
         this.controlPlane = controlPlane;
         this.windowMillis = windowMillis;
-        this.lost = new LostDecisions(firstStart, windowMillis, SETTLING_MILLIS);
+        this.lost = new LostDecisions(windowMillis, SETTLING_MILLIS);
     }
 
     public void start() {
         context.log().era().onChange((previous, current) -> recordRollback());
         context.vertx().setPeriodic(TICK_MILLIS, fired -> tick());
+        readFirst();
+    }
+
+    /** Reads the decided figures before this host leads, so that few windows end before the first read. */
+    private void readFirst() {
+        busy = true;
+        readDecided().onFailure(this::logFailure).onComplete(done -> busy = false);
     }
 
     /** Reports the oldest due window, unless a report is still in progress. */
     private void tick() {
-        OptionalLong token = election.fencingToken();
-        if (busy || token.isEmpty()) {
+        if (busy) {
+            return;
+        }
+        if (!lost.isKnown()) {
+            readFirst();
+            return;
+        }
+        if (election.fencingToken().isEmpty()) {
             return;
         }
         long newest = Math.floorDiv(context.time().wallMillis() - SETTLING_MILLIS, windowMillis) - 1;
@@ -204,7 +215,7 @@
                 applyDecided(record);
             }
             nextDecided = slice.next();
-            lost.recordRead(context.time().wallMillis(), slice.end() == 0);
+            lost.recordRead(context.time().wallMillis());
             return null;
         });
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/leader/LostDecisions.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/leader/LostDecisions.java
@@ -5,7 +5,8 @@
  * copy.
  *
  * <p>A process that has seen the log come back knows when that was. One that has not knows only that it was before its
- * first read, unless the log holds figures that were stored since, in the era that it is in now. Not thread-safe.
+ * first read, unless the log holds figures that were stored since, in the era that it is in now. That the log holds none
+ * shows nothing: it may have come back from a copy that is older than the first ones. Not thread-safe.
  */
 public final class LostDecisions {
 
@@ -17,9 +18,6 @@
     /** The wall-clock time up to which a lost record may have decided windows, in milliseconds since the epoch. */
     private long lostBeforeMillis = Long.MIN_VALUE;
 
-    /** Whether the system may have started for the first time. */
-    private final boolean firstStart;
-
     /** Whether it is known when the log last came back, or that it never did. */
     private boolean known;
 
@@ -27,16 +25,19 @@
     private long newestOfEra = Long.MIN_VALUE;
 
     /**
-     * @param firstStart Whether the whole system starts for the first time; that counts only if the log holds nothing.
      * @param windowMillis The length of a window in milliseconds.
      * @param settlingMillis The time after the end of a window at which its figures are decided, in milliseconds.
      */
-    public LostDecisions(boolean firstStart, long windowMillis, long settlingMillis) {
-        this.firstStart = firstStart;
+    public LostDecisions(long windowMillis, long settlingMillis) {
         this.windowMillis = windowMillis;
         this.settlingMillis = settlingMillis;
     }
 
+    /** Tells whether all figures in the log have been read, or it was seen to come back. */
+    public boolean isKnown() {
+        return known;
+    }
+
     /**
      * Records that the log has come back.
      *
@@ -54,19 +55,17 @@
     }
 
     /**
-     * Records that all figures in the log have been read.
+     * Records that all figures in the log have been read. Without figures of the current era, all windows that have ended
+     * by then may have been reported, also by a host whose clock was ahead of this one's by less than the settling time.
      *
      * @param wallMillis The time in milliseconds since the epoch at which the read ended.
-     * @param empty Whether the log holds none.
      */
-    public void recordRead(long wallMillis, boolean empty) {
+    public void recordRead(long wallMillis) {
         if (known) {
             return;
         }
         known = true;
-        if (!firstStart || !empty) {
-            lostBeforeMillis = newestOfEra == Long.MIN_VALUE ? wallMillis : dueMillis(newestOfEra);
-        }
+        lostBeforeMillis = newestOfEra == Long.MIN_VALUE ? wallMillis + settlingMillis : dueMillis(newestOfEra);
     }
 
     /** Tells whether a window may have been reported though the log holds no figures of it. */
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/UsageReportControllerTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/UsageReportControllerTest.java
@@ -52,7 +52,7 @@
         assertThat(firstReport()).isEqualTo(Map.of("customer", 2L * PAGE + 1));
     }
 
-    /** Lets a host become the leader after window 100, and returns what it reports first. */
+    /** Lets a host that started within window 100 become the leader after it, and returns what it reports first. */
     private Map<String, Long> firstReport() throws Exception {
         FirstReport report = new FirstReport();
         ControllerContext context =
@@ -60,9 +60,10 @@
         vertx.runOnContext(run -> {
             TopicRelay relay = new TopicRelay(context, new PeerDirectory("host-1", "east"), new RecordingTransport());
             LeaderElection election = new LeaderElection(context, relay, "host-1@1", LEASE_MILLIS);
-            time.now = 101 * WINDOW_MILLIS + LEASE_MILLIS;
+            time.now = 100 * WINDOW_MILLIS + 1;
             election.start();
-            new UsageReportController(context, election, report, WINDOW_MILLIS, true).start();
+            new UsageReportController(context, election, report, WINDOW_MILLIS).start();
+            time.now = 101 * WINDOW_MILLIS + LEASE_MILLIS;
         });
         return report.figures.get(10, TimeUnit.SECONDS);
     }
