A store that came back without any origin is not taken for that of a new system (ORDER)

What callers would see: streams joined from two versions, after the loss of all hosts while the store came back from a copy that is older than the first origin, if the settings still name a first start.

Change: hosts state that no origin is missing only in the first era of the store, or if it names none.

Evidence: OriginRecorderTest.anEmptyLogThatCameBackIsNotTakenForThatOfANewSystem failed before and passes.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/OriginRecorder.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/OriginRecorder.java
@@ -142,12 +142,14 @@
     /**
      * Reads the topic before anything is stored, and retries until that has succeeded.
      *
-     * @param emptyIsComplete Whether an empty topic lacks nothing, which is then stored.
+     * @param emptyIsComplete Whether an empty topic lacks nothing, which is then stored, unless the log came back from a copy.
      */
     private void initialize(boolean emptyIsComplete) {
         long era = era();
         topic.read()
-                .compose(read -> emptyIsComplete && read.origins().isEmpty()
+                .compose(read -> emptyIsComplete
+                                && read.origins().isEmpty()
+                                && context.log().era().isFirst()
                         ? topic.storeCompleteIfEmpty(era()).otherwiseEmpty().compose(stored -> topic.read())
                         : Future.succeededFuture(read))
                 .onSuccess(read -> {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/store/StoreEra.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/store/StoreEra.java
@@ -14,6 +14,9 @@
     /** The era of a log that names none. */
     public static final long UNKNOWN = 0;
 
+    /** The era of a log that has never come back from an older copy. */
+    private static final long FIRST = 1;
+
     private final List<Listener> listeners = new ArrayList<>();
 
     private long newest = UNKNOWN;
@@ -22,6 +25,11 @@
         return newest;
     }
 
+    /** Tells whether the log has certainly never come back from an older copy; a log that names no era does not. */
+    public synchronized boolean isFirst() {
+        return newest <= FIRST;
+    }
+
     /** Adds a listener for changes after the first known era. */
     public synchronized void onChange(Listener listener) {
         listeners.add(listener);
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/OriginRecorderTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/OriginRecorderTest.java
@@ -129,6 +129,21 @@
         assertThat(find(0)).isEmpty();
     }
 
+    /** Guards against joined streams after the log came back without any origin while settings still name a first start (ORDER). */
+    @Test
+    void anEmptyLogThatCameBackIsNotTakenForThatOfANewSystem() {
+        startAll(2, true);
+        advance(2_000);
+        registered.add("v2");
+        advance(1_000);
+        loseAll();
+        log.restore(0);
+        registered.remove("v1");
+        startAll(2, true);
+        advance(2_000);
+        assertThat(find(0)).isEmpty();
+    }
+
     @Test
     void anUnreadableRecordLeavesItOpenWhereStreamsBegan() {
         startAll(1, true);
