--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/DrainWait.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/DrainWait.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import org.cranberrygauge.decision.stop.PlannedStop;
 
 /**
  * Decides when a process that received a stop signal may exit.
@@ -23,20 +24,29 @@
     /** The interval between checks. */
     private static final long POLL_INTERVAL_MILLIS = 50;
 
+    /** The time for which every request is accepted; by then the load balancer sends no more. */
+    private static final long ACCEPT_MILLIS = 2_800;
+
     /** The monotonic time of the stop signal. */
     private final long startMillis;
 
-    private final long graceMillis;
+    /** The monotonic time at which the process exits at the latest. */
+    private final long endMillis;
 
     /** The monotonic time at which a request was last in progress. */
     private long lastActiveMillis;
 
     DrainWait(long startMillis, long graceMillis) {
         this.startMillis = startMillis;
-        this.graceMillis = graceMillis;
+        this.endMillis = startMillis + graceMillis - EXIT_RESERVE_MILLIS;
         this.lastActiveMillis = startMillis;
     }
 
+    /** Returns what the host still begins. */
+    PlannedStop plan() {
+        return new PlannedStop(Math.min(startMillis + ACCEPT_MILLIS, endMillis), endMillis);
+    }
+
     /**
      * Tells whether the process may exit.
      *
@@ -48,7 +58,7 @@
             lastActiveMillis = nowMillis;
         }
         long elapsed = nowMillis - startMillis;
-        if (elapsed >= graceMillis - EXIT_RESERVE_MILLIS) {
+        if (nowMillis >= endMillis) {
             return true;
         }
         return elapsed >= BALANCER_NOTICE_MILLIS && nowMillis - lastActiveMillis >= IDLE_MILLIS;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -46,6 +46,7 @@
 import org.cranberrygauge.proxy.exchange.HostMetrics;
 import org.cranberrygauge.proxy.exchange.IngressServer;
 import org.cranberrygauge.proxy.exchange.LoadShedding;
+import org.cranberrygauge.proxy.exchange.OpenRequests;
 import org.cranberrygauge.proxy.exchange.PoolRetryBudgets;
 import org.cranberrygauge.proxy.exchange.PoolWaitQueues;
 import org.cranberrygauge.proxy.exchange.ProxyBlackboard;
@@ -139,6 +140,9 @@
     /** The memory that requests use, on the event loop of requests. */
     private final RequestMemory memory;
 
+    /** The requests that are being read or answered, on the event loop of requests. */
+    private final OpenRequests open = new OpenRequests();
+
     private final ExchangeMetrics exchangeMetrics = new ExchangeMetrics(registry);
 
     private LeaderElection election;
@@ -208,30 +212,17 @@
     }
 
     /**
-     * Stops the process: reports it as not ready, waits for the requests in progress, and releases leadership. Blocks
-     * at most for the grace period.
+     * Stops the process: reports it as not ready, releases leadership, waits for the requests in progress, answers those that are
+     * left, and closes the connections of callers. Blocks at most for the grace period.
      *
      * @return The number of requests that were cut off.
      */
     public int stop() {
-        long startMillis = time.monotonicMillis();
-        blackboard.startDraining(startMillis);
-        events.emit(new ProxyEvents.ProxyDraining(blackboard.active().get()));
         controlContext.runOnContext(run -> election.leave());
-        DrainWait wait = new DrainWait(startMillis, settings.times().graceMillis());
-        while (!wait.isOver(time.monotonicMillis(), unfinished())) {
-            wait.pause();
-        }
-        controlContext.runOnContext(run -> usageWriter.flush());
-        wait.pause();
-        int active = unfinished();
-        events.emit(new ProxyEvents.ProxyStopped(active, time.monotonicMillis() - startMillis));
-        return active;
-    }
-
-    /** Returns the number of requests without a complete response, and of responses that are not wholly written. */
-    private int unfinished() {
-        return blackboard.active().get() + memory.unwrittenResponses();
+        return new StopSequence(blackboard, open, memory, requestContext, time, events)
+                .run(
+                        new DrainWait(time.monotonicMillis(), settings.times().graceMillis()),
+                        () -> controlContext.runOnContext(run -> usageWriter.flush()));
     }
 
     private Future<Void> startControllers(AtomicReference<Map<String, Work>> ownWork, UsageCounter usage) {
@@ -395,6 +386,7 @@
                 new CrashWatch(vertx, blackboard, statements, reachability, this::recordCrash),
                 reachability,
                 memory,
+                open,
                 usage,
                 usageTime,
                 exchangeMetrics,
@@ -415,10 +407,10 @@
         LoadShedding shedding = new LoadShedding(vertx, time, blackboard, events, new SplittableRandom());
         shedding.start();
         CallerHandler handler = new CallerHandler(context, admission, shedding);
-        return new IngressServer(vertx, handler::handleForwarded, handler::handleInvalidForwarded)
-                .listen(settings.peers())
-                .compose(
-                        listening -> new IngressServer(vertx, handler, handler::handleInvalid).listen(settings.front()))
+        IngressServer peers = new IngressServer(vertx, handler::handleForwarded, handler::handleInvalidForwarded);
+        IngressServer front = new IngressServer(vertx, handler, handler::handleInvalid);
+        return peers.listen(settings.peers())
+                .compose(listening -> front.listen(settings.front()))
                 .compose(listening ->
                         new StatusServer(vertx, settings.readyPath(), this::ready, registry).listen(settings.status()));
     }
@@ -426,7 +418,7 @@
     /** Updates the metrics of the host's state. */
     private void publishMetrics(HostMetrics metrics, int waitingRequests) {
         ConfigurationView view = blackboard.configuration();
-        metrics.recordRequests(blackboard.active().get(), waitingRequests);
+        metrics.recordRequests(open.count(), waitingRequests);
         metrics.recordState(
                 view.configuration().map(known -> known.version()).orElse(-1L),
                 view.loggedAgeMillis(time.monotonicMillis()),
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RejectReason.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RejectReason.java
@@ -47,6 +47,8 @@
     EXPIRED(503, 0),
     /** The deadline passed and the request may have run. */
     TIMED_OUT(504, 0),
+    /** The host stopped before a response came, and the request may have run. */
+    HOST_STOPPED(502, 0),
     /** The connection to a backend server broke or its response was unusable, and the request may have run. */
     BACKEND_BROKE(502, 0);
 
@@ -61,7 +63,7 @@
 
     /** Tells whether a rejection for this reason states that the request has not run and never will. */
     public boolean isNotRun() {
-        return this != TIMED_OUT && this != BACKEND_BROKE;
+        return this != TIMED_OUT && this != HOST_STOPPED && this != BACKEND_BROKE;
     }
 
     public int status() {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageReportController.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageReportController.java
@@ -65,10 +65,7 @@
     private boolean busy;
 
     public UsageReportController(
-            ControllerContext context,
-            LeaderElection election,
-            ControlPlaneClient controlPlane,
-            long windowMillis) {
+            ControllerContext context, LeaderElection election, ControlPlaneClient controlPlane, long windowMillis) {
         this.context = context;
         this.election = election;
         this.controlPlane = controlPlane;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BodyReader.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BodyReader.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.cranberrygauge.decision.memory.Reservation;
 import org.cranberrygauge.proxy.admission.RejectReason;
+import org.cranberrygauge.proxy.exchange.OpenRequests.OpenRequest;
 
 /**
  * Buffers the body of a request within a reservation.
@@ -13,10 +14,12 @@
  * <p>Invariants: exactly one of the two callbacks is called, unless the caller disconnects before; after a rejection
  * the reservation is closed and further bytes are discarded. Not thread-safe.
  */
-final class BodyReader {
+final class BodyReader implements OpenRequest {
 
     private final Vertx vertx;
 
+    private final OpenRequests open;
+
     private final long maximumBytes;
 
     private final Reservation memory;
@@ -37,11 +40,13 @@
      */
     BodyReader(
             Vertx vertx,
+            OpenRequests open,
             long maximumBytes,
             Reservation memory,
             Consumer<Buffer> complete,
             Consumer<RejectReason> rejected) {
         this.vertx = vertx;
+        this.open = open;
         this.maximumBytes = maximumBytes;
         this.memory = memory;
         this.complete = complete;
@@ -50,14 +55,14 @@
 
     /** Starts to read, until the deadline at the latest, so that an unfinished body is not retained for longer. */
     void read(HttpServerRequest request, CallerResponse response, long remainingMillis) {
+        open.add(this);
         response.onDisconnect(this::end);
         deadlineTimer = vertx.setTimer(Math.max(1, remainingMillis), fired -> reject(RejectReason.EXPIRED));
         request.handler(this::append);
         request.endHandler(end -> {
             if (body != null) {
                 Buffer whole = body;
-                body = null;
-                vertx.cancelTimer(deadlineTimer);
+                stop();
                 complete.accept(whole);
             }
         });
@@ -83,9 +88,23 @@
         }
     }
 
+    /** Does nothing, since whether the request begins is decided once its body is complete. */
+    @Override
+    public void rejectUnlessBegins() {}
+
+    @Override
+    public void endWithHost() {
+        reject(RejectReason.DRAINING);
+    }
+
     private void end() {
+        stop();
+        memory.close();
+    }
+
+    private void stop() {
         body = null;
         vertx.cancelTimer(deadlineTimer);
-        memory.close();
+        open.remove(this);
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
@@ -65,6 +65,7 @@
     }
 
     private void handle(HttpServerRequest request, Forwarding forwarding) {
+        context.open().recordArrival();
         long now = context.time().monotonicMillis();
         if (startupGate.mustWait(now, now, context.blackboard())) {
             request.pause();
@@ -104,10 +105,6 @@
             reject(now, request, response, callerHeaders, RejectReason.BAD_REQUEST);
             return;
         }
-        if (context.blackboard().isClosing(now)) {
-            reject(now, request, response, callerHeaders, RejectReason.DRAINING);
-            return;
-        }
         Decision decision =
                 admission.decide(now, context.time().wallMillis(), view, host, path(request), callerHeaders.key());
         if (decision.rejection().isPresent()) {
@@ -124,7 +121,7 @@
             return;
         }
         if (shedding.mustShed(context.time().monotonicMillis(), route, callerHeaders, forwarding)) {
-            shed(now, request, response, callerHeaders);
+            rejectUnread(now, request, response, callerHeaders, RejectReason.HOST_OVERLOADED);
             return;
         }
         long maximumBytes = view.configuration().orElseThrow().limits().bodyBytes();
@@ -154,7 +151,7 @@
             starter.submit(admitted, new Exchange(context, admitted, response));
         };
         Consumer<RejectReason> refuse = reason -> rejectBody(now, request, response, callerHeaders, reason);
-        new BodyReader(context.vertx(), maximumBytes, memory, start, refuse)
+        new BodyReader(context.vertx(), context.open(), maximumBytes, memory, start, refuse)
                 .read(request, response, deadlineMillis - context.time().monotonicMillis());
     }
 
@@ -183,6 +180,10 @@
             CallerResponse response,
             CallerHeaders callerHeaders,
             RejectReason reason) {
+        if (reason == RejectReason.DRAINING) {
+            rejectUnread(now, request, response, callerHeaders, reason);
+            return;
+        }
         if (reason != RejectReason.MEMORY_EXHAUSTED) {
             response.closeAfterResponse();
         }
@@ -202,8 +203,12 @@
     }
 
     /** Rejects a request before its body is read, so that its caller tries another host. */
-    private void shed(long now, HttpServerRequest request, CallerResponse response, CallerHeaders callerHeaders) {
-        RejectReason reason = RejectReason.HOST_OVERLOADED;
+    private void rejectUnread(
+            long now,
+            HttpServerRequest request,
+            CallerResponse response,
+            CallerHeaders callerHeaders,
+            RejectReason reason) {
         request.exceptionHandler(failure -> {});
         response.rejectBeforeBody(context.vertx(), reason, reason.retryAfterMillis());
         recordRejection(now, callerHeaders, reason);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -8,6 +8,7 @@
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.exchange.BackendAttempt.BufferedResponse;
 import org.cranberrygauge.proxy.exchange.HeaderCodec.BackendResponseHeaders;
+import org.cranberrygauge.proxy.exchange.OpenRequests.OpenRequest;
 import org.cranberrygauge.proxy.retry.AttemptHistory;
 import org.cranberrygauge.proxy.retry.AttemptOutcome;
 import org.cranberrygauge.proxy.retry.NextStep;
@@ -21,7 +22,7 @@
  * <p>Invariants: at most one attempt is in progress; exactly one final response is given, at the deadline at the
  * latest; the attempt in progress is cancelled when the caller disconnects. Not thread-safe.
  */
-final class Exchange implements BackendAttempt.Listener {
+final class Exchange implements BackendAttempt.Listener, OpenRequest {
 
     private final ExchangeContext context;
 
@@ -33,6 +34,10 @@
 
     private final BackendSelection selection;
 
+    private final QueuePlace queue;
+
+    private final StopGate stopGate;
+
     private final CrashEvidence evidence;
 
     private final RetryGate retryGate;
@@ -62,9 +67,6 @@
     /** Whether the attempt in progress has a connection, so that the request may run. */
     private boolean sent;
 
-    /** Whether the request is queued until a backend server is available and has capacity. */
-    private boolean waiting;
-
     /** Whether the final response was given. */
     private boolean ended;
 
@@ -79,12 +81,14 @@
         this.finalResponse = new FinalResponse(context, request, response, selection, this::finish);
         this.timers = new ExchangeTimers(context.vertx());
         this.recorder = new ExchangeRecorder(context, request);
+        this.queue = new QueuePlace(context, selection, recorder);
+        this.stopGate = new StopGate(context, request);
     }
 
     /** Takes the request over, which ends at its deadline or when its caller disconnects, also before it has started. */
     void open() {
         long now = now();
-        context.blackboard().active().incrementAndGet();
+        context.open().add(this);
         response.onDisconnect(this::callerDisconnected);
         if (request.deadlineMillis() <= now) {
             finalResponse.reject(RejectReason.EXPIRED);
@@ -121,10 +125,6 @@
 
     /** @param otherwise The reason for the rejection if there is no backend server. */
     private void attemptFirst(RejectReason otherwise) {
-        if (evidence.isBlocked()) {
-            finalResponse.reject(RejectReason.CRASHES_BACKENDS);
-            return;
-        }
         retryGate.recordRequest(now());
         if (!attemptNext()) {
             finalResponse.rejectUnavailable(now(), otherwise);
@@ -211,8 +211,7 @@
     public void onFailure(AttemptOutcome reported, String detail) {
         AttemptOutcome outcome =
                 reported == AttemptOutcome.BROKEN && history.streaming() ? AttemptOutcome.STREAM_BROKEN : reported;
-        long now = now();
-        record.recordFailure(now, outcome);
+        record.recordFailure(now(), outcome);
         selection.dispatchQueued();
         if (outcome == AttemptOutcome.BROKEN && !request.route().kind().streams()) {
             recorder.recordStart();
@@ -238,10 +237,8 @@
             return;
         }
         long now = now();
-        long remaining = request.deadlineMillis() - now;
         NextStep next = retryGate.next(now, history, outcome);
-        recorder.recordFailedAttempt(
-                attempt.backend(), outcome, detail, next, history, remaining, record.elapsedMillis(now));
+        recorder.recordFailedAttempt(now, attempt.backend(), outcome, detail, next, history, record.elapsedMillis(now));
         proceed(next, outcome);
     }
 
@@ -255,28 +252,27 @@
     }
 
     /**
-     * Sends the request to the next backend server, or queues it if that server is saturated or those that are left
-     * become available in time.
+     * Sends the request to the next backend server, queues it if that server is saturated or those that are left become
+     * available in time, or ends it if this host must not send it.
      *
      * @return Whether there is another backend server.
      */
     private boolean attemptNext() {
-        if (retryGate.mayForward(history)) {
-            forwardToHost();
+        if (endsUnsent()) {
             return true;
         }
         long now = now();
         Optional<Choice> choice = selection.chooseOpen(now);
         if (choice.isEmpty()) {
             Optional<Choice> soon = selection.chooseSoon(now, request.expiresAtMillis());
-            return soon.map(this::enqueue).isPresent();
+            return soon.map(later -> queue.enter(this, later)).isPresent();
         }
         boolean waits = selection.mustWait(now, choice.get()) || selection.isAwaited(choice.get());
         if (history.sent() == 0 && waits) {
-            enqueue(choice.get());
-            return true;
+            queue.enter(this, choice.get());
+        } else {
+            send(now, choice.get());
         }
-        send(now, choice.get());
         return true;
     }
 
@@ -284,18 +280,22 @@
         return selection.mustStart(now);
     }
 
-    /** Ends this exchange and passes the request on to another host. */
-    private void forwardToHost() {
-        end("forwarded", 0);
-        new ForwardedRequest(context, request, selection.pool(), response, history).start();
-    }
-
-    /** Queues the request until it can be sent, and returns its first choice. */
-    private Choice enqueue(Choice choice) {
-        waiting = true;
-        recorder.recordQueued(now());
-        context.queues().add(selection.pool().name(), selection.entry(this, choice));
-        return choice;
+    /** Ends a request that this host must not send: it crashes servers, this host stops, or another host has to send it. */
+    private boolean endsUnsent() {
+        if (evidence.isBlocked()) {
+            queue.remove(this, "blocked");
+            endWithout(() -> finalResponse.reject(RejectReason.CRASHES_BACKENDS));
+        } else if (!stopGate.mayBegin(now(), history)) {
+            queue.remove(this, "draining");
+            endWithout(() -> finalResponse.reject(RejectReason.DRAINING));
+        } else if (retryGate.mayForward(history)) {
+            queue.remove(this, "forwarded");
+            end("forwarded", 0);
+            new ForwardedRequest(context, request, selection.pool(), response, history).start();
+        } else {
+            return false;
+        }
+        return true;
     }
 
     /**
@@ -304,14 +304,7 @@
      * @param reserved Whether the server may have less capacity than the request needs.
      */
     DispatchResult tryDispatch(boolean reserved) {
-        if (evidence.isBlocked()) {
-            leaveQueue("blocked");
-            endQueued(() -> finalResponse.reject(RejectReason.CRASHES_BACKENDS));
-            return DispatchResult.ENDED;
-        }
-        if (retryGate.mayForward(history)) {
-            leaveQueue("forwarded");
-            forwardToHost();
+        if (endsUnsent()) {
             return DispatchResult.ENDED;
         }
         long now = now();
@@ -325,7 +318,7 @@
             selection.recordAwaited(choice.get());
             return DispatchResult.NO_CAPACITY;
         }
-        leaveQueue(reserved ? "sent_reserved" : "sent");
+        queue.leave(reserved ? "sent_reserved" : "sent");
         send(now, choice.get());
         return DispatchResult.SENT;
     }
@@ -336,18 +329,16 @@
 
     /** Ends the request after it was removed from the queue as expired. */
     void expireInQueue() {
-        leaveQueue("expired");
-        endQueued(() -> finalResponse.rejectExpired(now()));
-    }
-
-    /** Records how long the request was queued; the caller removes it from the queue. */
-    private void leaveQueue(String outcome) {
-        waiting = false;
-        recorder.recordWait(now(), selection.pool().name(), outcome);
+        queue.leave("expired");
+        endWithout(() -> finalResponse.rejectExpired(now()));
     }
 
-    /** @param rejection Rejects the request, unless an attempt has failed before. */
-    private void endQueued(Runnable rejection) {
+    /**
+     * Ends the request without another attempt.
+     *
+     * @param rejection Rejects the request, unless an attempt has failed before.
+     */
+    private void endWithout(Runnable rejection) {
         if (lastOutcome != null) {
             proceed(RetryPolicy.withoutRetry(history, lastOutcome), lastOutcome);
         } else {
@@ -358,13 +349,10 @@
     private void send(long now, Choice choice) {
         Backend backend = choice.backend();
         recorder.recordChoice(choice);
-        if (history.streaming() || request.resumesStream()) {
-            recorder.recordResumption(backend, sequence.lastId(), history.streaming());
-        }
+        recorder.recordResumption(backend, sequence.lastId(), history.streaming());
         selection.use(now, backend);
         record = new AttemptRecord(context, request, selection.pool(), backend, evidence, now);
         attempt = new BackendAttempt(context.client(), context.codec(), request, sequence, backend, this);
-        sent = false;
         attempt.start(now);
     }
 
@@ -382,18 +370,34 @@
         finalResponse.startStream(backendResponse, framed);
     }
 
+    @Override
+    public void rejectUnlessBegins() {
+        if (queue.isWaiting() && !stopGate.mayBegin(now(), history)) {
+            endsUnsent();
+        }
+    }
+
+    @Override
+    public void endWithHost() {
+        endUnfinished("host_stopped", RejectReason.HOST_STOPPED, RejectReason.DRAINING);
+    }
+
     /** Ends the request at its deadline. */
     private void expire() {
+        endUnfinished("timed_out_midway", RejectReason.TIMED_OUT, RejectReason.EXPIRED);
+    }
+
+    private void endUnfinished(String streamOutcome, RejectReason unknown, RejectReason notRun) {
         if (ended) {
             return;
         }
         boolean mayHaveRun = history.mayHaveRun() || sent;
         abandonAttempt();
         if (history.streaming()) {
-            finalResponse.cutStream("timed_out_midway", streamEnd);
+            finalResponse.cutStream(streamOutcome, streamEnd);
             return;
         }
-        finalResponse.reject(mayHaveRun ? RejectReason.TIMED_OUT : RejectReason.EXPIRED);
+        finalResponse.reject(mayHaveRun ? unknown : notRun);
     }
 
     /** Cancels the attempt in progress; if it was sent, its request may have run. */
@@ -429,11 +433,8 @@
     private void end(String outcome, int status) {
         ended = true;
         timers.cancelAll();
-        context.blackboard().active().decrementAndGet();
-        if (waiting) {
-            leaveQueue("ended");
-            context.queues().of(selection.pool().name()).remove(this);
-        }
+        context.open().remove(this);
+        queue.remove(this, "ended");
         if (record != null) {
             record.end();
             selection.dispatchQueued();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeContext.java
@@ -39,6 +39,7 @@
  * @param crashWatch Finds out which backend servers crashed.
  * @param reachability Tells whether this host is isolated from all backend servers.
  * @param memory The memory that requests use.
+ * @param open The requests that are being read or answered.
  * @param usage Counts the requests that started running.
  * @param usageTime The clocks by which usage is counted.
  */
@@ -66,6 +67,7 @@
         CrashWatch crashWatch,
         BackendReachability reachability,
         RequestMemory memory,
+        OpenRequests open,
         UsageCounter usage,
         TimeSource usageTime,
         ExchangeMetrics metrics,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeRecorder.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ExchangeRecorder.java
@@ -94,16 +94,16 @@
     /**
      * Records a failed attempt at a backend server.
      *
-     * @param remainingMillis The time until the deadline in milliseconds.
+     * @param nowMillis The current monotonic time in milliseconds.
      * @param afterMillis The duration of the attempt in milliseconds.
      */
     void recordFailedAttempt(
+            long nowMillis,
             Backend backend,
             AttemptOutcome outcome,
             String detail,
             NextStep next,
             AttemptHistory history,
-            long remainingMillis,
             long afterMillis) {
         context.metrics().recordFailedAttempt(backend.pool(), outcome.name());
         context.events()
@@ -114,17 +114,20 @@
                         detail,
                         next.name(),
                         history.sent(),
-                        remainingMillis,
+                        request.deadlineMillis() - nowMillis,
                         afterMillis,
                         sharedParts()));
     }
 
     /**
-     * Records that a stream is resumed at a backend server.
+     * Records that a stream is resumed at a backend server, if it is.
      *
      * @param withinResponse Whether the caller has received the start of this response.
      */
     void recordResumption(Backend backend, Optional<String> lastEventId, boolean withinResponse) {
+        if (!withinResponse && !request.resumesStream()) {
+            return;
+        }
         Optional<String> first = request.callerHeaders().firstRequestId();
         context.events()
                 .emit(new ExchangeEvents.StreamResumed(
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ForwardedRequest.java
@@ -12,6 +12,7 @@
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.proxy.admission.RejectReason;
 import org.cranberrygauge.proxy.configuration.Pool;
+import org.cranberrygauge.proxy.exchange.OpenRequests.OpenRequest;
 import org.cranberrygauge.proxy.retry.AttemptHistory;
 import org.cranberrygauge.runtime.http.ResponseFraming;
 
@@ -22,7 +23,7 @@
  * run; a response that names another request is not passed on, and states nothing; exactly one final response is given, at
  * the deadline at the latest; the other host learns when the caller disconnects. Not thread-safe.
  */
-final class ForwardedRequest {
+final class ForwardedRequest implements OpenRequest {
 
     /** The number of other hosts that are tried. */
     private static final int MAXIMUM_HOSTS = 3;
@@ -101,7 +102,7 @@
     }
 
     void start() {
-        context.blackboard().active().incrementAndGet();
+        context.open().add(this);
         response.onDisconnect(this::callerDisconnected);
         deadlineTimer = context.vertx().setTimer(Math.max(1, remainingMillis()), fired -> expire());
         tryNext();
@@ -109,7 +110,7 @@
 
     private void tryNext() {
         sent = false;
-        if (hosts.isEmpty() || tried == MAXIMUM_HOSTS) {
+        if (hosts.isEmpty() || tried == MAXIMUM_HOSTS || !mayBegin()) {
             rejectUnavailable();
             return;
         }
@@ -122,6 +123,11 @@
         });
     }
 
+    /** Tells whether this host, which may stop, still passes the request on. */
+    private boolean mayBegin() {
+        return context.blackboard().stop().mayBegin(context.time().monotonicMillis(), request.deadlineMillis());
+    }
+
     private void send(HttpClientRequest opened) {
         hostRequest = opened;
         opened.exceptionHandler(failure -> failBroken(opened, failure.getMessage()));
@@ -129,6 +135,11 @@
             opened.reset();
             return;
         }
+        if (!mayBegin()) {
+            opened.reset();
+            rejectUnavailable();
+            return;
+        }
         sent = true;
         context.codec().copyRequest(request.headers(), opened.headers());
         new Forwarding(Optional.of(context.host()), Math.max(1, remainingMillis() - RETURN_MILLIS), remainingAttempts)
@@ -251,15 +262,28 @@
         endUnknown(RejectReason.BACKEND_BROKE);
     }
 
+    /** Does nothing, since a request that was passed on doesn't wait here. */
+    @Override
+    public void rejectUnlessBegins() {}
+
+    @Override
+    public void endWithHost() {
+        endUnfinished(RejectReason.HOST_STOPPED, RejectReason.DRAINING);
+    }
+
     /** Ends the request at its deadline. */
     private void expire() {
+        endUnfinished(RejectReason.TIMED_OUT, RejectReason.EXPIRED);
+    }
+
+    private void endUnfinished(RejectReason unknown, RejectReason notRun) {
         if (ended) {
             return;
         }
         if (sent || mayHaveRun) {
-            endUnknown(RejectReason.TIMED_OUT);
+            endUnknown(unknown);
         } else {
-            reject(RejectReason.EXPIRED);
+            reject(notRun);
         }
     }
 
@@ -282,7 +306,7 @@
             response.forward(UNAVAILABLE_STATUS, forwarded(rejection.get()), Buffer.buffer(), true);
             finish(UNAVAILABLE_STATUS);
         } else {
-            reject(RejectReason.NO_BACKEND);
+            reject(context.blackboard().draining() ? RejectReason.DRAINING : RejectReason.NO_BACKEND);
         }
     }
 
@@ -311,7 +335,7 @@
         ended = true;
         request.memory().close();
         context.vertx().cancelTimer(deadlineTimer);
-        context.blackboard().active().decrementAndGet();
+        context.open().remove(this);
         context.events()
                 .emit(new ExchangeEvents.RequestForwarded(
                         request.id(),
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyBlackboard.java
@@ -4,11 +4,11 @@
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.cranberrygauge.decision.engine.EngineProfile;
 import org.cranberrygauge.decision.engine.PrefillTokens;
 import org.cranberrygauge.decision.hostload.OtherHosts;
+import org.cranberrygauge.decision.stop.PlannedStop;
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.backend.BackendSnapshot;
 import org.cranberrygauge.proxy.configuration.ConfigurationView;
@@ -56,15 +56,8 @@
     /** The load of the other hosts' processors. */
     private final AtomicReference<OtherHosts> otherHosts = new AtomicReference<>(OtherHosts.NONE);
 
-    /** The number of requests in progress. */
-    private final AtomicInteger active = new AtomicInteger();
-
-    /** The time for which a draining host still accepts requests; by then the load balancer sends no more. */
-    private static final long ACCEPT_WHILE_DRAINING_MILLIS = 2_800;
-
-    private volatile boolean draining;
-
-    private volatile long drainingSinceMillis;
+    /** What this host still begins. */
+    private final AtomicReference<PlannedStop> stop = new AtomicReference<>(PlannedStop.NONE);
 
     public ConfigurationView configuration() {
         return configuration.get();
@@ -175,31 +168,18 @@
         otherHosts.set(hosts);
     }
 
-    /** Returns the live counter of requests in progress. */
-    public AtomicInteger active() {
-        return active;
-    }
-
-    /**
-     * Starts to drain: the host reports that it is not ready and closes connections after their response.
-     *
-     * @param nowMillis The current monotonic time in milliseconds.
-     */
-    public void startDraining(long nowMillis) {
-        drainingSinceMillis = nowMillis;
-        draining = true;
+    /** Returns what this host still begins, which each step that begins something asks. */
+    public PlannedStop stop() {
+        return stop.get();
     }
 
-    /**
-     * Tells whether the host has drained for so long that it rejects new requests.
-     *
-     * @param nowMillis The current monotonic time in milliseconds.
-     */
-    public boolean isClosing(long nowMillis) {
-        return draining && nowMillis - drainingSinceMillis > ACCEPT_WHILE_DRAINING_MILLIS;
+    /** Starts, or ends, a planned stop. */
+    public void publish(PlannedStop planned) {
+        stop.set(planned);
     }
 
+    /** Tells whether the host has received its stop signal: it reports that it is not ready and closes connections after their response. */
     public boolean draining() {
-        return draining;
+        return stop().isSignalled();
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/ProxyRequest.java
@@ -51,7 +51,7 @@
     /** The fraction of the time until its deadline that a request may be queued. */
     private static final double QUEUEING_FRACTION = 0.4;
 
-    /** The multiple of the usual response time that a request keeps in reserve when it waits; few take longer. */
+    /** The multiple of the usual response time that a request keeps in reserve; few take longer. */
     private static final double RESERVED_RESPONSES = 4;
 
     /** The fraction of the time until the target latency that a request may wait for a plain service. */
@@ -73,6 +73,21 @@
         return Math.min(byFraction, onTimeMillis() - (long) (responseMillis * RESERVED_RESPONSES));
     }
 
+    /**
+     * Returns the monotonic time by which the response is expected if the request is sent now, in milliseconds: its deadline
+     * unless few responses take so long.
+     *
+     * @param nowMillis The current monotonic time in milliseconds.
+     * @param responseMillis The usual response time of the service; 0 if it is unknown.
+     */
+    long answeredByMillis(long nowMillis, double responseMillis) {
+        if (route.kind().streams() || pool.engine().isPresent()) {
+            return deadlineMillis;
+        }
+        long expectedMillis = Math.max(route.targetMillis(), (long) (responseMillis * RESERVED_RESPONSES));
+        return Math.min(deadlineMillis, nowMillis + expectedMillis);
+    }
+
     /** Returns the monotonic time at which the request expires in the queue, in milliseconds. */
     public long expiresAtMillis() {
         return receivedMillis + (long) ((deadlineMillis - receivedMillis) * QUEUEING_FRACTION);
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/exchange/ForwardedResponseTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/exchange/ForwardedResponseTest.java
@@ -257,6 +257,7 @@
                 null,
                 null,
                 memory,
+                new OpenRequests(),
                 null,
                 null,
                 null,
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/exchange/StartupGateTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/exchange/StartupGateTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.cranberrygauge.decision.stop.PlannedStop;
 import org.cranberrygauge.proxy.ProxyFixtures;
 import org.cranberrygauge.proxy.backend.BackendSnapshot;
 import org.cranberrygauge.proxy.configuration.ConfigurationView;
@@ -34,7 +35,7 @@
 
     @Test
     void aRequestDoesNotWaitWhileTheHostDrains() {
-        blackboard.startDraining(0);
+        blackboard.publish(new PlannedStop(2_800, 7_200));
         assertThat(gate.mustWait(1, 0, blackboard)).isFalse();
     }
 }
