--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.SplittableRandom;
@@ -143,6 +144,9 @@
     /** The requests that are being read or answered, on the event loop of requests. */
     private final OpenRequests open = new OpenRequests();
 
+    /** The servers for callers and for other hosts; empty before they listen. */
+    private volatile List<IngressServer> ingress = List.of();
+
     private final ExchangeMetrics exchangeMetrics = new ExchangeMetrics(registry);
 
     private LeaderElection election;
@@ -222,7 +226,8 @@
         return new StopSequence(blackboard, open, memory, requestContext, time, events)
                 .run(
                         new DrainWait(time.monotonicMillis(), settings.times().graceMillis()),
-                        () -> controlContext.runOnContext(run -> usageWriter.flush()));
+                        () -> controlContext.runOnContext(run -> usageWriter.flush()),
+                        ingress);
     }
 
     private Future<Void> startControllers(AtomicReference<Map<String, Work>> ownWork, UsageCounter usage) {
@@ -409,6 +414,7 @@
         CallerHandler handler = new CallerHandler(context, admission, shedding);
         IngressServer peers = new IngressServer(vertx, handler::handleForwarded, handler::handleInvalidForwarded);
         IngressServer front = new IngressServer(vertx, handler, handler::handleInvalid);
+        ingress = List.of(front, peers);
         return peers.listen(settings.peers())
                 .compose(listening -> front.listen(settings.front()))
                 .compose(listening ->
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/lifecycle/Program.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/lifecycle/Program.java
@@ -3,6 +3,9 @@
 import com.beust.jcommander.JCommander;
 import io.vertx.core.Vertx;
 import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.IntSupplier;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.setting.ProcessSettings;
@@ -19,6 +22,9 @@
     /** The version that is reported if the JAR does not state one. */
     private static final String UNKNOWN_VERSION = "development";
 
+    /** The time within which connections are closed at the end of a process, in milliseconds. */
+    private static final long CLOSE_TIMEOUT_MILLIS = 300;
+
     private Program() {}
 
     /**
@@ -49,12 +55,29 @@
         }
     }
 
-    /** Runs an orderly shutdown when the process is terminated, and exits with the status that it returns. */
+    /**
+     * Runs an orderly shutdown when the process is terminated, and exits with the status that it returns. The shutdown includes
+     * {@link #close(Vertx)}.
+     */
     public static void onTermination(IntSupplier stop) {
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(() -> Runtime.getRuntime().halt(stop.getAsInt()), "planned-stop"));
     }
 
+    /**
+     * Closes all connections and ends the event loops, and waits for that for a bounded time. While event loops still wait for
+     * input, the exit of a process takes some hundred milliseconds, in which nothing answers its open connections.
+     */
+    public static void close(Vertx vertx) {
+        try {
+            vertx.close().toCompletionStage().toCompletableFuture().get(CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException exception) {
+            System.err.println("connections were not closed in order: " + exception);
+        }
+    }
+
     /** Emits each failure that no caller handles as an event instead of printing a multi-line stack trace. */
     public static void reportUnhandled(Vertx vertx, EventLog events) {
         vertx.exceptionHandler(failure -> events.emit(new LifecycleEvents.UnhandledFailure(
