--- a/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
+++ b/cranberrygauge-controller/src/main/java/org/cranberrygauge/controller/Controller.java
@@ -180,7 +180,7 @@
         await(resigned.future());
         gatewayLoadPoller.stop();
         follower.stop();
-        vertx.close();
+        Program.close(vertx);
     }
 
     /** Waits for a future for at most {@link #STOP_TIMEOUT_MILLIS}; reports an event if it fails or times out. */
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import org.cranberrygauge.decision.retry.RetryBudgets;
 import org.cranberrygauge.decision.routing.BackendTable.Ejection;
 import org.cranberrygauge.decision.state.ApplyResult;
+import org.cranberrygauge.decision.stop.PlannedStop;
 import org.cranberrygauge.decision.usage.UsageCounter;
 import org.cranberrygauge.decision.usage.UsageReplication;
 import org.cranberrygauge.gateway.call.ActiveCalls;
@@ -128,6 +129,8 @@
 
     private PeerExchange peerExchange;
 
+    private CallerHandler callers;
+
     private final GatewayServers servers;
 
     /** Creates a gateway with the standard quarantine limits. */
@@ -173,13 +176,7 @@
         follower.addListener(reservations::accept);
         follower.addListener(this::onApplyResult);
         service = new ExchangeService(
-                blackboard,
-                follower,
-                this::ownReport,
-                usageReplicator,
-                time,
-                quarantine,
-                activeCalls::recheckQuarantine);
+                blackboard, follower, this::ownReport, usageReplicator, time, quarantine, activeCalls::recheckQueued);
         try {
             exchangeServer = new ExchangeServer(settings.exchangeAddress(), service);
         } catch (CranberrygaugeException exception) {
@@ -201,30 +198,44 @@
     }
 
     /**
-     * Stops the gateway: rejects new requests, lets running ones finish within the drain timeout, flushes usage to the
-     * log and leaves the membership.
+     * Stops the gateway: rejects new requests, lets queued ones begin within half of the drain timeout and running ones
+     * finish within all of it, answers those that are left, flushes usage to the log, leaves the membership and closes the
+     * connections.
      *
      * @return The number of requests that were aborted.
      */
     public int stop() {
         events.emit(new GatewayEvents.DrainBegan(incarnation, activeCalls.size()));
-        gate.drain();
-        long untilMillis = time.monotonicMillis() + settings.drainTimeoutMillis();
+        long startMillis = time.monotonicMillis();
+        long untilMillis = startMillis + settings.drainTimeoutMillis();
+        gate.drain(new PlannedStop(startMillis + settings.drainTimeoutMillis() / 2, untilMillis));
         boolean interrupted = false;
-        while (activeCalls.size() > 0 && time.monotonicMillis() < untilMillis && !interrupted) {
+        while (unfinished() > 0 && time.monotonicMillis() < untilMillis && !interrupted) {
+            activeCalls.recheckQueued();
             interrupted = !pause(DRAIN_POLL_MILLIS);
         }
-        int aborted = activeCalls.size();
+        int aborted = unfinished();
+        gate.drain(PlannedStop.OVER);
+        activeCalls.endAll();
+        callers.endReading();
+        pause(DRAIN_POLL_MILLIS);
         await(usageAppender.flush());
         await(appender.append(new LogRecord.GatewayLeft(incarnation, "planned_stop")));
         follower.stop();
         peerExchange.stop();
         exchangeServer.stop();
-        await(vertx.close());
+        callerConnections.closeAll();
+        pause(DRAIN_POLL_MILLIS);
+        Program.close(vertx);
         events.emit(new GatewayEvents.DrainFinished(incarnation, aborted));
         return aborted;
     }
 
+    /** Returns the number of requests that are being read or have no complete response. */
+    private int unfinished() {
+        return activeCalls.size() + callers.reading();
+    }
+
     /** Returns the port that was bound for callers. */
     public int callerPort() {
         return servers.callerPort();
@@ -296,8 +307,9 @@
                 events,
                 activeCalls,
                 time,
+                gate::stop,
                 incarnation);
-        CallerHandler callers = new CallerHandler(vertx, settings, dependencies, blackboard, gate, callerConnections);
+        callers = new CallerHandler(vertx, settings, dependencies, blackboard, gate, callerConnections);
         OperationsHandler operations =
                 new OperationsHandler(registry, gate, blackboard, recentEvents, usageReplicator, incarnation);
         return servers.listen(callers, operations)
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ActiveCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ActiveCall.java
@@ -16,8 +16,8 @@
     void abort(RequestFailure failure);
 
     /**
-     * Ends the request if it is still queued and its fingerprint has been quarantined in the meantime. May be called on
-     * any thread.
+     * Ends the request if it is still queued and must not begin any more, since its fingerprint has been quarantined in the
+     * meantime or this gateway stops. May be called on any thread.
      */
-    void recheckQuarantine();
+    void recheckQueued();
 }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ActiveCalls.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ActiveCalls.java
@@ -40,9 +40,14 @@
         calls.forEach(call -> abortIfWithdrawn(call, keys));
     }
 
-    /** Ends the queued requests that have been quarantined in the meantime. */
-    public void recheckQuarantine() {
-        calls.forEach(ActiveCall::recheckQuarantine);
+    /** Ends the queued requests that must not begin any more. */
+    public void recheckQueued() {
+        calls.forEach(ActiveCall::recheckQueued);
+    }
+
+    /** Ends all requests, since this gateway has stopped. */
+    public void endAll() {
+        calls.forEach(call -> call.abort(RequestFailure.notRun(ErrorCode.NOT_ADMITTING, "this gateway has stopped")));
     }
 
     private static void abortIfWithdrawn(ActiveCall call, KeyIndex keys) {
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatCall.java
@@ -112,14 +112,19 @@
     }
 
     @Override
-    public void recheckQuarantine() {
+    public void recheckQueued() {
         reply.context().runOnContext(ignored -> {
             if (!ended && attempt == null) {
-                dependencies.quarantine().refusal(fingerprint).ifPresent(this::refuse);
+                dependencies.refusal(fingerprint, hasBegun()).ifPresent(this::refuse);
             }
         });
     }
 
+    /** Tells whether the caller has a part of the response. */
+    private boolean hasBegun() {
+        return body.stream() && meter.delivered() > 0;
+    }
+
     @Override
     public void onChunk(StreamEvent.Chunk chunk) {
         if (chunk.promptTokens() >= 0) {
@@ -204,11 +209,11 @@
         reply.fail(RequestFailure.mayHaveRun(failure.code(), "the backend server failed: " + failure.reason()));
     }
 
-    /** Queues the request for a backend server, unless it is quarantined. */
+    /** Queues the request for a backend server, unless it is quarantined or this gateway stops. */
     private void submit(QueuedRequest request) {
-        Optional<RequestFailure> quarantined = dependencies.quarantine().refusal(fingerprint);
-        if (quarantined.isPresent()) {
-            refuse(quarantined.get());
+        Optional<RequestFailure> rejection = dependencies.refusal(fingerprint, hasBegun());
+        if (rejection.isPresent()) {
+            refuse(rejection.get());
             return;
         }
         long submittedAtMillis = dependencies.time().monotonicMillis();
@@ -230,6 +235,7 @@
     }
 
     private void start(BackendServer server) {
+        dependencies.stopRefusal(hasBegun()).ifPresent(this::refuse);
         if (ended) {
             dependencies.quarantine().ended(runId(attempts + 1));
             dependencies.scheduler().attemptEnded(requestNumber, server);
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
@@ -126,10 +126,10 @@
     }
 
     @Override
-    public void recheckQuarantine() {
+    public void recheckQueued() {
         reply.context().runOnContext(ignored -> {
             if (!ended && server == null && !sent) {
-                dependencies.quarantine().refusal(fingerprint).ifPresent(this::end);
+                dependencies.refusal(fingerprint, false).ifPresent(this::end);
             }
         });
     }
@@ -172,11 +172,11 @@
         reply.answer(outcome.status(), outcome.contentType(), Buffer.buffer(outcome.body()));
     }
 
-    /** Queues the call for a backend server, unless it is quarantined. */
+    /** Queues the call for a backend server, unless it is quarantined or this gateway stops. */
     private void submit() {
-        Optional<RequestFailure> quarantined = dependencies.quarantine().refusal(fingerprint);
-        if (quarantined.isPresent()) {
-            end(quarantined.get().withNotRun(!sent));
+        Optional<RequestFailure> rejection = dependencies.refusal(fingerprint, false);
+        if (rejection.isPresent()) {
+            end(rejection.get().withNotRun(!sent));
             return;
         }
         long nowMillis = dependencies.time().monotonicMillis();
@@ -206,6 +206,7 @@
     }
 
     private void start(BackendServer chosen) {
+        dependencies.stopRefusal(false).ifPresent(refusal -> end(refusal.withNotRun(!sent)));
         if (ended) {
             dependencies.quarantine().ended(runId(attempts + 1));
             dependencies.scheduler().attemptEnded(requestNumber, chosen);
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/AdmissionGate.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/AdmissionGate.java
@@ -2,6 +2,7 @@
 
 import org.cranberrygauge.decision.membership.AdmissionFreshness;
 import org.cranberrygauge.decision.membership.Membership;
+import org.cranberrygauge.decision.stop.PlannedStop;
 import org.cranberrygauge.model.error.CranberrygaugeException;
 import org.cranberrygauge.model.error.ErrorCode;
 import org.cranberrygauge.runtime.blackboard.Blackboard;
@@ -24,8 +25,7 @@
 
     private final String gateway;
 
-    /** Whether a planned stop has begun. */
-    private volatile boolean draining;
+    private volatile PlannedStop stop = PlannedStop.NONE;
 
     public AdmissionGate(
             Blackboard blackboard, AdmissionFreshness freshness, TimeSource time, String host, String gateway) {
@@ -36,14 +36,19 @@
         this.gateway = gateway;
     }
 
-    /** Stops admitting requests because of a planned stop. */
-    public void drain() {
-        draining = true;
+    /** Stops admitting requests because of a planned stop, or ends that stop. */
+    public void drain(PlannedStop planned) {
+        stop = planned;
+    }
+
+    /** Returns what this gateway, which may stop, still begins. */
+    public PlannedStop stop() {
+        return stop;
     }
 
     /** Returns whether a planned stop has begun. */
     public boolean isDraining() {
-        return draining;
+        return stop.isSignalled();
     }
 
     /**
@@ -53,7 +58,7 @@
      *     keys.
      */
     public void check() throws CranberrygaugeException {
-        if (draining) {
+        if (isDraining()) {
             throw new CranberrygaugeException(ErrorCode.NOT_ADMITTING, "this gateway is shutting down");
         }
         if (blackboard.log().configuration().current().version() == 0) {
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/CallerHandler.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/CallerHandler.java
@@ -76,6 +76,8 @@
 
     private final IdleConnections connections;
 
+    private final BodyReader bodies;
+
     /** The number of requests received so far. */
     private final AtomicLong requestCount = new AtomicLong();
 
@@ -89,6 +91,7 @@
         this.connections = connections;
         this.vertx = vertx;
         this.settings = settings;
+        this.bodies = new BodyReader(settings.bodyLimitBytes(), settings.bodyTimeoutMillis());
         this.dependencies = dependencies;
         this.blackboard = blackboard;
         this.gate = gate;
@@ -101,7 +104,7 @@
         Context context = vertx.getOrCreateContext();
         long requestNumber = requestCount.incrementAndGet();
         CallerReply reply = new CallerReply(request, context, dependencies.gateway() + "." + requestNumber);
-        BodyReader.read(vertx, request, settings.bodyLimitBytes(), settings.bodyTimeoutMillis())
+        bodies.read(context, request)
                 .onSuccess(body -> dispatch(request, body, reply, requestNumber))
                 .onFailure(failure -> {
                     reply.closeConnectionAfterResponse();
@@ -109,6 +112,16 @@
                 });
     }
 
+    /** Returns the number of requests whose bodies are being read. */
+    public int reading() {
+        return bodies.reading();
+    }
+
+    /** Rejects the requests whose bodies are being read, since this gateway has stopped. */
+    public void endReading() {
+        bodies.endAll();
+    }
+
     /** Answers a request that is not valid HTTP, for example because its header is too large. */
     public void handleInvalid(HttpServerRequest request) {
         CallerReply reply = new CallerReply(
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/IdleConnections.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/IdleConnections.java
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import org.cranberrygauge.runtime.http.ConnectionChannel;
 import org.cranberrygauge.runtime.time.TimeSource;
 
 /**
@@ -54,6 +55,11 @@
         });
     }
 
+    /** Handles what callers have sent by now, and closes all connections. */
+    public void closeAll() {
+        connections.keySet().forEach(ConnectionChannel::closeInOrder);
+    }
+
     private void adjustRequests(HttpConnection connection, int difference) {
         connections.computeIfPresent(
                 connection, (key, before) -> new Activity(before.requests() + difference, time.monotonicMillis()));
--- a/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/ActiveCallsTest.java
+++ b/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/ActiveCallsTest.java
@@ -61,7 +61,7 @@
         }
 
         @Override
-        public void recheckQuarantine() {
+        public void recheckQueued() {
             throw new AssertionError("not expected");
         }
     }
--- a/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/CallBench.java
+++ b/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/CallBench.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import org.cranberrygauge.decision.dispatch.DispatchPolicy;
 import org.cranberrygauge.decision.quarantine.Quarantine;
 import org.cranberrygauge.decision.reservation.ReservationDecision;
@@ -25,6 +26,7 @@
 import org.cranberrygauge.decision.retry.RetryBudget;
 import org.cranberrygauge.decision.retry.RetryBudgets;
 import org.cranberrygauge.decision.state.ApplyResult;
+import org.cranberrygauge.decision.stop.PlannedStop;
 import org.cranberrygauge.decision.usage.UsageCounter;
 import org.cranberrygauge.gateway.metrics.GatewayMetrics;
 import org.cranberrygauge.gateway.reservation.ReservationManager;
@@ -88,6 +90,9 @@
 
     private final List<ReservationOutcome> outcomes = new CopyOnWriteArrayList<>();
 
+    /** What the gateway still begins. */
+    final AtomicReference<PlannedStop> stop = new AtomicReference<>(PlannedStop.NONE);
+
     private final CallDependencies dependencies;
 
     private final HttpServer callers;
@@ -118,12 +123,17 @@
                 EventLog.NoOp.INSTANCE,
                 new ActiveCalls(),
                 time,
+                stop::get,
                 "gateway");
         callers = get(vertx.createHttpServer()
                 .requestHandler(request -> request.body().onSuccess(body -> dispatch(request, body)))
                 .listen(0, "127.0.0.1"));
     }
 
+    ActiveCalls activeCalls() {
+        return dependencies.activeCalls();
+    }
+
     /** Returns the outcomes of reserved calls in the order in which they were recorded. */
     List<ReservationOutcome> outcomes() {
         return List.copyOf(outcomes);
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionChannel.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionChannel.java
@@ -46,6 +46,14 @@
         }
     }
 
+    /** Handles what the peer has sent by now, and closes the connection after what is queued for it. May be called on any thread. */
+    public static void closeInOrder(HttpConnection connection) {
+        ((ConnectionBase) connection).channel().eventLoop().execute(() -> {
+            readPending(connection);
+            connection.close();
+        });
+    }
+
     public static boolean isOpen(HttpConnection connection) {
         return ((ConnectionBase) connection).channel().isOpen();
     }
