A stopping host asks before a late send, and answers what it reads last (LOST)

Change: BackendAttempt asks as for a server that leaves (LateSend.NOT_ALLOWED), and a host whose stop is over rejects when a head comes. A request that was turned away by full servers keeps the Retry-After of the pool while the host stops, since the servers are full for other hosts, too.

--- a/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/hostload/LateSend.java
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/hostload/LateSend.java
@@ -14,8 +14,8 @@
     SEND,
     /** The caller has left. */
     CALLER_LEFT,
-    /** The server takes no more requests; another one may. */
-    SERVER_LEAVES;
+    /** The server takes no more requests, or this host sends it none any more; another one may. */
+    NOT_ALLOWED;
 
     /** The time from which on a turn of the event loop may have missed something. */
     static final long LATE_MILLIS = 50;
@@ -26,16 +26,16 @@
      * @param nowMillis The current monotonic time in milliseconds.
      * @param sinceMillis The monotonic time of the choice, after which the event loop has looked for input, in milliseconds.
      * @param callerAwaits Reads what the caller has sent, and tells whether it still awaits the response.
-     * @param serverTakesRequests Tells whether the server accepts new requests by all that is known now.
+     * @param allowed Tells whether the host may still send the request, and the server accepts new ones, by all that is known now.
      */
     public static LateSend decide(
-            long nowMillis, long sinceMillis, BooleanSupplier callerAwaits, BooleanSupplier serverTakesRequests) {
+            long nowMillis, long sinceMillis, BooleanSupplier callerAwaits, BooleanSupplier allowed) {
         if (nowMillis - sinceMillis < LATE_MILLIS) {
             return SEND;
         }
         if (!callerAwaits.getAsBoolean()) {
             return CALLER_LEFT;
         }
-        return serverTakesRequests.getAsBoolean() ? SEND : SERVER_LEAVES;
+        return allowed.getAsBoolean() ? SEND : NOT_ALLOWED;
     }
 }
--- a/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/hostload/LateSendTest.java
+++ b/cranberrygauge-decision/src/test/java/org/cranberrygauge/decision/hostload/LateSendTest.java
@@ -19,7 +19,7 @@
 
     @Test
     void aRequestIsNotSentToAServerThatHasBegunToLeaveDuringALongTurn() {
-        assertThat(LateSend.decide(LATE, CHOSEN, () -> true, () -> false)).isEqualTo(LateSend.SERVER_LEAVES);
+        assertThat(LateSend.decide(LATE, CHOSEN, () -> true, () -> false)).isEqualTo(LateSend.NOT_ALLOWED);
     }
 
     @Test
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
@@ -120,9 +120,9 @@
             opened.reset();
             return;
         }
-        if (decision == LateSend.SERVER_LEAVES) {
+        if (decision == LateSend.NOT_ALLOWED) {
             opened.reset();
-            fail(AttemptOutcome.NOT_CONNECTED, "server leaves");
+            fail(AttemptOutcome.NOT_CONNECTED, "must not be sent any more");
             return;
         }
         try {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
@@ -105,6 +105,10 @@
             reject(now, request, response, callerHeaders, RejectReason.BAD_REQUEST);
             return;
         }
+        if (!context.blackboard().stop().mayBegin(now, now)) {
+            rejectUnread(now, request, response, callerHeaders, RejectReason.DRAINING);
+            return;
+        }
         Decision decision =
                 admission.decide(now, context.time().wallMillis(), view, host, path(request), callerHeaders.key());
         if (decision.rejection().isPresent()) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/Exchange.java
@@ -3,6 +3,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.cranberrygauge.decision.hostload.LateSend;
 import org.cranberrygauge.proxy.admission.RejectReason;
 import org.cranberrygauge.proxy.backend.Backend;
@@ -32,7 +33,8 @@
 
     private final ExchangeRecorder recorder;
 
-    private final BackendSelection selection;
+    /** The selection of backend servers, which the queue asks, too. */
+    final BackendSelection selection;
 
     private final QueuePlace queue;
 
@@ -133,7 +135,8 @@
 
     @Override
     public LateSend beforeSend(Backend backend, long startedMillis) {
-        return LateSend.decide(now(), startedMillis, response::isAwaited, () -> selection.takesRequests(backend));
+        BooleanSupplier allowed = () -> selection.takesRequests(backend) && stopGate.mayBegin(now(), history);
+        return LateSend.decide(now(), startedMillis, response::isAwaited, allowed);
     }
 
     @Override
@@ -276,10 +279,6 @@
         return true;
     }
 
-    boolean mustStart(long now) {
-        return selection.mustStart(now);
-    }
-
     /** Ends a request that this host must not send: it crashes servers, this host stops, or another host has to send it. */
     private boolean endsUnsent() {
         if (evidence.isBlocked()) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/FinalResponse.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/FinalResponse.java
@@ -51,24 +51,16 @@
             Optional<BufferedResponse> serverError,
             StreamEnd streamEnd) {
         switch (step) {
-            case REFUSE -> refuse(nowMillis, outcome);
+            case REFUSE ->
+                rejectUnavailable(
+                        nowMillis,
+                        outcome == AttemptOutcome.NOT_RUN ? RejectReason.BACKENDS_FULL : RejectReason.NO_BACKEND);
             case PASS_ON -> forward(serverError.orElseThrow(), "server_error");
             case CUT -> cutStream("stream_broken", streamEnd);
             default -> forwardOrReject(serverError);
         }
     }
 
-    /** Rejects a request that no attempt has run; while this host stops, another one takes it at once. */
-    private void refuse(long nowMillis, AttemptOutcome outcome) {
-        if (context.blackboard().draining()) {
-            reject(RejectReason.DRAINING);
-        } else {
-            rejectUnavailable(
-                    nowMillis,
-                    outcome == AttemptOutcome.NOT_RUN ? RejectReason.BACKENDS_FULL : RejectReason.NO_BACKEND);
-        }
-    }
-
     /**
      * Forwards a response that has ended.
      *
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/PoolWaitQueues.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/PoolWaitQueues.java
@@ -117,7 +117,7 @@
         int unavailable = 0;
         boolean full = false;
         for (Exchange next : queue.inOrder(nowMillis)) {
-            if (full && !next.mustStart(nowMillis)) {
+            if (full && !next.selection.mustStart(nowMillis)) {
                 continue;
             }
             DispatchResult result = next.tryDispatch(queue.isNextReserved());
