Connections to servers record bytes that belong to no response (MIXED)

Logs could not tell a part of a head that stays in the decoder of a kept connection from a whole copy or from sound work: only malformed heads were seen. All clients of kept connections now share KeptHttpClient, whose codec knows whether a request is in progress. It records bytes that come without one (unsolicited_bytes) and heads that hold a second status line (second_status_line). No response is treated differently yet.

--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -291,7 +291,7 @@
         CallDependencies dependencies = new CallDependencies(
                 scheduler,
                 backends,
-                new BackendClient(vertx, settings.backendCredential(), settings.backendTimeoutMillis()),
+                new BackendClient(vertx, settings.backendCredential(), settings.backendTimeoutMillis(), events),
                 reservations,
                 new RetryBudgets.PerCustomer(() -> new RetryBudget.Share(RETRY_SHARE, RETRY_BURST)),
                 new QuarantineEnforcer(
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/BackendClient.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/BackendClient.java
@@ -2,7 +2,6 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -11,6 +10,8 @@
 import io.vertx.core.http.RequestOptions;
 import java.util.Map;
 import org.cranberrygauge.model.backend.BackendServer;
+import org.cranberrygauge.runtime.event.EventLog;
+import org.cranberrygauge.runtime.http.KeptHttpClient;
 
 /**
  * Opens HTTP requests to backend servers.
@@ -33,31 +34,31 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
     /** Reuses connections. */
-    private final HttpClient pooled;
+    private final KeptHttpClient pooled;
 
     /** Opens a connection for each request. */
-    private final HttpClient unpooled;
+    private final KeptHttpClient unpooled;
 
     private final String credential;
 
     private final long idleTimeoutMillis;
 
-    public BackendClient(Vertx vertx, String credential, long idleTimeoutMillis) {
-        this.pooled = client(vertx, true);
-        this.unpooled = client(vertx, false);
+    public BackendClient(Vertx vertx, String credential, long idleTimeoutMillis, EventLog events) {
+        this.pooled = client(vertx, true, events);
+        this.unpooled = client(vertx, false, events);
         this.credential = credential;
         this.idleTimeoutMillis = idleTimeoutMillis;
     }
 
-    private static HttpClient client(Vertx vertx, boolean reuse) {
-        return vertx.httpClientBuilder()
-                .with(new HttpClientOptions()
+    private static KeptHttpClient client(Vertx vertx, boolean reuse, EventLog events) {
+        return new KeptHttpClient(
+                vertx,
+                new HttpClientOptions()
                         .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
-                        .setKeepAlive(reuse)
-                        .setPipelining(false))
-                .with(new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS))
-                .withConnectHandler(AttemptEchoCheck::install)
-                .build();
+                        .setKeepAlive(reuse),
+                new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS),
+                events,
+                AttemptEchoCheck::install);
     }
 
     /** Returns whether a response answers an attempt, as far as its server tells. */
@@ -93,7 +94,7 @@
                 .putHeader("Authorization", "Bearer " + credential)
                 .putHeader(ATTEMPT_HEADER, attempt);
         headers.forEach(options::putHeader);
-        HttpClient client = ownConnection ? unpooled : pooled;
+        KeptHttpClient client = ownConnection ? unpooled : pooled;
         return client.request(options).onSuccess(request -> request.exceptionHandler(BackendClient::ignoreFailure));
     }
 
--- a/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/CallBench.java
+++ b/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/CallBench.java
@@ -107,7 +107,7 @@
         dependencies = new CallDependencies(
                 scheduler,
                 backends,
-                new BackendClient(vertx, "credential", BACKEND_TIMEOUT_MILLIS),
+                new BackendClient(vertx, "credential", BACKEND_TIMEOUT_MILLIS, EventLog.NoOp.INSTANCE),
                 manager,
                 new RetryBudgets.PerCustomer(() -> new RetryBudget.Share(1, 1_000)),
                 new QuarantineEnforcer(
--- a/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/view/OperationsClient.java
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/view/OperationsClient.java
@@ -3,10 +3,11 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
@@ -16,6 +17,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.cranberrygauge.model.backend.NetworkAddress;
+import org.cranberrygauge.runtime.event.EventLog;
+import org.cranberrygauge.runtime.http.KeptHttpClient;
 
 /**
  * Queries the operations servers of gateways; a gateway that does not answer in time is omitted.
@@ -26,14 +29,18 @@
 
     private static final int OK = 200;
 
-    private final HttpClient client;
+    private final KeptHttpClient client;
 
     private final List<NetworkAddress> addresses;
 
     private final long timeoutMillis;
 
     public OperationsClient(Vertx vertx, List<NetworkAddress> addresses, long timeoutMillis) {
-        this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout((int) timeoutMillis));
+        this.client = new KeptHttpClient(
+                vertx,
+                new HttpClientOptions().setConnectTimeout((int) timeoutMillis),
+                new PoolOptions(),
+                EventLog.NoOp.INSTANCE);
         this.addresses = List.copyOf(addresses);
         this.timeoutMillis = timeoutMillis;
     }
@@ -73,7 +80,7 @@
         Map<NetworkAddress, String> texts = new LinkedHashMap<>();
         for (NetworkAddress address : addresses) {
             try {
-                String text = client.request(HttpMethod.GET, address.port(), address.host(), path)
+                String text = client.request(options(address, path))
                         .compose(request -> request.send())
                         .compose(OperationsClient::body)
                         .map(Buffer::toString)
@@ -91,6 +98,14 @@
         return texts;
     }
 
+    private static RequestOptions options(NetworkAddress address, String path) {
+        return new RequestOptions()
+                .setMethod(HttpMethod.GET)
+                .setHost(address.host())
+                .setPort(address.port())
+                .setURI(path);
+    }
+
     private static Future<Buffer> body(HttpClientResponse response) {
         if (response.statusCode() != OK) {
             return Future.failedFuture("status " + response.statusCode());
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -372,7 +372,7 @@
                 settings.host(),
                 settings.regions(),
                 blackboard,
-                new BackendClient(vertx, dependencies.codec()),
+                new BackendClient(vertx, dependencies.codec(), events),
                 dependencies.codec(),
                 new BackendChooser(settings.dataCentre(), loads, profiles, capacity, new SplittableRandom()),
                 loads,
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendClient.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendClient.java
@@ -4,7 +4,6 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -14,6 +13,8 @@
 import io.vertx.core.net.SocketAddress;
 import java.util.concurrent.atomic.AtomicLong;
 import org.cranberrygauge.model.backend.NetworkAddress;
+import org.cranberrygauge.runtime.event.EventLog;
+import org.cranberrygauge.runtime.http.KeptHttpClient;
 import org.cranberrygauge.runtime.http.UnnamedResponses;
 
 /**
@@ -46,21 +47,21 @@
     private final Vertx vertx;
 
     /** Reuses connections. */
-    private final HttpClient pooled;
+    private final KeptHttpClient pooled;
 
     /** Opens a connection for each request. */
-    private final HttpClient unpooled;
+    private final KeptHttpClient unpooled;
 
-    public BackendClient(Vertx vertx, HeaderCodec codec) {
+    public BackendClient(Vertx vertx, HeaderCodec codec, EventLog events) {
         this.vertx = vertx;
         PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS);
-        pooled = vertx.httpClientBuilder()
-                .with(options().setKeepAliveTimeout(KEEP_ALIVE_SECONDS))
-                .with(pool)
-                .withConnectHandler(
-                        connection -> UnnamedResponses.watch(connection, headers -> namesRequest(codec, headers)))
-                .build();
-        unpooled = vertx.createHttpClient(options().setKeepAlive(false), new PoolOptions(pool));
+        pooled = new KeptHttpClient(
+                vertx,
+                options().setKeepAliveTimeout(KEEP_ALIVE_SECONDS),
+                pool,
+                events,
+                connection -> UnnamedResponses.watch(connection, headers -> namesRequest(codec, headers)));
+        unpooled = new KeptHttpClient(vertx, options().setKeepAlive(false), pool, events);
     }
 
     /** Tells whether a response names its request; the rejection of another host counts, as hosts send none twice. */
@@ -131,7 +132,6 @@
         return new HttpClientOptions()
                 .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
                 .setTcpNoDelay(true)
-                .setPipelining(false)
                 .setDecompressionSupported(false)
                 .setMaxHeaderSize(MAXIMUM_HEADER_BYTES);
     }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/exchange/ForwardedResponseTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/exchange/ForwardedResponseTest.java
@@ -239,7 +239,7 @@
                 "host-1",
                 Map.of("east-a", "east"),
                 new ProxyBlackboard(),
-                new BackendClient(vertx, Codec.INSTANCE),
+                new BackendClient(vertx, Codec.INSTANCE, EventLog.NoOp.INSTANCE),
                 Codec.INSTANCE,
                 null,
                 null,
--- /dev/null
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionEvents.java
@@ -0,0 +1,30 @@
+package org.cranberrygauge.runtime.http;
+
+import org.cranberrygauge.runtime.event.Event;
+
+/** The events of connections to servers. */
+public final class ConnectionEvents {
+
+    private ConnectionEvents() {}
+
+    /**
+     * A server sent bytes while no request was in progress on its connection.
+     *
+     * @param server The address of the server.
+     * @param moment AFTER_RESPONSE if they came in one read with the end of a response, otherwise IDLE.
+     * @param bytes The number of bytes that were read with them.
+     * @param likeResponse Whether they begin like a response.
+     * @param responses The number of responses on the connection before them.
+     */
+    public record UnsolicitedBytes(String server, String moment, int bytes, boolean likeResponse, int responses)
+            implements Event {}
+
+    /**
+     * The head of a response holds a second status line, so that it may be made of two responses.
+     *
+     * @param server The address of the server.
+     * @param status The status of the head as decoded.
+     * @param responses The number of responses on the connection before it.
+     */
+    public record SecondStatusLine(String server, int status, int responses) implements Event {}
+}
--- /dev/null
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/StatusLine.java
@@ -0,0 +1,41 @@
+package org.cranberrygauge.runtime.http;
+
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.AsciiString;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/**
+ * Recognizes the first line of an HTTP/1 response.
+ *
+ * <p>A response head that is cut off and followed by another one is decoded as one head: the status line of the second
+ * becomes the end of a header value or of the reason phrase of the first. Stateless and thread-safe.
+ */
+final class StatusLine {
+
+    /** What a status line begins with. */
+    private static final String PROTOCOL = "HTTP/";
+
+    private static final Pattern PATTERN = Pattern.compile(PROTOCOL + "\\d\\.\\d \\d{3}(?!\\d)");
+
+    private StatusLine() {}
+
+    /** Tells whether a head holds a status line beside its own. The mere name of a protocol is none. */
+    static boolean isWithin(HttpResponse head) {
+        if (isWithin(head.status().reasonPhrase())) {
+            return true;
+        }
+        Iterator<Map.Entry<CharSequence, CharSequence>> headers = head.headers().iteratorCharSequence();
+        while (headers.hasNext()) {
+            if (isWithin(headers.next().getValue())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean isWithin(CharSequence text) {
+        return AsciiString.contains(text, PROTOCOL) && PATTERN.matcher(text).find();
+    }
+}
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/platform/HttpPlatform.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/platform/HttpPlatform.java
@@ -5,7 +5,6 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -22,6 +21,8 @@
 import org.cranberrygauge.protocol.platform.Platform;
 import org.cranberrygauge.protocol.platform.PlatformLog;
 import org.cranberrygauge.protocol.platform.PlatformMessages;
+import org.cranberrygauge.runtime.event.EventLog;
+import org.cranberrygauge.runtime.http.KeptHttpClient;
 
 /**
  * An HTTP client of the platform.
@@ -37,7 +38,7 @@
     /** The largest number of connections to the platform. */
     private static final int MAX_CONNECTIONS = 8;
 
-    private final HttpClient client;
+    private final KeptHttpClient client;
 
     /** The context of all calls. If a response is consumed on another thread, its end event can be missed. */
     private final Context context;
@@ -53,9 +54,11 @@
      */
     public HttpPlatform(Vertx vertx, NetworkAddress address, long timeoutMillis) {
         this.context = vertx.getOrCreateContext();
-        this.client = vertx.createHttpClient(
+        this.client = new KeptHttpClient(
+                vertx,
                 new HttpClientOptions().setConnectTimeout((int) timeoutMillis),
-                new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
+                new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS),
+                EventLog.Tinylog.INSTANCE);
         this.address = address;
         this.timeoutMillis = timeoutMillis;
     }
