--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ClientConnectionCodec.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ClientConnectionCodec.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
@@ -21,10 +22,14 @@
 import org.cranberrygauge.runtime.event.EventLog;
 
 /**
- * Encodes the requests and decodes the responses of a client's connection, and records bytes that belong to no response.
+ * Encodes the requests and decodes the responses of a client's connection, so that no byte of one response becomes part of
+ * another.
  *
- * <p>A server may write bytes that answer no request, such as an earlier response once more, whole or cut off. Invariant: a
- * connection carries one exchange at a time. Used by the event loop of its connection.
+ * <p>A server may write bytes that answer no request, such as an earlier response once more, whole or cut off. Invariants: a
+ * connection carries one exchange at a time; bytes that come while no request is in progress are dropped and end the
+ * connection, without harm to the response before them; after a first response, a head that holds a second status line
+ * fails the connection. The first head of a connection may hold one, since nothing can precede it, and ends the connection
+ * after its response. Used by the event loop of its connection.
  */
 final class ClientConnectionCodec extends CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder> {
 
@@ -44,6 +49,9 @@
     /** The number of final responses that have ended. */
     private int responses;
 
+    /** Whether what follows is dropped. */
+    private boolean failed;
+
     private ClientConnectionCodec(String server, HttpClientOptions options, EventLog events) {
         this.server = server;
         this.events = events;
@@ -92,38 +100,58 @@
 
         @Override
         protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages) throws Exception {
+            if (failed) {
+                bytes.skipBytes(bytes.readableBytes());
+                return;
+            }
             if (method == null) {
-                recordUnsolicited(bytes, Moment.IDLE);
+                refuse(context, bytes, Moment.IDLE);
+                return;
             }
             int earlier = messages.size();
             super.decode(context, bytes, messages);
             for (Object message : messages.subList(earlier, messages.size())) {
-                examine(message, bytes);
+                examine(context, message, bytes);
             }
         }
 
-        private void examine(Object message, ByteBuf following) {
+        private void examine(ChannelHandlerContext context, Object message, ByteBuf following) {
             if (message instanceof HttpResponse response) {
                 informational = isInformational(response);
-                if (StatusLine.isWithin(response)) {
-                    events.emit(new ConnectionEvents.SecondStatusLine(
-                            server, response.status().code(), responses));
-                }
+                examineHead(response);
             }
             if (message instanceof LastHttpContent && !informational) {
                 method = null;
                 responses++;
                 if (following.isReadable()) {
-                    recordUnsolicited(following, Moment.AFTER_RESPONSE);
+                    refuse(context, following, Moment.AFTER_RESPONSE);
                 }
             }
         }
 
-        private void recordUnsolicited(ByteBuf bytes, Moment moment) {
+        private void examineHead(HttpResponse response) {
+            if (!StatusLine.isWithin(response)) {
+                return;
+            }
+            events.emit(new ConnectionEvents.SecondStatusLine(
+                    server, response.status().code(), responses));
+            if (responses == 0) {
+                ConnectionOption.closeAfter(response.headers());
+                return;
+            }
+            failed = true;
+            response.setDecoderResult(DecoderResult.failure(new SecondStatusLineException()));
+        }
+
+        /** Drops bytes that belong to no response, and closes the connection. */
+        private void refuse(ChannelHandlerContext context, ByteBuf bytes, Moment moment) {
             int length = Math.min(bytes.readableBytes(), RESPONSE_START.length());
             String start = bytes.toString(bytes.readerIndex(), length, StandardCharsets.ISO_8859_1);
             events.emit(new ConnectionEvents.UnsolicitedBytes(
                     server, moment.name(), bytes.readableBytes(), RESPONSE_START.startsWith(start), responses));
+            failed = true;
+            bytes.skipBytes(bytes.readableBytes());
+            context.close();
         }
 
         @Override
@@ -131,4 +159,13 @@
             return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(message);
         }
     }
+    /** The head of a response may be made of two responses. */
+    private static final class SecondStatusLineException extends Exception {
+
+        private static final long serialVersionUID = 1L;
+
+        SecondStatusLineException() {
+            super("the head of a response holds a second status line", null, false, false);
+        }
+    }
 }
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionChannel.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionChannel.java
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.AbstractNioChannel;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
+import java.util.function.Consumer;
 
 /**
  * The channel below a connection.
@@ -54,6 +55,17 @@
         });
     }
 
+    /**
+     * Handles what the peer has sent by now, and then tells on the event loop of the connection whether the connection is
+     * still open. May be called on any thread.
+     */
+    static void afterPending(HttpConnection connection, Consumer<Boolean> open) {
+        ((ConnectionBase) connection).channel().eventLoop().execute(() -> {
+            readPending(connection);
+            open.accept(isOpen(connection));
+        });
+    }
+
     public static boolean isOpen(HttpConnection connection) {
         return ((ConnectionBase) connection).channel().isOpen();
     }
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/KeptHttpClient.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/KeptHttpClient.java
@@ -1,7 +1,9 @@
 package org.cranberrygauge.runtime.http;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Handler;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
@@ -14,10 +16,17 @@
 /**
  * An HTTP client of which connections may be kept.
  *
- * <p>Invariant: a connection carries one exchange at a time. Thread-safe.
+ * <p>Invariants: a connection carries one exchange at a time, and no byte of one response becomes part of another
+ * ({@link ClientConnectionCodec}); a request gets no connection that its server has closed or written to while no request was
+ * in progress, as far as that has arrived. Thread-safe.
  */
 public final class KeptHttpClient {
 
+    /** The number of connections that are tried for a request. */
+    private static final int MAXIMUM_TRIES = 5;
+
+    private final Vertx vertx;
+
     private final HttpClient client;
 
     public KeptHttpClient(Vertx vertx, HttpClientOptions options, PoolOptions pool, EventLog events) {
@@ -27,6 +36,7 @@
     /** @param opened Handles each connection that has just been opened, before its first request. */
     public KeptHttpClient(
             Vertx vertx, HttpClientOptions options, PoolOptions pool, EventLog events, Handler<HttpConnection> opened) {
+        this.vertx = vertx;
         HttpClientOptions exclusive = new HttpClientOptions(options).setPipelining(false);
         client = vertx.httpClientBuilder()
                 .with(exclusive)
@@ -44,6 +54,35 @@
      * @return The request, or a failure if no connection was established and therefore nothing was sent.
      */
     public Future<HttpClientRequest> request(RequestOptions options) {
-        return client.request(options);
+        return request(options, MAXIMUM_TRIES);
+    }
+
+    private Future<HttpClientRequest> request(RequestOptions options, int tries) {
+        return client.request(options).compose(request -> {
+            request.exceptionHandler(KeptHttpClient::ignoreBeforeUse);
+            return isUsable(request)
+                    .compose(usable -> usable ? Future.succeededFuture(request) : next(request, options, tries));
+        });
+    }
+
+    private Future<HttpClientRequest> next(HttpClientRequest unusable, RequestOptions options, int tries) {
+        unusable.reset();
+        return tries > 1
+                ? request(options, tries - 1)
+                : Future.failedFuture("the server ends each connection before a request is sent");
+    }
+
+    /** Ignores the end of a connection before its request is used, since another one is opened then. */
+    private static void ignoreBeforeUse(Throwable failure) {
+        // The next connection is tried.
+    }
+
+    /** Tells on the current context whether the connection of a request is still open after what has arrived there. */
+    private Future<Boolean> isUsable(HttpClientRequest request) {
+        Promise<Boolean> usable = Promise.promise();
+        Context context = vertx.getOrCreateContext();
+        ConnectionChannel.afterPending(
+                request.connection(), open -> context.runOnContext(run -> usable.complete(open)));
+        return usable.future();
     }
 }
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/UnnamedResponses.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/UnnamedResponses.java
@@ -3,9 +3,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.ReferenceCountUtil;
@@ -13,8 +10,6 @@
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.impl.headers.HeadersAdaptor;
 import io.vertx.core.net.impl.ConnectionBase;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.function.Predicate;
 
 /**
@@ -67,7 +62,7 @@
             return;
         }
         if (first) {
-            closeAfter(response.headers());
+            ConnectionOption.closeAfter(response.headers());
             return;
         }
         failed = true;
@@ -79,14 +74,6 @@
         return response.decoderResult().isSuccess() && response.status().codeClass() != HttpStatusClass.INFORMATIONAL;
     }
 
-    /** Adds the option to close the connection before all others, of which the client reads the first alone. */
-    private static void closeAfter(HttpHeaders headers) {
-        List<String> options = new ArrayList<>();
-        options.add(HttpHeaderValues.CLOSE.toString());
-        options.addAll(headers.getAll(HttpHeaderNames.CONNECTION));
-        headers.set(HttpHeaderNames.CONNECTION, options);
-    }
-
     /** A response on a kept connection names no request, so that it may be one to an earlier request. */
     private static final class UnnamedResponseException extends Exception {
 
