--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ClientConnectionCodec.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ClientConnectionCodec.java
@@ -1,11 +1,14 @@
 package org.cranberrygauge.runtime.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.CombinedChannelDuplexHandler;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
@@ -13,6 +16,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpConnection;
@@ -25,11 +29,18 @@
  * Encodes the requests and decodes the responses of a client's connection, so that no byte of one response becomes part of
  * another.
  *
- * <p>A server may write bytes that answer no request, such as an earlier response once more, whole or cut off. Invariants: a
- * connection carries one exchange at a time; bytes that come while no request is in progress are dropped and end the
- * connection, without harm to the response before them; after a first response, a head that holds a second status line
- * fails the connection. The first head of a connection may hold one, since nothing can precede it, and ends the connection
- * after its response. Used by the event loop of its connection.
+ * <p>A server may write bytes that answer no request, such as an earlier response once more, whole or cut off. Invariants:
+ *
+ * <ul>
+ *   <li>A connection carries one exchange at a time.
+ *   <li>Bytes that come while no request is in progress are dropped and end the connection.
+ *   <li>A head that holds a second status line fails the connection. The first head of a connection may hold one, since no
+ *       other can precede it; the connection ends after its response.
+ *   <li>A body of a stated length that holds a status line fails if bytes follow it that don't begin a response, since it may
+ *       have broken off and been filled with another response.
+ * </ul>
+ *
+ * <p>Used by the event loop of its connection.
  */
 final class ClientConnectionCodec extends CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder> {
 
@@ -73,6 +84,12 @@
         super.write(context, message, written);
     }
 
+    private static boolean isLikeResponse(ByteBuf bytes) {
+        int length = Math.min(bytes.readableBytes(), RESPONSE_START.length());
+        String start = bytes.toString(bytes.readerIndex(), length, StandardCharsets.ISO_8859_1);
+        return RESPONSE_START.startsWith(start);
+    }
+
     private static boolean isInformational(HttpResponse response) {
         return response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     }
@@ -89,6 +106,11 @@
         /** Whether the response that is decoded is not the last one to its request. */
         private boolean informational;
 
+        /** Whether the response that is decoded states the length of its body. */
+        private boolean sized;
+
+        private StatusLineSearch body = new StatusLineSearch();
+
         private ResponseDecoder(HttpClientOptions options) {
             super(
                     options.getMaxInitialLineLength(),
@@ -108,25 +130,43 @@
                 refuse(context, bytes, Moment.IDLE);
                 return;
             }
-            int earlier = messages.size();
+            int first = messages.size();
             super.decode(context, bytes, messages);
-            for (Object message : messages.subList(earlier, messages.size())) {
-                examine(context, message, bytes);
+            for (int index = first; index < messages.size(); index++) {
+                messages.set(index, examine(context, messages.get(index), bytes));
             }
         }
 
-        private void examine(ChannelHandlerContext context, Object message, ByteBuf following) {
+        /** Returns a decoded message, or in its place a failure. */
+        private Object examine(ChannelHandlerContext context, Object message, ByteBuf following) {
             if (message instanceof HttpResponse response) {
                 informational = isInformational(response);
+                sized = HttpUtil.isContentLengthSet(response);
+                body = new StatusLineSearch();
                 examineHead(response);
             }
-            if (message instanceof LastHttpContent && !informational) {
-                method = null;
-                responses++;
-                if (following.isReadable()) {
-                    refuse(context, following, Moment.AFTER_RESPONSE);
-                }
+            if (sized && message instanceof HttpContent content) {
+                body.append(content.content());
             }
+            if (informational || !(message instanceof LastHttpContent)) {
+                return message;
+            }
+            method = null;
+            responses++;
+            return following.isReadable() ? examineEnd(context, (LastHttpContent) message, following) : message;
+        }
+
+        /** Returns the end of a response that other bytes follow, or in its place a failure. */
+        private LastHttpContent examineEnd(ChannelHandlerContext context, LastHttpContent end, ByteBuf following) {
+            boolean joined = !isLikeResponse(following) && (body.isFound() || body.isCompletedBy(following));
+            refuse(context, following, Moment.AFTER_RESPONSE);
+            if (!joined) {
+                return end;
+            }
+            end.release();
+            LastHttpContent failure = new DefaultLastHttpContent(Unpooled.EMPTY_BUFFER);
+            failure.setDecoderResult(DecoderResult.failure(new SecondStatusLineException("body")));
+            return failure;
         }
 
         private void examineHead(HttpResponse response) {
@@ -140,15 +180,13 @@
                 return;
             }
             failed = true;
-            response.setDecoderResult(DecoderResult.failure(new SecondStatusLineException()));
+            response.setDecoderResult(DecoderResult.failure(new SecondStatusLineException("head")));
         }
 
         /** Drops bytes that belong to no response, and closes the connection. */
         private void refuse(ChannelHandlerContext context, ByteBuf bytes, Moment moment) {
-            int length = Math.min(bytes.readableBytes(), RESPONSE_START.length());
-            String start = bytes.toString(bytes.readerIndex(), length, StandardCharsets.ISO_8859_1);
             events.emit(new ConnectionEvents.UnsolicitedBytes(
-                    server, moment.name(), bytes.readableBytes(), RESPONSE_START.startsWith(start), responses));
+                    server, moment.name(), bytes.readableBytes(), isLikeResponse(bytes), responses));
             failed = true;
             bytes.skipBytes(bytes.readableBytes());
             context.close();
@@ -159,13 +197,15 @@
             return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(message);
         }
     }
-    /** The head of a response may be made of two responses. */
+
+    /** A response may be made of two. */
     private static final class SecondStatusLineException extends Exception {
 
         private static final long serialVersionUID = 1L;
 
-        SecondStatusLineException() {
-            super("the head of a response holds a second status line", null, false, false);
+        /** @param part The part of the response that holds it. */
+        SecondStatusLineException(String part) {
+            super("the " + part + " of a response holds a second status line", null, false, false);
         }
     }
 }
