--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/KeptHttpClient.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/KeptHttpClient.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClosedException;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -58,18 +59,23 @@
     }
 
     private Future<HttpClientRequest> request(RequestOptions options, int tries) {
-        return client.request(options).compose(request -> {
-            request.exceptionHandler(KeptHttpClient::ignoreBeforeUse);
-            return isUsable(request)
-                    .compose(usable -> usable ? Future.succeededFuture(request) : next(request, options, tries));
-        });
+        return client.request(options)
+                .compose(this::requireUsable)
+                .recover(failure -> failure instanceof HttpClosedException && tries > 1
+                        ? request(options, tries - 1)
+                        : Future.failedFuture(failure));
     }
 
-    private Future<HttpClientRequest> next(HttpClientRequest unusable, RequestOptions options, int tries) {
-        unusable.reset();
-        return tries > 1
-                ? request(options, tries - 1)
-                : Future.failedFuture("the server ends each connection before a request is sent");
+    /** Fails with {@link HttpClosedException} if the connection has ended before the request is sent. */
+    private Future<HttpClientRequest> requireUsable(HttpClientRequest request) {
+        request.exceptionHandler(KeptHttpClient::ignoreBeforeUse);
+        return isUsable(request).compose(usable -> {
+            if (usable) {
+                return Future.succeededFuture(request);
+            }
+            request.reset();
+            return Future.failedFuture(new HttpClosedException("the server ended the connection before the request"));
+        });
     }
 
     /** Ignores the end of a connection before its request is used, since another one is opened then. */
