--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ClientConnectionCodec.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ClientConnectionCodec.java
@@ -34,8 +34,9 @@
  * <ul>
  *   <li>A connection carries one exchange at a time.
  *   <li>Bytes that come while no request is in progress are dropped and end the connection.
- *   <li>A head that holds a second status line fails the connection. The first head of a connection may hold one, since no
- *       other can precede it; the connection ends after its response.
+ *   <li>A head that holds a second status line fails the connection. The first head of a connection may hold one in a
+ *       header, since no earlier response can precede it, unless it is plain that the server began its response anew; the
+ *       connection ends after that response.
  *   <li>A body of a stated length that holds a status line fails if bytes follow it that don't begin a response, since it may
  *       have broken off and been filled with another response.
  * </ul>
@@ -63,7 +64,7 @@
     /** Whether what follows is dropped. */
     private boolean failed;
 
-    private ClientConnectionCodec(String server, HttpClientOptions options, EventLog events) {
+    ClientConnectionCodec(String server, HttpClientOptions options, EventLog events) {
         this.server = server;
         this.events = events;
         init(new ResponseDecoder(options), new HttpRequestEncoder());
@@ -175,7 +176,7 @@
             }
             events.emit(new ConnectionEvents.SecondStatusLine(
                     server, response.status().code(), responses));
-            if (responses == 0) {
+            if (responses == 0 && !StatusLine.isOfSecondHead(response)) {
                 ConnectionOption.closeAfter(response.headers());
                 return;
             }
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/StatusLine.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/StatusLine.java
@@ -1,9 +1,12 @@
 package org.cranberrygauge.runtime.http;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.AsciiString;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.regex.Pattern;
 
 /**
@@ -23,9 +26,23 @@
 
     /** Tells whether a head holds a status line beside its own. The mere name of a protocol is none. */
     static boolean isWithin(HttpResponse head) {
-        if (isWithin(head.status().reasonPhrase())) {
-            return true;
-        }
+        return isWithin(head.status().reasonPhrase()) || isWithinHeader(head);
+    }
+
+    /**
+     * Tells whether a head that holds a status line can't be that of one response: it has the line in its reason phrase, or
+     * a header twice, as heads have that a server begins anew.
+     */
+    static boolean isOfSecondHead(HttpResponse head) {
+        return isWithin(head.status().reasonPhrase()) || repeatsHeader(head.headers());
+    }
+
+    private static boolean repeatsHeader(HttpHeaders headers) {
+        Set<String> names = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
+        return headers.entries().stream().anyMatch(header -> !names.add(header.getKey()));
+    }
+
+    private static boolean isWithinHeader(HttpResponse head) {
         Iterator<Map.Entry<CharSequence, CharSequence>> headers = head.headers().iteratorCharSequence();
         while (headers.hasNext()) {
             if (isWithin(headers.next().getValue())) {
