A request that is cut off in its head is not joined with the one behind it

What callers saw, on a connection that carries requests of several callers: the body of the second request ran at the path of the first, with the key or the identifier of either. Change: the decoder of both routers answers 400 to requests with several Host headers and to those of which a header ends with a request line, and closes. A header that merely names a protocol passes.

--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/StrictRequestDecoder.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/StrictRequestDecoder.java
@@ -1,17 +1,25 @@
 package org.cranberrygauge.runtime.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.impl.VertxHttpRequestDecoder;
 import io.vertx.core.net.impl.ConnectionBase;
+import java.util.List;
 
 /**
- * A request decoder that, unlike that of Vert.x, rejects requests with both Content-Length and Transfer-Encoding.
+ * A request decoder that, unlike that of Vert.x, rejects requests of which part may belong to another request: those with both
+ * Content-Length and Transfer-Encoding, with several Host headers, or with a header that ends with a request line.
  *
- * <p>Parsers disagree on where the body of such a request ends, so that part of it could be processed as another
- * request (request smuggling). The server responds with 400 and closes the connection. Used by the event loop of its
+ * <p>Parsers disagree on where the body of a request with both ends, so that part of it could be processed as another request
+ * (request smuggling). A request that is cut off within its head would be joined with the one behind it, and run with the key
+ * or the path of another caller. The server responds with 400 and closes the connection. Used by the event loop of its
  * connection.
  */
 public final class StrictRequestDecoder extends VertxHttpRequestDecoder {
@@ -31,6 +39,30 @@
         }
     }
 
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages) throws Exception {
+        int earlier = messages.size();
+        super.decode(context, bytes, messages);
+        for (Object message : messages.subList(earlier, messages.size())) {
+            if (message instanceof HttpRequest request
+                    && request.decoderResult().isSuccess()) {
+                examine(request);
+            }
+        }
+    }
+
+    private static void examine(HttpRequest request) {
+        if (request.headers().getAll(HttpHeaderNames.HOST).size() > 1) {
+            reject(request, "several Host headers");
+        } else if (RequestLine.isWithin(request)) {
+            reject(request, "a header ends with a request line");
+        }
+    }
+
+    private static void reject(HttpRequest request, String reason) {
+        request.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(reason)));
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
