Bytes behind a response cost neither a slow reader nor waiting requests anything

Change: the codec only marks the connection. KeptHttpClient closes it when the pool hands it out, and tries again only after connections that have carried a response. Line ends are skipped, as before a head.

--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ClientConnectionCodec.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ClientConnectionCodec.java
@@ -33,7 +33,8 @@
  *
  * <ul>
  *   <li>A connection carries one exchange at a time.
- *   <li>Bytes that come while no request is in progress are dropped and end the connection.
+ *   <li>Bytes that come while no request is in progress are dropped, and no request is sent after them, unless they are line
+ *       ends. The connection is not closed here, since the response before them may not be delivered yet.
  *   <li>A head that holds a second status line fails the connection. The first head of a connection may hold one in a
  *       header, since no earlier response can precede it, unless it is plain that the server began its response anew; the
  *       connection ends after that response.
@@ -77,6 +78,21 @@
         pipeline.replace(CODEC, CODEC, new ClientConnectionCodec(server, options, events));
     }
 
+    /** Returns the codec of a connection. */
+    static ClientConnectionCodec of(HttpConnection connection) {
+        return ((ConnectionBase) connection).channel().pipeline().get(ClientConnectionCodec.class);
+    }
+
+    /** Tells whether a request may be sent. */
+    boolean isUsable() {
+        return !failed;
+    }
+
+    /** Tells whether the connection has carried a response. */
+    boolean isKept() {
+        return responses > 0;
+    }
+
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise written) throws Exception {
         if (message instanceof HttpRequest request) {
@@ -85,6 +101,10 @@
         super.write(context, message, written);
     }
 
+    private static boolean isBlank(ByteBuf bytes) {
+        return bytes.forEachByte(next -> next == '\r' || next == '\n') < 0;
+    }
+
     private static boolean isLikeResponse(ByteBuf bytes) {
         int length = Math.min(bytes.readableBytes(), RESPONSE_START.length());
         String start = bytes.toString(bytes.readerIndex(), length, StandardCharsets.ISO_8859_1);
@@ -128,18 +148,18 @@
                 return;
             }
             if (method == null) {
-                refuse(context, bytes, Moment.IDLE);
+                refuse(bytes, Moment.IDLE);
                 return;
             }
             int first = messages.size();
             super.decode(context, bytes, messages);
             for (int index = first; index < messages.size(); index++) {
-                messages.set(index, examine(context, messages.get(index), bytes));
+                messages.set(index, examine(messages.get(index), bytes));
             }
         }
 
         /** Returns a decoded message, or in its place a failure. */
-        private Object examine(ChannelHandlerContext context, Object message, ByteBuf following) {
+        private Object examine(Object message, ByteBuf following) {
             if (message instanceof HttpResponse response) {
                 informational = isInformational(response);
                 sized = HttpUtil.isContentLengthSet(response);
@@ -154,13 +174,15 @@
             }
             method = null;
             responses++;
-            return following.isReadable() ? examineEnd(context, (LastHttpContent) message, following) : message;
+            return following.isReadable() && !failed ? examineEnd((LastHttpContent) message, following) : message;
         }
 
         /** Returns the end of a response that other bytes follow, or in its place a failure. */
-        private LastHttpContent examineEnd(ChannelHandlerContext context, LastHttpContent end, ByteBuf following) {
-            boolean joined = !isLikeResponse(following) && (body.isFound() || body.isCompletedBy(following));
-            refuse(context, following, Moment.AFTER_RESPONSE);
+        private LastHttpContent examineEnd(LastHttpContent end, ByteBuf following) {
+            boolean joined = !isBlank(following)
+                    && !isLikeResponse(following)
+                    && (body.isFound() || body.isCompletedBy(following));
+            refuse(following, Moment.AFTER_RESPONSE);
             if (!joined) {
                 return end;
             }
@@ -184,13 +206,14 @@
             response.setDecoderResult(DecoderResult.failure(new SecondStatusLineException("head")));
         }
 
-        /** Drops bytes that belong to no response, and closes the connection. */
-        private void refuse(ChannelHandlerContext context, ByteBuf bytes, Moment moment) {
-            events.emit(new ConnectionEvents.UnsolicitedBytes(
-                    server, moment.name(), bytes.readableBytes(), isLikeResponse(bytes), responses));
-            failed = true;
+        /** Drops bytes that belong to no response; no request follows them, unless they are line ends. */
+        private void refuse(ByteBuf bytes, Moment moment) {
+            if (!isBlank(bytes)) {
+                failed = true;
+                events.emit(new ConnectionEvents.UnsolicitedBytes(
+                        server, moment.name(), bytes.readableBytes(), isLikeResponse(bytes), responses));
+            }
             bytes.skipBytes(bytes.readableBytes());
-            context.close();
         }
 
         @Override
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionChannel.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionChannel.java
@@ -2,10 +2,10 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
-import java.util.function.Consumer;
 
 /**
  * The channel below a connection.
@@ -55,17 +55,25 @@
         });
     }
 
-    /**
-     * Handles what the peer has sent by now, and then tells on the event loop of the connection whether the connection is
-     * still open. May be called on any thread.
-     */
-    static void afterPending(HttpConnection connection, Consumer<Boolean> open) {
+    /** Handles what the peer has sent by now, and then runs an action on the event loop of the connection. May be called on any thread. */
+    static void afterPending(HttpConnection connection, Runnable action) {
         ((ConnectionBase) connection).channel().eventLoop().execute(() -> {
             readPending(connection);
-            open.accept(isOpen(connection));
+            action.run();
         });
     }
 
+    /**
+     * Closes a connection, and runs an action on its event loop once its handlers know. Netty tells them in a task, which
+     * precedes the second of two tasks that are started one by the other.
+     */
+    static void close(HttpConnection connection, Runnable closed) {
+        Channel channel = ((ConnectionBase) connection).channel();
+        EventLoop loop = channel.eventLoop();
+        channel.closeFuture().addListener(done -> loop.execute(() -> loop.execute(closed)));
+        connection.close();
+    }
+
     public static boolean isOpen(HttpConnection connection) {
         return ((ConnectionBase) connection).channel().isOpen();
     }
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/KeptHttpClient.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/KeptHttpClient.java
@@ -19,12 +19,12 @@
  *
  * <p>Invariants: a connection carries one exchange at a time, and no byte of one response becomes part of another
  * ({@link ClientConnectionCodec}); a request gets no connection that its server has closed or written to while no request was
- * in progress, as far as that has arrived. Thread-safe.
+ * in progress, as far as that has arrived; a server that ends new connections gets one for each request. Thread-safe.
  */
 public final class KeptHttpClient {
 
-    /** The number of connections that are tried for a request. */
-    private static final int MAXIMUM_TRIES = 5;
+    /** The number of kept connections that may have ended before a request fails. Each of them leaves the pool. */
+    private static final int MAXIMUM_TRIES = 100;
 
     private final Vertx vertx;
 
@@ -61,34 +61,75 @@
     private Future<HttpClientRequest> request(RequestOptions options, int tries) {
         return client.request(options)
                 .compose(this::requireUsable)
-                .recover(failure -> failure instanceof HttpClosedException && tries > 1
+                .recover(failure -> failure instanceof KeptConnectionEndedException && tries > 1
                         ? request(options, tries - 1)
                         : Future.failedFuture(failure));
     }
 
-    /** Fails with {@link HttpClosedException} if the connection has ended before the request is sent. */
+    /** Fails if the connection has ended before the request is sent. */
     private Future<HttpClientRequest> requireUsable(HttpClientRequest request) {
         request.exceptionHandler(KeptHttpClient::ignoreBeforeUse);
-        return isUsable(request).compose(usable -> {
-            if (usable) {
+        return ending(request).compose(ending -> {
+            if (ending == Ending.NONE) {
                 return Future.succeededFuture(request);
             }
             request.reset();
-            return Future.failedFuture(new HttpClosedException("the server ended the connection before the request"));
+            return Future.failedFuture(
+                    ending == Ending.KEPT
+                            ? new KeptConnectionEndedException()
+                            : new HttpClosedException("the server ended a new connection before the request"));
         });
     }
 
-    /** Ignores the end of a connection before its request is used, since another one is opened then. */
+    /** Ignores the end of a connection before its request is used, since the request fails by itself. */
     private static void ignoreBeforeUse(Throwable failure) {
-        // The next connection is tried.
+        // The connection is examined.
     }
 
-    /** Tells on the current context whether the connection of a request is still open after what has arrived there. */
-    private Future<Boolean> isUsable(HttpClientRequest request) {
-        Promise<Boolean> usable = Promise.promise();
+    /**
+     * Tells on the current context whether the connection of a request has ended, after what has arrived there. One that is
+     * not usable any more is closed, so that it leaves the pool.
+     */
+    private Future<Ending> ending(HttpClientRequest request) {
+        Promise<Ending> ending = Promise.promise();
         Context context = vertx.getOrCreateContext();
-        ConnectionChannel.afterPending(
-                request.connection(), open -> context.runOnContext(run -> usable.complete(open)));
-        return usable.future();
+        HttpConnection connection = request.connection();
+        ClientConnectionCodec codec = ClientConnectionCodec.of(connection);
+        ConnectionChannel.afterPending(connection, () -> {
+            Ending found = endingNow(connection, codec);
+            Runnable complete = () -> context.runOnContext(run -> ending.complete(found));
+            if (found == Ending.NONE) {
+                complete.run();
+            } else {
+                ConnectionChannel.close(connection, complete);
+            }
+        });
+        return ending.future();
+    }
+
+    private static Ending endingNow(HttpConnection connection, ClientConnectionCodec codec) {
+        if (ConnectionChannel.isOpen(connection) && codec.isUsable()) {
+            return Ending.NONE;
+        }
+        return codec.isKept() ? Ending.KEPT : Ending.NEW;
+    }
+
+    /** Whether a connection has ended, and which kind. */
+    private enum Ending {
+        NONE,
+        /** A connection that has carried a response. */
+        KEPT,
+        /** A connection that has carried none. */
+        NEW
+    }
+
+    /** A kept connection ended before the request was sent, so that another one may be used. */
+    private static final class KeptConnectionEndedException extends Exception {
+
+        private static final long serialVersionUID = 1L;
+
+        KeptConnectionEndedException() {
+            super("the server ended a kept connection before the request", null, false, false);
+        }
     }
 }
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/StatusLineSearch.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/StatusLineSearch.java
@@ -3,57 +3,92 @@
 import io.netty.buffer.ByteBuf;
 
 /**
- * Looks for a status line in bytes that come piece by piece. Used by one thread.
+ * Looks for a status line in bytes that come piece by piece, in each form that the decoder accepts.
  *
- * <p>Invariant: the bytes that match end with the last one that was appended.
+ * <p>Invariant: the bytes that match end with the last one that was appended. Used by one thread.
  */
 final class StatusLineSearch {
 
-    /** The form of the first characters of a status line; a hash stands for a digit. */
-    private static final String FORM = "HTTP/#.# ###";
+    /** The form of the protocol; a hash stands for a digit. */
+    private static final String PROTOCOL = "HTTP/#.#";
 
-    /** The number of characters of the form that the last bytes match. */
+    private static final int STATUS_DIGITS = 3;
+
+    /** The number of characters of the protocol that match. */
     private int matching;
 
-    private boolean found;
+    /** Whether white space follows the protocol. */
+    private boolean separated;
+
+    /** The number of digits that follow the white space. */
+    private int digits;
+
+    StatusLineSearch() {}
+
+    private StatusLineSearch(StatusLineSearch other) {
+        matching = other.matching;
+        separated = other.separated;
+        digits = other.digits;
+    }
 
     void append(ByteBuf bytes) {
-        if (!found) {
-            bytes.forEachByte(this::append);
+        if (!isFound()) {
+            bytes.forEachByte(next -> {
+                append((char) (next & 0xff));
+                return !isFound();
+            });
         }
     }
 
     boolean isFound() {
-        return found;
+        return digits == STATUS_DIGITS;
     }
 
     /** Tells whether the bytes so far end with the first part of a status line, and others begin with the rest. */
     boolean isCompletedBy(ByteBuf others) {
-        int missing = FORM.length() - matching;
-        if (found || matching == 0 || others.readableBytes() < missing) {
-            return false;
+        StatusLineSearch rest = new StatusLineSearch(this);
+        int index = others.readerIndex();
+        while (!rest.isFound() && rest.matching > 0 && index < others.writerIndex()) {
+            rest.advance((char) (others.getByte(index++) & 0xff));
         }
-        for (int index = 0; index < missing; index++) {
-            if (!matches(FORM.charAt(matching + index), others.getByte(others.readerIndex() + index))) {
-                return false;
-            }
+        return !isFound() && rest.isFound();
+    }
+
+    private void append(char next) {
+        if (!advance(next)) {
+            advance(next);
         }
-        return true;
     }
 
-    /** Returns whether the search goes on. */
-    private boolean append(byte next) {
-        if (!matches(FORM.charAt(matching), next)) {
-            matching = 0;
+    /** Goes on by one character; begins anew if it does not match. */
+    private boolean advance(char next) {
+        if (matching < PROTOCOL.length()) {
+            return advanceProtocol(next);
+        }
+        if (Character.isDigit(next) && separated) {
+            digits++;
+            return true;
+        }
+        if ((next == ' ' || next == '\t') && digits == 0) {
+            separated = true;
+            return true;
         }
-        if (matches(FORM.charAt(matching), next)) {
-            matching++;
+        return reset();
+    }
+
+    private boolean advanceProtocol(char next) {
+        char form = PROTOCOL.charAt(matching);
+        if (form == '#' ? !Character.isDigit(next) : form != next) {
+            return reset();
         }
-        found = matching == FORM.length();
-        return !found;
+        matching++;
+        return true;
     }
 
-    private static boolean matches(char form, byte next) {
-        return form == '#' ? next >= '0' && next <= '9' : form == next;
+    private boolean reset() {
+        matching = 0;
+        separated = false;
+        digits = 0;
+        return false;
     }
 }
