--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendAttempt.java
@@ -12,6 +12,7 @@
 import org.cranberrygauge.proxy.stream.EventSequence;
 import org.cranberrygauge.proxy.stream.EventSplitter;
 import org.cranberrygauge.runtime.http.ResponseFraming;
+import org.cranberrygauge.runtime.http.StatusLine;
 
 /**
  * One attempt at a backend server.
@@ -202,6 +203,10 @@
             if (ended) {
                 return;
             }
+            if (StatusLine.isWithin(body, request.id())) {
+                failBroken("the body of a response holds a second response");
+                return;
+            }
             ended = true;
             listener.onResponse(new BufferedResponse(
                     backendResponse.statusCode(), backendResponse.headers(), body, isFramed(backendResponse)));
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/StatusLine.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/StatusLine.java
@@ -3,10 +3,13 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.AsciiString;
+import io.vertx.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
@@ -15,12 +18,12 @@
  * <p>A response head that is cut off and followed by another one is decoded as one head: the status line of the second
  * becomes the end of a header value or of the reason phrase of the first. Stateless and thread-safe.
  */
-final class StatusLine {
+public final class StatusLine {
 
     /** What a status line begins with. */
     private static final String PROTOCOL = "HTTP/";
 
-    private static final Pattern PATTERN = Pattern.compile(PROTOCOL + "\\d\\.\\d \\d{3}(?!\\d)");
+    private static final Pattern PATTERN = Pattern.compile(PROTOCOL + "\\d\\.\\d\\s+\\d{3}");
 
     private StatusLine() {}
 
@@ -37,6 +40,19 @@
         return isWithin(head.status().reasonPhrase()) || repeatsHeader(head.headers());
     }
 
+    /**
+     * Tells whether a body holds a status line and, after it, the identifier of its request: a part of the body and a second
+     * response to the same request, which together have the stated length.
+     */
+    public static boolean isWithin(Buffer body, String requestId) {
+        String text = body.toString(StandardCharsets.ISO_8859_1);
+        if (!text.contains(PROTOCOL)) {
+            return false;
+        }
+        Matcher found = PATTERN.matcher(text);
+        return found.find() && text.indexOf(requestId, found.end()) >= 0;
+    }
+
     private static boolean repeatsHeader(HttpHeaders headers) {
         Set<String> names = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
         return headers.entries().stream().anyMatch(header -> !names.add(header.getKey()));
