--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionOption.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionOption.java
@@ -7,12 +7,12 @@
 import java.util.List;
 
 /** Options of a connection in the headers of a response. Stateless and thread-safe. */
-public final class ConnectionOption {
+final class ConnectionOption {
 
     private ConnectionOption() {}
 
     /** Adds the option to close the connection after a response before all others, of which the client reads the first alone. */
-    public static void closeAfter(HttpHeaders responseHeaders) {
+    static void closeAfter(HttpHeaders responseHeaders) {
         List<String> options = new ArrayList<>();
         options.add(HttpHeaderValues.CLOSE.toString());
         options.addAll(responseHeaders.getAll(HttpHeaderNames.CONNECTION));
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/package-info.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/package-info.java
@@ -1,2 +1,2 @@
-/** Components shared by the HTTP servers of all programs. */
+/** Components shared by the HTTP servers and clients of all programs. */
 package org.cranberrygauge.runtime.http;
