The codec of a connection is found after the connection has ended, too

A connection that ends between its way out of the pool and its examination loses its handlers; the examination would have ended with an exception, and the request without an answer until its time-out. By reading; KeptHttpClientTest passes.

--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ClientConnectionCodec.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ClientConnectionCodec.java
@@ -2,8 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.CombinedChannelDuplexHandler;
 import io.netty.handler.codec.DecoderResult;
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AttributeKey;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
@@ -49,6 +50,9 @@
     /** The name of the Vert.x codec in the channel pipeline. */
     private static final String CODEC = "codec";
 
+    private static final AttributeKey<ClientConnectionCodec> ATTRIBUTE =
+            AttributeKey.valueOf(ClientConnectionCodec.class, "codec");
+
     /** What each response begins with. */
     private static final String RESPONSE_START = "HTTP/1.";
 
@@ -73,14 +77,16 @@
 
     /** Replaces the codec of a connection that has just been opened. */
     static void install(HttpConnection connection, HttpClientOptions options, EventLog events) {
-        ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
-        String server = String.valueOf(connection.remoteAddress());
-        pipeline.replace(CODEC, CODEC, new ClientConnectionCodec(server, options, events));
+        Channel channel = ((ConnectionBase) connection).channel();
+        ClientConnectionCodec codec =
+                new ClientConnectionCodec(String.valueOf(connection.remoteAddress()), options, events);
+        channel.pipeline().replace(CODEC, CODEC, codec);
+        channel.attr(ATTRIBUTE).set(codec);
     }
 
-    /** Returns the codec of a connection. */
+    /** Returns the codec of a connection, also after its end, which removes it from the pipeline. */
     static ClientConnectionCodec of(HttpConnection connection) {
-        return ((ConnectionBase) connection).channel().pipeline().get(ClientConnectionCodec.class);
+        return ((ConnectionBase) connection).channel().attr(ATTRIBUTE).get();
     }
 
     /** Tells whether a request may be sent. */
