End a response without framing only where its server ended the stream

Callers of the platform and of the gateway got a part of a body as a whole answer: a backend server had answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written. With 500 in place of 200 the same.

Cause: while a request is being written, the event loop carries out the pending write before the read, so that the write meets the reset. Netty then closes the channel, and the decoder, which learns only that the channel is inactive, ends a body without framing as if the server had ended it. All clients of kept connections share that decoder.

Change: the connections allow half-closure, with which Netty reports the end of the stream as an event of its own. Only after that event, and not after a failed read, does the end of the connection end a response without framing. Failed writes, time-outs, resets and closes on this side leave it incomplete. As an orderly end within an upload tells that the server did not read the request, it ends no success; a rejection is still heard. All this is decided in ClientConnectionCodec.

Not seen: an orderly end after the kernel took the whole request, though the server never read it. The connection shows it in no way before the reset.

--- a/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/CallBench.java
+++ b/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/CallBench.java
@@ -1,11 +1,13 @@
 package org.cranberrygauge.gateway.call;
 
+import io.netty.util.concurrent.EventExecutor;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.internal.VertxInternal;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
@@ -70,6 +72,9 @@
     /** The number of names under which each server is listed. */
     private static final int NAMES = 200;
 
+    /** The reads of each event loop after which what follows from the first one is done. */
+    private static final int ROUNDS_UNTIL_READ = 3;
+
     private static final int CALLER_TIMEOUT_MILLIS = 30_000;
 
     private static final ServiceClass CLASS = new ServiceClass("chat", 0, 1, 1_000, 100, 10_000, 100);
@@ -134,6 +139,20 @@
         return dependencies.activeCalls();
     }
 
+    /**
+     * Returns when the event loops have read all that had arrived at their sockets before. A loop reads before it runs a task
+     * that one of its tasks has scheduled.
+     */
+    void settle() throws Exception {
+        for (int round = 0; round < ROUNDS_UNTIL_READ; round++) {
+            for (EventExecutor loop : ((VertxInternal) vertx).nettyEventLoopGroup()) {
+                loop.submit(() -> loop.schedule(() -> {}, 1, TimeUnit.NANOSECONDS))
+                        .get()
+                        .get();
+            }
+        }
+    }
+
     /** Returns the outcomes of reserved calls in the order in which they were recorded. */
     List<ReservationOutcome> outcomes() {
         return List.copyOf(outcomes);
--- a/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/RawServer.java
+++ b/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/RawServer.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -28,7 +29,10 @@
 
     private static final String HEAD_END = "\r\n\r\n";
 
-    private final ServerSocket listener;
+    /** The receive buffer of a server that reads no bodies, which then wait at the sender. */
+    private static final int SMALL_BUFFER_BYTES = 8 << 10;
+
+    private final ServerSocket listener = new ServerSocket();
 
     private final ExecutorService threads = Executors.newCachedThreadPool();
 
@@ -41,12 +45,36 @@
     /** The connection of the latest response; null before it. */
     private volatile Socket latest;
 
+    /** Whether the bodies of requests are read before they are answered. */
+    private final boolean readsBodies;
+
+    /** What precedes the end of a connection. */
+    private volatile Step beforeEnd = () -> {};
+
     RawServer(Function<Request, Response> script) throws IOException {
+        this(script, true);
+    }
+
+    private RawServer(Function<Request, Response> script, boolean readsBodies) throws IOException {
         this.script = script;
-        listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this.readsBodies = readsBodies;
+        if (!readsBodies) {
+            listener.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+        }
+        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         threads.execute(this::accept);
     }
 
+    /** Creates a server that answers a request when it has read its head, and reads nothing of its body. */
+    static RawServer readingHeadsOnly(Function<Request, Response> script) throws IOException {
+        return new RawServer(script, false);
+    }
+
+    /** Sets what precedes the end of a connection after a response; it may block. */
+    void beforeEnd(Step action) {
+        beforeEnd = action;
+    }
+
     int port() {
         return listener.getLocalPort();
     }
@@ -89,6 +117,9 @@
                 for (String packet : response.packets()) {
                     socket.getOutputStream().write(packet.getBytes(StandardCharsets.ISO_8859_1));
                 }
+                if (response.end() != End.KEEP) {
+                    beforeEnd.run();
+                }
                 if (response.end() == End.RESET) {
                     socket.setSoLinger(true, 0);
                 }
@@ -96,13 +127,13 @@
                     return;
                 }
             }
-        } catch (IOException closed) {
+        } catch (Exception closed) {
             // The gateway closed the connection.
         }
     }
 
     /** Reads one request, or an empty text if the connection ends before. */
-    private static String read(InputStream input) throws IOException {
+    private String read(InputStream input) throws IOException {
         ByteArrayOutputStream received = new ByteArrayOutputStream();
         int wanted = -1;
         while (wanted < 0 || received.size() < wanted) {
@@ -114,7 +145,7 @@
             String text = next == '\n' && wanted < 0 ? received.toString(StandardCharsets.ISO_8859_1) : "";
             if (text.endsWith(HEAD_END)) {
                 Matcher length = LENGTH.matcher(text);
-                wanted = received.size() + (length.find() ? Integer.parseInt(length.group(1)) : 0);
+                wanted = received.size() + (readsBodies && length.find() ? Integer.parseInt(length.group(1)) : 0);
             }
         }
         return received.toString(StandardCharsets.ISO_8859_1);
@@ -129,6 +160,12 @@
         threads.shutdown();
     }
 
+    /** What is done between two writes to a socket. */
+    interface Step {
+
+        void run() throws Exception;
+    }
+
     /** What becomes of the connection after a response. */
     enum End {
         KEEP,
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ClientConnectionCodec.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ClientConnectionCodec.java
@@ -4,8 +4,10 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -41,6 +43,9 @@
  *       connection ends after that response.
  *   <li>A body of a stated length that holds a status line fails if bytes follow it that don't begin a response, since it may
  *       have broken off and been filled with another response.
+ *   <li>The end of the connection ends a response without framing only if the server ended its stream; a reset, a failed write
+ *       and an end on this side leave the response incomplete. It ends no success while the request is still being written,
+ *       since a server that did not read the request can't have processed it.
  * </ul>
  *
  * <p>Used by the event loop of its connection.
@@ -69,6 +74,9 @@
     /** Whether what follows is dropped. */
     private boolean failed;
 
+    /** The number of requests that the socket has not taken wholly. */
+    private int unwrittenRequests;
+
     ClientConnectionCodec(String server, HttpClientOptions options, EventLog events) {
         this.server = server;
         this.events = events;
@@ -80,6 +88,7 @@
         Channel channel = ((ConnectionBase) connection).channel();
         ClientConnectionCodec codec =
                 new ClientConnectionCodec(String.valueOf(connection.remoteAddress()), options, events);
+        channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
         channel.pipeline().replace(CODEC, CODEC, codec);
         channel.attr(ATTRIBUTE).set(codec);
     }
@@ -103,8 +112,17 @@
     public void write(ChannelHandlerContext context, Object message, ChannelPromise written) throws Exception {
         if (message instanceof HttpRequest request) {
             method = request.method();
+            unwrittenRequests++;
         }
-        super.write(context, message, written);
+        super.write(context, message, message instanceof LastHttpContent ? countingDown(written) : written);
+    }
+
+    private ChannelPromise countingDown(ChannelPromise requestWritten) {
+        return requestWritten.unvoid().addListener(done -> {
+            if (done.isSuccess()) {
+                unwrittenRequests--;
+            }
+        });
     }
 
     private static boolean isBlank(ByteBuf bytes) {
@@ -117,6 +135,12 @@
         return RESPONSE_START.startsWith(start);
     }
 
+    private static LastHttpContent failedEnd(Exception cause) {
+        LastHttpContent failure = new DefaultLastHttpContent(Unpooled.EMPTY_BUFFER);
+        failure.setDecoderResult(DecoderResult.failure(cause));
+        return failure;
+    }
+
     private static boolean isInformational(HttpResponse response) {
         return response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     }
@@ -136,8 +160,17 @@
         /** Whether the response that is decoded states the length of its body. */
         private boolean sized;
 
+        /** Whether the response that is decoded is a success. */
+        private boolean success;
+
         private StatusLineSearch body = new StatusLineSearch();
 
+        /** Whether a read has failed, as it does after a reset. */
+        private boolean readFailed;
+
+        /** Whether the server has ended its stream. */
+        private boolean streamEnded;
+
         private ResponseDecoder(HttpClientOptions options) {
             super(
                     options.getMaxInitialLineLength(),
@@ -164,10 +197,51 @@
             }
         }
 
+        /** Notes a failed read, after which Netty reports the same event as after the end of a stream. */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) throws Exception {
+            readFailed = true;
+            super.exceptionCaught(context, cause);
+        }
+
+        /** Ends the response without framing, if there is one, when the server has ended its stream, and closes the connection. */
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+            if (!(event instanceof ChannelInputShutdownEvent)) {
+                super.userEventTriggered(context, event);
+                return;
+            }
+            streamEnded = !readFailed;
+            super.userEventTriggered(context, event);
+            context.close();
+        }
+
+        /** Decodes what is left at the end of the connection. */
+        @Override
+        protected void decodeLast(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages)
+                throws Exception {
+            int first = messages.size();
+            super.decodeLast(context, bytes, messages);
+            if (method == null || endsResponse()) {
+                return;
+            }
+            for (int index = first; index < messages.size(); index++) {
+                if (messages.get(index) == LastHttpContent.EMPTY_LAST_CONTENT) {
+                    messages.set(index, failedEnd(new IncompleteResponseException()));
+                }
+            }
+        }
+
+        /** Tells whether the end of the connection ends a response without framing. */
+        private boolean endsResponse() {
+            return streamEnded && !(success && unwrittenRequests > 0);
+        }
+
         /** Returns a decoded message, or in its place a failure. */
         private Object examine(Object message, ByteBuf following) {
             if (message instanceof HttpResponse response) {
                 informational = isInformational(response);
+                success = response.status().codeClass() == HttpStatusClass.SUCCESS;
                 sized = HttpUtil.isContentLengthSet(response);
                 body = new StatusLineSearch();
                 examineHead(response);
@@ -193,9 +267,7 @@
                 return end;
             }
             end.release();
-            LastHttpContent failure = new DefaultLastHttpContent(Unpooled.EMPTY_BUFFER);
-            failure.setDecoderResult(DecoderResult.failure(new SecondStatusLineException("body")));
-            return failure;
+            return failedEnd(new SecondStatusLineException("body"));
         }
 
         private void examineHead(HttpResponse response) {
@@ -228,6 +300,16 @@
         }
     }
 
+    /** The connection of a response without framing has ended, and the response may not have. */
+    private static final class IncompleteResponseException extends Exception {
+
+        private static final long serialVersionUID = 1L;
+
+        IncompleteResponseException() {
+            super("the connection ended within a response without framing", null, false, false);
+        }
+    }
+
     /** A response may be made of two. */
     private static final class SecondStatusLineException extends Exception {
 
--- a/cranberrygauge-runtime/src/test/java/org/cranberrygauge/runtime/http/ClientConnectionCodecTest.java
+++ b/cranberrygauge-runtime/src/test/java/org/cranberrygauge/runtime/http/ClientConnectionCodecTest.java
@@ -1,9 +1,12 @@
 package org.cranberrygauge.runtime.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowable;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -11,8 +14,10 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpClientOptions;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -29,6 +34,8 @@
     private static final String ERROR =
             "HTTP/1.1 500 Internal Server Error\r\nName: second\r\nKeep-Alive: timeout=5\r\nContent-Length: 5\r\n\r\nerror";
 
+    private static final String UNFRAMED = "HTTP/1.1 200 OK\r\nName: third\r\n\r\n";
+
     private final List<Event> events = new ArrayList<>();
 
     private EmbeddedChannel channel = open();
@@ -188,6 +195,65 @@
         assertThat(events).isEmpty();
     }
 
+    @Test
+    void theEndOfTheStreamEndsAResponseWithoutFraming() {
+        send(HttpMethod.GET);
+        assertThat(receive(UNFRAMED + "whole")).isEqualTo("200 whole");
+        endStream();
+        assertThat(channel.isOpen()).isFalse();
+        assertThat((Object) channel.inboundMessages().peek()).isInstanceOf(LastHttpContent.class);
+        assertThat(decoded()).isEmpty();
+    }
+
+    /** Guards against a response whose connection is reset, or ends on this side, and that counts as whole (issue 65). */
+    @Test
+    void noOtherEndOfTheConnectionEndsAResponseWithoutFraming() {
+        for (Runnable end : List.<Runnable>of(this::close, this::reset)) {
+            for (String received : new String[] {UNFRAMED, UNFRAMED + "a part"}) {
+                channel = open();
+                send(HttpMethod.GET);
+                receive(received);
+                end.run();
+                assertThat(channel.isOpen()).isFalse();
+                assertThat(decoded()).isEqualTo("failure ");
+            }
+        }
+    }
+
+    /** Guards against a success that counts as whole although its server did not read the request (issue 65). */
+    @Test
+    void theEndOfTheStreamEndsNoSuccessWhoseRequestIsStillBeingWritten() {
+        channel.write(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/", bytes("body")));
+        assertThat(receive(UNFRAMED + "a part")).isEqualTo("200 a part");
+        endStream();
+        assertThat(decoded()).isEqualTo("failure ");
+    }
+
+    /** Guards against the loss of a rejection that a server sends before it has read the request. */
+    @Test
+    void theEndOfTheStreamEndsARejectionWhoseRequestIsStillBeingWritten() {
+        channel.write(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/", bytes("body")));
+        assertThat(receive("HTTP/1.1 413 Too Large\r\n\r\ntoo long")).isEqualTo("413 too long");
+        endStream();
+        assertThat(decoded()).isEmpty();
+    }
+
+    /** Ends the stream of the server, as Netty reports it. */
+    private void endStream() {
+        channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+    }
+
+    /** Lets a read fail, as Netty reports it. */
+    private void reset() {
+        channel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+        assertThat(catchThrowable(channel::checkException)).isInstanceOf(IOException.class);
+        endStream();
+    }
+
+    private void close() {
+        channel.close();
+    }
+
     private boolean isUsable() {
         return channel.pipeline().get(ClientConnectionCodec.class).isUsable();
     }
@@ -204,6 +270,11 @@
     /** Returns what is decoded of some bytes: statuses, bodies, and "failure" for each message that can't be decoded. */
     private String receive(String text) {
         channel.writeInbound(bytes(text));
+        return decoded();
+    }
+
+    /** Returns what is decoded and not read yet. */
+    private String decoded() {
         StringBuilder decoded = new StringBuilder();
         for (HttpObject message = channel.readInbound(); message != null; message = channel.readInbound()) {
             decoded.append(describe(message));
@@ -222,7 +293,7 @@
         return ((HttpContent) message).content().toString(StandardCharsets.ISO_8859_1);
     }
 
-    private static Object bytes(String text) {
+    private static ByteBuf bytes(String text) {
         return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
     }
 }
