Take no response without a valid status for an answer

A backend server in trouble answered with status 000. Callers of the gateway got it as an answer ("HTTP/1.1 0 Unknown Status (0)"); so they did with 0, 099, 600, 999 and 1000. At the platform's hosts the first attempt check refused those already, but "+200" was a 200. The store's client took them for a call that was turned away, and so not carried out.

Cause: the decoder parses any number as a status, also one with a sign or with other than three digits, and only one of the users of the shared client looked at the range.

Change: ClientConnectionCodec fails a response whose status is not three digits from 100 to 599 (RFC 9110, 15), for all clients of kept connections.

--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ClientConnectionCodec.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ClientConnectionCodec.java
@@ -38,6 +38,7 @@
  *   <li>A connection carries one exchange at a time.
  *   <li>Bytes that come while no request is in progress are dropped, and no request is sent after them, unless they are line
  *       ends. The connection is not closed here, since the response before them may not be delivered yet.
+ *   <li>A response without a valid status fails.
  *   <li>A head that holds a second status line fails the connection. The first head of a connection may hold one in a
  *       header, since no earlier response can precede it, unless it is plain that the server began its response anew; the
  *       connection ends after that response.
@@ -294,6 +295,15 @@
             bytes.skipBytes(bytes.readableBytes());
         }
 
+        /** Creates a response head; the decoder alone would take any number for a status, also one with a sign. */
+        @Override
+        protected HttpMessage createMessage(String[] initialLine) {
+            if (!StatusLine.isStatus(initialLine[1])) {
+                throw new IllegalArgumentException("the status of a response is not valid");
+            }
+            return super.createMessage(initialLine);
+        }
+
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
             return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(message);
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/StatusLine.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/StatusLine.java
@@ -25,8 +25,16 @@
 
     private static final Pattern PATTERN = Pattern.compile(PROTOCOL + "\\d\\.\\d\\s+\\d{3}");
 
+    /** The valid statuses, from 100 to 599. */
+    private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
+
     private StatusLine() {}
 
+    /** Tells whether a text is a valid status. */
+    static boolean isStatus(String text) {
+        return STATUS.matcher(text).matches();
+    }
+
     /** Tells whether a head holds a status line beside its own. The mere name of a protocol is none. */
     static boolean isWithin(HttpResponse head) {
         return isWithin(head.status().reasonPhrase()) || isWithinHeader(head);
