Take no response with an invalid field name for an answer

A backend server in trouble sent heads in which the name of a field held a blank. Callers got them as answers: "X Odd: 1" reached them as "X: 1", "Content Length: 1" as "Content: 1". A line that begins with a blank was added to the field before it, so that "X-Response-Stamp: s" followed by " X-Odd: 1" reached them as the stamp "s X-Odd: 1".

Cause: the decoder ends a name at its first blank and drops the rest of it up to the colon, and joins a line that begins with a blank to the one before. The same decoder reads the responses of the store, of the platform and of other hosts.

Control bytes, bytes above 0x7f, an empty name and a line without a colon were rejected already; their cases are kept.

Change: FieldLines examines the lines of a head as they arrive, before the decoder reads them; ClientConnectionCodec fails a response unless each name is a token (RFC 9110, 5.6.2) that its colon follows at once. A blank right before the colon fails it, too: RFC 9112, 5.1 has a proxy remove such a blank before it passes the response on, and rejecting the response passes nothing on. A line that begins with a blank may be replaced by a 502 by RFC 9112, 5.2.

--- a/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/InvalidServiceResponseTest.java
+++ b/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/InvalidServiceResponseTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Guards against a response without a valid status that callers get as an answer (issue 65). */
+/** Guards against a response without a valid status or field name that callers get as an answer (issue 65). */
 class InvalidServiceResponseTest {
 
     @ParameterizedTest
@@ -16,6 +16,23 @@
         assertNoAnswer("HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok");
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "X Odd: 1",
+                "X\tOdd: 1",
+                "X-Odd : 1",
+                " X-Odd: 1",
+                "Content Length: 1",
+                "X\u0001Odd: 1",
+                "X\u007fOdd: 1",
+                ": 1",
+                "X-Odd"
+            })
+    void noServiceResponseWithAnInvalidFieldNameIsAnAnswer(String line) throws Exception {
+        assertNoAnswer("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok");
+    }
+
     private static void assertNoAnswer(String bytes) throws Exception {
         try (RawServer server = new RawServer(request -> new Response(bytes, End.KEEP));
                 CallBench bench = new CallBench(server)) {
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ClientConnectionCodec.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ClientConnectionCodec.java
@@ -38,7 +38,7 @@
  *   <li>A connection carries one exchange at a time.
  *   <li>Bytes that come while no request is in progress are dropped, and no request is sent after them, unless they are line
  *       ends. The connection is not closed here, since the response before them may not be delivered yet.
- *   <li>A response without a valid status fails.
+ *   <li>A response without a valid status, or with an invalid field name in its head, fails ({@link FieldLines}).
  *   <li>A head that holds a second status line fails the connection. The first head of a connection may hold one in a
  *       header, since no earlier response can precede it, unless it is plain that the server began its response anew; the
  *       connection ends after that response.
@@ -164,6 +164,8 @@
         /** Whether the response that is decoded is a success. */
         private boolean success;
 
+        private FieldLines fields = new FieldLines();
+
         private StatusLineSearch body = new StatusLineSearch();
 
         /** Whether a read has failed, as it does after a reset. */
@@ -191,6 +193,11 @@
                 refuse(bytes, Moment.IDLE);
                 return;
             }
+            if (!fields.areValid(bytes)) {
+                bytes.skipBytes(bytes.readableBytes());
+                messages.add(failedHead());
+                return;
+            }
             int first = messages.size();
             super.decode(context, bytes, messages);
             for (int index = first; index < messages.size(); index++) {
@@ -198,6 +205,13 @@
             }
         }
 
+        private HttpMessage failedHead() {
+            failed = true;
+            HttpMessage failure = createInvalidMessage();
+            failure.setDecoderResult(DecoderResult.failure(new InvalidFieldNameException()));
+            return failure;
+        }
+
         /** Notes a failed read, after which Netty reports the same event as after the end of a stream. */
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) throws Exception {
@@ -250,7 +264,11 @@
             if (sized && message instanceof HttpContent content) {
                 body.append(content.content());
             }
-            if (informational || !(message instanceof LastHttpContent)) {
+            if (!(message instanceof LastHttpContent)) {
+                return message;
+            }
+            fields = new FieldLines();
+            if (informational) {
                 return message;
             }
             method = null;
@@ -320,6 +338,16 @@
         }
     }
 
+    /** The head of a response has a field whose name is no token, or does not end with its colon. */
+    private static final class InvalidFieldNameException extends Exception {
+
+        private static final long serialVersionUID = 1L;
+
+        InvalidFieldNameException() {
+            super("the head of a response has an invalid field name", null, false, false);
+        }
+    }
+
     /** A response may be made of two. */
     private static final class SecondStatusLineException extends Exception {
 
