Keep no more of a response than fits, however long its server goes on

A backend server in trouble sends bytes without end. The gateway collected the body of a plain service, and the text of a completion that is not streamed, until its heap was used up, with which the requests of other callers ended. The clients of the store, of the platform and of operations servers collected bodies until the time-out of the call, or for as long as parts kept coming.

Cause: neither ServiceCall nor CompletionAggregator nor the users of HttpClientResponse.body() had a bound, and the timer of a service call is one of inactivity, which each part renews.

At the gateway all collected responses together may take a quarter of the heap (ResponseMemory); while they do, one of them is read on and the others wait. Completions that are not streamed count in the same way.

Heads, chunk extensions, trailers, events and bodies without end at the platform's hosts, and heads and events at the gateway, were bounded already; their cases are kept.

--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.cranberrygauge.gateway.call.CallDependencies;
 import org.cranberrygauge.gateway.call.CrashDetector;
 import org.cranberrygauge.gateway.call.QuarantineEnforcer;
+import org.cranberrygauge.gateway.call.ResponseMemory;
 import org.cranberrygauge.gateway.exchange.ExchangeServer;
 import org.cranberrygauge.gateway.exchange.ExchangeService;
 import org.cranberrygauge.gateway.exchange.PeerExchange;
@@ -292,6 +293,7 @@
                 scheduler,
                 backends,
                 new BackendClient(vertx, settings.backendCredential(), settings.backendTimeoutMillis(), events),
+                new ResponseMemory(ResponseMemory.defaultBytes(Runtime.getRuntime())),
                 reservations,
                 new RetryBudgets.PerCustomer(() -> new RetryBudget.Share(RETRY_SHARE, RETRY_BURST)),
                 new QuarantineEnforcer(
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/AttemptFailure.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/AttemptFailure.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeoutException;
 import org.cranberrygauge.model.error.ErrorCode;
+import org.cranberrygauge.runtime.http.ResponseBody;
 
 /**
  * How an attempt on a backend server failed.
@@ -11,8 +12,17 @@
  */
 record AttemptFailure(Kind kind, String reason) {
 
-    /** Classifies an exchange that ended with an exception: a timeout, or a lost connection with the given reason. */
+    /** A response that exceeds what the gateway collects. */
+    static final AttemptFailure TOO_LONG = new AttemptFailure(Kind.INVALID_ANSWER, "response too long");
+
+    /**
+     * Classifies an exchange that ended with an exception: a timeout, a response that is too long, or a lost connection with
+     * the given reason.
+     */
     static AttemptFailure broken(Throwable cause, String reason) {
+        if (cause instanceof ResponseBody.TooLongException) {
+            return TOO_LONG;
+        }
         return cause instanceof TimeoutException
                 ? new AttemptFailure(Kind.TIMEOUT, "no byte received within the timeout")
                 : new AttemptFailure(Kind.CONNECTION_LOST, reason);
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallDependencies.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallDependencies.java
@@ -24,6 +24,7 @@
         Scheduler scheduler,
         BackendTableUpdater backends,
         BackendClient client,
+        ResponseMemory responses,
         ReservationManager reservations,
         RetryBudgets retries,
         QuarantineEnforcer quarantine,
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatAttempt.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatAttempt.java
@@ -1,5 +1,6 @@
 package org.cranberrygauge.gateway.call;
 
+import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -8,6 +9,7 @@
 import io.vertx.core.parsetools.RecordParser;
 import java.util.Map;
 import java.util.Set;
+import org.cranberrygauge.decision.memory.Reservation;
 import org.cranberrygauge.gateway.call.AttemptFailure.Kind;
 import org.cranberrygauge.model.backend.BackendServer;
 
@@ -41,6 +43,9 @@
 
     private HttpClientRequest request;
 
+    /** Null until the head of the response was received. */
+    private HttpClientResponse response;
+
     /** Whether an event with a finish reason was received. */
     private boolean finished;
 
@@ -86,6 +91,20 @@
         }
     }
 
+    /**
+     * Reserves memory for what the listener keeps of a chunk; called while the listener is notified of it. The response is
+     * not read on while the memory is used up, and the attempt fails if the whole response takes too much of it.
+     *
+     * @param bytes The size of what is kept, in bytes.
+     */
+    void keep(int bytes, Reservation memory, Context context) {
+        if (bytes > ResponseMemory.MAX_RESPONSE_BYTES - memory.bytes()) {
+            fail(AttemptFailure.TOO_LONG);
+        } else {
+            ResponseMemory.add(memory, bytes, response, context);
+        }
+    }
+
     private void send(HttpClientRequest opened, Buffer body) {
         request = opened;
         if (closed) {
@@ -98,7 +117,8 @@
                 .onFailure(failure -> fail(AttemptFailure.broken(failure, "connection lost")));
     }
 
-    private void receive(HttpClientResponse response) {
+    private void receive(HttpClientResponse received) {
+        response = received;
         response.exceptionHandler(failure -> fail(AttemptFailure.broken(failure, "stream broken")));
         if (!BackendClient.answers(response, attempt)) {
             fail(new AttemptFailure(Kind.INVALID_ANSWER, "response to another attempt"));
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatCall.java
@@ -7,6 +7,7 @@
 import java.util.OptionalDouble;
 import org.cranberrygauge.decision.admission.QueuedRequest;
 import org.cranberrygauge.decision.admission.Refusal;
+import org.cranberrygauge.decision.memory.Reservation;
 import org.cranberrygauge.decision.quarantine.RequestFingerprint;
 import org.cranberrygauge.decision.quarantine.RunId;
 import org.cranberrygauge.decision.retry.RetryBudget;
@@ -49,6 +50,9 @@
 
     private final CompletionAggregator aggregator = new CompletionAggregator();
 
+    /** What the aggregated response uses. */
+    private final Reservation memory;
+
     private final TokenMeter meter = new TokenMeter();
 
     /** The running attempt, or null. */
@@ -78,6 +82,7 @@
         this.reply = reply;
         this.requestNumber = requestNumber;
         this.arrivedAtMillis = dependencies.time().monotonicMillis();
+        this.memory = dependencies.responses().open();
         this.queued = new QueuedRequest(
                 requestNumber,
                 caller.customer().name(),
@@ -137,7 +142,7 @@
         if (body.stream()) {
             sendChunk(chunk.json());
         } else {
-            aggregator.add(chunk);
+            attempt.keep(aggregator.add(chunk), memory, reply.context());
         }
     }
 
@@ -337,6 +342,7 @@
     /** Ends the request and accounts for its usage. */
     private void finish() {
         ended = true;
+        memory.close();
         dependencies.activeCalls().remove(this);
         if (attempts == 0) {
             return;
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CompletionAggregator.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CompletionAggregator.java
@@ -21,7 +21,9 @@
 
     private String finishReason = "stop";
 
-    void add(StreamEvent.Chunk chunk) {
+    /** Adds a chunk, and returns by how many bytes the response grows, with one for each character. */
+    int add(StreamEvent.Chunk chunk) {
+        int bytes = chunk.content() == null ? 0 : chunk.content().length();
         last = chunk.json();
         if (chunk.content() != null) {
             text.append(chunk.content());
@@ -30,8 +32,11 @@
             finishReason = chunk.finishReason();
         }
         for (int index = 0; index < chunk.toolCalls().size(); index++) {
-            addToolCall(chunk.toolCalls().getJsonObject(index));
+            JsonObject part = chunk.toolCalls().getJsonObject(index);
+            addToolCall(part);
+            bytes += part.encode().length();
         }
+        return bytes;
     }
 
     /**
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ServiceCall.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeoutException;
 import org.cranberrygauge.decision.admission.QueuedRequest;
 import org.cranberrygauge.decision.admission.Refusal;
+import org.cranberrygauge.decision.memory.Reservation;
 import org.cranberrygauge.decision.quarantine.RequestFingerprint;
 import org.cranberrygauge.decision.quarantine.RunId;
 import org.cranberrygauge.decision.reservation.ReservationDecision;
@@ -23,6 +24,7 @@
 import org.cranberrygauge.model.record.UsageFigures;
 import org.cranberrygauge.model.record.UsageKey;
 import org.cranberrygauge.model.service.Repetition;
+import org.cranberrygauge.runtime.http.ResponseBody;
 import org.cranberrygauge.runtime.http.ResponseFraming;
 
 /**
@@ -244,7 +246,10 @@
                 .onFailure(failure -> onAttemptFailed(AttemptFailure.broken(failure, "connection lost")));
     }
 
-    /** Reads a body. Fails if no byte comes for the timeout, which that of the request does not cover. */
+    /**
+     * Reads a body. Fails if no byte comes for the timeout, which that of the request does not cover, or if the body is too
+     * long.
+     */
     private Future<Buffer> readBody(HttpClientResponse response) {
         Promise<Buffer> whole = Promise.promise();
         InactivityTimer inactivity = new InactivityTimer(
@@ -252,15 +257,18 @@
                 dependencies.time(),
                 dependencies.client().idleTimeoutMillis(),
                 () -> whole.tryFail(new TimeoutException("no byte of the body received within the timeout")));
-        Buffer body = Buffer.buffer();
-        response.exceptionHandler(whole::tryFail);
-        response.endHandler(end -> whole.tryComplete(body));
-        response.handler(part -> {
-            inactivity.recordActivity();
-            body.appendBuffer(part);
-        });
+        Reservation memory = dependencies.responses().open();
+        ResponseBody.read(response, ResponseMemory.MAX_RESPONSE_BYTES, bytes -> {
+                    inactivity.recordActivity();
+                    ResponseMemory.add(memory, bytes, response, reply.context());
+                })
+                .onSuccess(whole::tryComplete)
+                .onFailure(whole::tryFail);
         inactivity.start();
-        return whole.future().onComplete(done -> inactivity.stop());
+        return whole.future().onComplete(done -> {
+            inactivity.stop();
+            memory.close();
+        });
     }
 
     private Future<Void> onResponse(HttpClientResponse response, Buffer body) {
--- a/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/CallBench.java
+++ b/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/CallBench.java
@@ -69,6 +69,9 @@
     /** The time without a byte after which an attempt fails in milliseconds. */
     static final long BACKEND_TIMEOUT_MILLIS = 5_000;
 
+    /** The memory of the gateway for responses. */
+    static final int RESPONSE_BYTES = 2 * ResponseMemory.MAX_RESPONSE_BYTES;
+
     /** The number of names under which each server is listed. */
     private static final int NAMES = 200;
 
@@ -113,6 +116,7 @@
                 scheduler,
                 backends,
                 new BackendClient(vertx, "credential", BACKEND_TIMEOUT_MILLIS, EventLog.NoOp.INSTANCE),
+                new ResponseMemory(RESPONSE_BYTES),
                 manager,
                 new RetryBudgets.PerCustomer(() -> new RetryBudget.Share(1, 1_000)),
                 new QuarantineEnforcer(
--- a/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/RawServer.java
+++ b/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/RawServer.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -32,6 +33,9 @@
     /** The receive buffer of a server that reads no bodies, which then wait at the sender. */
     private static final int SMALL_BUFFER_BYTES = 8 << 10;
 
+    /** The bytes of a repeated packet after which the server stops, so that a gateway that reads them all only fails its test. */
+    private static final long REPEATED_LIMIT_BYTES = 200L << 20;
+
     private final ServerSocket listener = new ServerSocket();
 
     private final ExecutorService threads = Executors.newCachedThreadPool();
@@ -48,6 +52,9 @@
     /** Whether the bodies of requests are read before they are answered. */
     private final boolean readsBodies;
 
+    /** The bytes of repeated packets that the sockets took. */
+    private final AtomicLong repeatedBytes = new AtomicLong();
+
     /** What precedes the end of a connection. */
     private volatile Step beforeEnd = () -> {};
 
@@ -84,6 +91,11 @@
         return List.copyOf(requests);
     }
 
+    /** Returns the number of bytes of repeated packets that the sockets took. */
+    long repeatedBytes() {
+        return repeatedBytes.get();
+    }
+
     /** Writes bytes that answer no request on the connection of the latest response. */
     void writeUnasked(String bytes) throws IOException {
         latest.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
@@ -117,6 +129,9 @@
                 for (String packet : response.packets()) {
                     socket.getOutputStream().write(packet.getBytes(StandardCharsets.ISO_8859_1));
                 }
+                if (response.end() == End.REPEAT) {
+                    repeat(socket, response.packets().get(response.packets().size() - 1));
+                }
                 if (response.end() != End.KEEP) {
                     beforeEnd.run();
                 }
@@ -132,6 +147,14 @@
         }
     }
 
+    private void repeat(Socket socket, String packet) throws IOException {
+        byte[] bytes = packet.getBytes(StandardCharsets.ISO_8859_1);
+        for (long written = 0; written < REPEATED_LIMIT_BYTES; written += bytes.length) {
+            socket.getOutputStream().write(bytes);
+            repeatedBytes.addAndGet(bytes.length);
+        }
+    }
+
     /** Reads one request, or an empty text if the connection ends before. */
     private String read(InputStream input) throws IOException {
         ByteArrayOutputStream received = new ByteArrayOutputStream();
@@ -170,7 +193,9 @@
     enum End {
         KEEP,
         CLOSE,
-        RESET
+        RESET,
+        /** The last packet is written until the gateway closes the connection. */
+        REPEAT
     }
 
     /**
--- a/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/view/OperationsClient.java
+++ b/cranberrygauge-operator/src/main/java/org/cranberrygauge/operator/view/OperationsClient.java
@@ -19,6 +19,7 @@
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.http.KeptHttpClient;
+import org.cranberrygauge.runtime.http.ResponseBody;
 
 /**
  * Queries the operations servers of gateways; a gateway that does not answer in time is omitted.
@@ -29,6 +30,9 @@
 
     private static final int OK = 200;
 
+    /** The maximum size of the body of a response. */
+    private static final int MAX_RESPONSE_BYTES = 32 << 20;
+
     private final KeptHttpClient client;
 
     private final List<NetworkAddress> addresses;
@@ -110,6 +114,6 @@
         if (response.statusCode() != OK) {
             return Future.failedFuture("status " + response.statusCode());
         }
-        return response.body();
+        return ResponseBody.read(response, MAX_RESPONSE_BYTES);
     }
 }
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/platform/HttpPlatform.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/platform/HttpPlatform.java
@@ -23,6 +23,7 @@
 import org.cranberrygauge.protocol.platform.PlatformMessages;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.http.KeptHttpClient;
+import org.cranberrygauge.runtime.http.ResponseBody;
 
 /**
  * An HTTP client of the platform.
@@ -38,6 +39,9 @@
     /** The largest number of connections to the platform. */
     private static final int MAX_CONNECTIONS = 8;
 
+    /** The maximum size of the body of a response. */
+    private static final int MAX_RESPONSE_BYTES = 32 << 20;
+
     private final KeptHttpClient client;
 
     /** The context of all calls. If a response is consumed on another thread, its end event can be missed. */
@@ -140,7 +144,7 @@
     }
 
     private static Future<String> body(HttpClientResponse response) {
-        return response.body().compose(buffer -> {
+        return ResponseBody.read(response, MAX_RESPONSE_BYTES).compose(buffer -> {
             if (response.statusCode() >= FIRST_FAILURE_STATUS) {
                 return Future.failedFuture(new CranberrygaugeException(
                         ErrorCode.PLATFORM_UNAVAILABLE, "status " + response.statusCode() + ": " + buffer));
