Read a stream no faster than its caller reads it

A stream of a backend server without end ended the gateway for all callers if its own caller read too slowly or not at all: the gateway kept what the caller had not read, for up to 30 s.

Cause: nothing stopped reading the response while the caller's connection took no more.

Change: ChatCall pauses the attempt while the caller's write queue is full, and resumes it once it has drained. A paused attempt does not time out, as its server can't send; a caller that reads nothing for 30 s is disconnected, as before. The interval between tokens is measured anew after a pause, so that a slow caller makes no server count as slow.

--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallerReply.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallerReply.java
@@ -51,6 +51,9 @@
     /** Whether the write queue is full because the caller reads more slowly than the stream is produced. */
     private boolean stalled;
 
+    /** What runs when the write queue of a stream has room again. */
+    private Runnable drained = () -> {};
+
     private boolean closesConnection;
 
     public CallerReply(HttpServerRequest request, Context context, String requestId) {
@@ -84,6 +87,16 @@
         });
     }
 
+    /** Runs an action each time the caller of a stream has read enough after a stall. */
+    public void onDrained(Runnable action) {
+        drained = action;
+    }
+
+    /** Tells whether a stream waits for its caller to read. */
+    public boolean isStalled() {
+        return stalled;
+    }
+
     /** Closes the connection after the response, because the rest of the request is not read. */
     public void closeConnectionAfterResponse() {
         closesConnection = true;
@@ -157,9 +170,10 @@
         if (response.writeQueueFull() && !stalled) {
             stalled = true;
             long timer = context.owner().setTimer(WRITE_STALL_TIMEOUT_MILLIS, fired -> connection.close());
-            response.drainHandler(drained -> {
+            response.drainHandler(ready -> {
                 stalled = false;
                 context.owner().cancelTimer(timer);
+                drained.run();
             });
         }
     }
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatAttempt.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatAttempt.java
@@ -49,6 +49,9 @@
     /** Whether an event with a finish reason was received. */
     private boolean finished;
 
+    /** Whether the response is not read. */
+    private boolean paused;
+
     /** Whether the attempt ended or was cancelled. */
     private boolean closed;
 
@@ -105,6 +108,24 @@
         }
     }
 
+    /** Stops reading the response, which can't time out meanwhile; called while the listener is notified of a chunk. */
+    void pause() {
+        if (!closed && !paused) {
+            paused = true;
+            inactivity.stop();
+            response.pause();
+        }
+    }
+
+    /** Reads the response again after {@link #pause}. */
+    void resume() {
+        if (!closed && paused) {
+            paused = false;
+            inactivity.start();
+            response.resume();
+        }
+    }
+
     private void send(HttpClientRequest opened, Buffer body) {
         request = opened;
         if (closed) {
@@ -154,6 +175,8 @@
         } else if (parsed == StreamEvent.Done.INSTANCE && finished) {
             closed = true;
             inactivity.stop();
+            // What follows the last event is read, so that the connection can be used again.
+            response.resume();
             listener.onDone();
         } else if (parsed != StreamEvent.Comment.INSTANCE) {
             fail(new AttemptFailure(Kind.INVALID_ANSWER, "malformed event in the stream"));
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatCall.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/ChatCall.java
@@ -22,8 +22,8 @@
  * One completion request, from admission to its last byte.
  *
  * <p>Invariants: the caller receives each token once and in order, also when the stream is resumed on another backend
- * server; the response ends exactly once; the slot of each attempt is released exactly once. Used on the context of the
- * caller's connection, except for the methods that state otherwise.
+ * server; the response ends exactly once; the slot of each attempt is released exactly once; a stream is read no faster than
+ * its caller reads it. Used on the context of the caller's connection, except for the methods that state otherwise.
  */
 public final class ChatCall implements ActiveCall, ChatAttempt.Listener {
 
@@ -99,6 +99,7 @@
     public void begin() {
         dependencies.activeCalls().add(this);
         reply.onDisconnect(() -> cancel("caller_gone"));
+        reply.onDrained(this::resumeReading);
         submit(queued);
     }
 
@@ -328,7 +329,18 @@
         attempt = null;
     }
 
-    /** Sends a chunk to a streaming caller. The usage is removed unless the caller asked for it. */
+    /** Reads on after the caller has, and measures the interval between tokens anew, without the pause. */
+    private void resumeReading() {
+        if (attempt != null) {
+            meter.beginAttempt();
+            attempt.resume();
+        }
+    }
+
+    /**
+     * Sends a chunk to a streaming caller, and reads no more of the response while the caller does not read. The usage is
+     * removed unless the caller asked for it.
+     */
     private void sendChunk(JsonObject chunk) {
         if (!body.wantsUsage() && chunk.containsKey("usage")) {
             chunk.remove("usage");
@@ -337,6 +349,9 @@
             }
         }
         reply.writeChunk(Buffer.buffer("data: ").appendBuffer(chunk.toBuffer()).appendString("\n\n"));
+        if (reply.isStalled()) {
+            attempt.pause();
+        }
     }
 
     /** Ends the request and accounts for its usage. */
--- a/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/CallBench.java
+++ b/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/CallBench.java
@@ -172,6 +172,14 @@
         return ask(method, path, key, body, "Connection: close\r\n");
     }
 
+    /** Sends a request, and returns its connection, of which nothing is read. */
+    Socket open(String path, String body) throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), callers.actualPort());
+        socket.setSoTimeout(CALLER_TIMEOUT_MILLIS);
+        write(socket, "POST", path, "Connection: close\r\n", body);
+        return socket;
+    }
+
     /**
      * Sends a request on a connection that the caller would use again, and returns all bytes of the response until the
      * gateway closes the connection.
@@ -186,13 +194,18 @@
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), callers.actualPort())) {
             socket.setSoTimeout(CALLER_TIMEOUT_MILLIS);
             String named = key.isEmpty() ? "" : "Idempotency-Key: " + key + "\r\n";
-            String head = method + " " + path + " HTTP/1.1\r\nHost: gateway\r\n" + header + named + "Content-Length: "
-                    + body.length() + "\r\n\r\n";
-            socket.getOutputStream().write((head + body).getBytes(StandardCharsets.ISO_8859_1));
+            write(socket, method, path, header + named, body);
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
         }
     }
 
+    private static void write(Socket socket, String method, String path, String headers, String body)
+            throws IOException {
+        String head = method + " " + path + " HTTP/1.1\r\nHost: gateway\r\n" + headers + "Content-Length: "
+                + body.length() + "\r\n\r\n";
+        socket.getOutputStream().write((head + body).getBytes(StandardCharsets.ISO_8859_1));
+    }
+
     private void dispatch(HttpServerRequest request, Buffer body) {
         long number = requestCount.incrementAndGet();
         CallerReply reply = new CallerReply(request, vertx.getOrCreateContext(), "gateway." + number);
--- a/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/EndlessServiceResponseTest.java
+++ b/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/EndlessServiceResponseTest.java
@@ -2,7 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -22,14 +25,28 @@
 
     private static final String STATUS_LINE = "HTTP/1.1 200 OK\r\n";
 
+    private static final String REPEATED = "x".repeat(64 << 10);
+
     private static final String COMPLETION =
             "{\"model\":\"model\",\"stream\":false,\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}";
 
+    private static final String STREAM = COMPLETION.replace("false", "true");
+
+    private static final String TOKEN =
+            "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + REPEATED + "\"}}]}\n\n";
+
+    private static final String FINISH =
+            "data: {\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n";
+
+    /** The tokens of a stream that is longer than the sockets between its server and its caller hold. */
+    private static final int TOKENS = 1_000;
+
+    /** How often the event loops read until a server that could write on has. */
+    private static final int SETTLING_ROUNDS = 100;
+
     /** More calls than the gateway has memory for whole responses. */
     private static final int CALLS_AT_ONCE = 12;
 
-    private static final String REPEATED = "x".repeat(64 << 10);
-
     @ParameterizedTest
     @ValueSource(
             strings = {
@@ -71,6 +88,50 @@
         }
     }
 
+    /** Guards against a stream without end that is kept while its caller reads nothing. */
+    @Test
+    void aStreamIsReadNoFasterThanItsCallerReadsIt() throws Exception {
+        try (RawServer server =
+                        new RawServer(request -> new Response(List.of(STATUS_LINE + "\r\n", TOKEN), End.REPEAT));
+                CallBench bench = new CallBench(server);
+                Socket caller = bench.open(CallBench.CHAT, STREAM)) {
+            assertThat(caller.getInputStream().read()).isEqualTo('H');
+            long before;
+            do {
+                before = server.repeatedBytes();
+                settle(bench);
+            } while (server.repeatedBytes() > before);
+            assertThat(server.repeatedBytes()).isLessThan(MAXIMUM_BYTES);
+        }
+    }
+
+    /** Guards against a server that counts as silent, and a stream that is lost, since its caller reads late. */
+    @Test
+    void aStreamWhoseCallerReadsLaterThanTheTimeoutArrivesWhole() throws Exception {
+        List<String> packets = new ArrayList<>(Collections.nCopies(TOKENS, TOKEN));
+        packets.add(0, STATUS_LINE + "Connection: close\r\n\r\n");
+        packets.add(FINISH);
+        try (RawServer server = new RawServer(request -> new Response(packets, End.CLOSE));
+                CallBench bench = new CallBench(server);
+                Socket caller = bench.open(CallBench.CHAT, STREAM)) {
+            long readsAtNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(2 * CallBench.BACKEND_TIMEOUT_MILLIS);
+            while (System.nanoTime() < readsAtNanos) {
+                settle(bench);
+            }
+            String answer = new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertThat(answer.substring(0, 200)).startsWith("HTTP/1.1 200");
+            assertThat(answer.split(REPEATED, -1)).hasSize(TOKENS + 1);
+            assertThat(answer.substring(answer.length() - 200)).contains("data: [DONE]");
+            assertThat(server.requests()).hasSize(1);
+        }
+    }
+
+    private static void settle(CallBench bench) throws Exception {
+        for (int round = 0; round < SETTLING_ROUNDS; round++) {
+            bench.settle();
+        }
+    }
+
     /** Guards against an event that is kept while it grows. */
     @ParameterizedTest
     @ValueSource(strings = {"", "data: ", ": "})
