Close the connection of a caller that has stopped reading a broken-off response

Seen: a caller that reads nothing of a stream keeps its connection, and so a file descriptor, for good, also after the deadline of its request; at the gateway also after the 30 s that the interface states. Cause: a close in order waits until what is queued is written. Evidence: CallerReplyTest.aStreamThatItsCallerDoesNotReadIsClosedAfterATime, with the close in order: not closed, the heap filled. Change: a response that is broken off is closed after a second at the latest (ConnectionChannel.closeWithin), a stalled stream of the gateway at once.

--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallerReply.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/call/CallerReply.java
@@ -27,7 +27,6 @@
      */
     private static final long LINGER_TIMEOUT_MILLIS = 1_000;
 
-    /** How long a caller may leave a full write queue unread before its connection is closed, in milliseconds. */
     private static final long WRITE_STALL_TIMEOUT_MILLIS = 30_000;
 
     /** The maximum size of one write of a response that ends with its connection. Each must be read in time. */
@@ -56,7 +55,15 @@
 
     private boolean closesConnection;
 
+    /** How long a caller may leave a full write queue unread before its connection is closed, in milliseconds. */
+    private final long stallTimeoutMillis;
+
     public CallerReply(HttpServerRequest request, Context context, String requestId) {
+        this(request, context, requestId, WRITE_STALL_TIMEOUT_MILLIS);
+    }
+
+    CallerReply(HttpServerRequest request, Context context, String requestId, long stallTimeoutMillis) {
+        this.stallTimeoutMillis = stallTimeoutMillis;
         this.connection = request.connection();
         this.response = request.response();
         this.context = context;
@@ -138,8 +145,7 @@
     /** Writes the next slice of a body, and closes the connection after the last one. */
     private void writeUntilClose(Buffer rest) {
         int sliceBytes = Math.min(rest.length(), SLICE_BYTES);
-        long timer =
-                context.owner().setTimer(WRITE_STALL_TIMEOUT_MILLIS, fired -> ConnectionChannel.closeNow(connection));
+        long timer = context.owner().setTimer(stallTimeoutMillis, fired -> ConnectionChannel.closeNow(connection));
         response.write(rest.slice(0, sliceBytes))
                 .onComplete(written -> context.owner().cancelTimer(timer))
                 .onSuccess(written -> context.runOnContext(next -> {
@@ -169,7 +175,7 @@
         response.write(part);
         if (response.writeQueueFull() && !stalled) {
             stalled = true;
-            long timer = context.owner().setTimer(WRITE_STALL_TIMEOUT_MILLIS, fired -> connection.close());
+            long timer = context.owner().setTimer(stallTimeoutMillis, fired -> ConnectionChannel.closeNow(connection));
             response.drainHandler(ready -> {
                 stalled = false;
                 context.owner().cancelTimer(timer);
--- a/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/CallerReplyTest.java
+++ b/cranberrygauge-gateway/src/test/java/org/cranberrygauge/gateway/call/CallerReplyTest.java
@@ -26,15 +26,30 @@
 
     private final Vertx vertx = Vertx.vertx();
 
+    private static final int PART_BYTES = 1 << 20;
+
+    private static final long STALL_TIMEOUT_MILLIS = 100;
+
     private final CompletableFuture<HttpConnection> connection = new CompletableFuture<>();
 
+    /** Completes when the connection of a stream has ended. */
+    private final CompletableFuture<Void> streamClosed = new CompletableFuture<>();
+
     private HttpServer server;
 
     @BeforeEach
     void start() throws Exception {
         server = vertx.createHttpServer()
                 .requestHandler(request -> {
-                    CallerReply reply = new CallerReply(request, vertx.getOrCreateContext(), "request");
+                    CallerReply reply =
+                            new CallerReply(request, vertx.getOrCreateContext(), "request", STALL_TIMEOUT_MILLIS);
+                    if ("/stream".equals(request.path())) {
+                        request.connection().closeHandler(streamClosed::complete);
+                        long timer =
+                                vertx.setPeriodic(1, fired -> reply.writeChunk(Buffer.buffer("x".repeat(PART_BYTES))));
+                        streamClosed.thenRun(() -> vertx.cancelTimer(timer));
+                        return;
+                    }
                     reply.answerUntilClose(200, "text/plain", Buffer.buffer("x".repeat(BODY_BYTES)));
                     connection.complete(request.connection());
                 })
@@ -73,10 +88,24 @@
         }
     }
 
+    /** Guards against a stream whose caller has stopped reading, and whose connection is never closed for that. */
+    @Test
+    void aStreamThatItsCallerDoesNotReadIsClosedAfterATime() throws Exception {
+        try (Socket caller = ask("/stream")) {
+            streamClosed.get(10, TimeUnit.SECONDS);
+            assertThat(caller.isClosed()).as("the caller has not closed it").isFalse();
+        }
+    }
+
     private Socket ask() throws Exception {
+        return ask("/");
+    }
+
+    private Socket ask(String path) throws Exception {
         Socket caller = new Socket(InetAddress.getLoopbackAddress(), server.actualPort());
         caller.setSoTimeout(30_000);
-        caller.getOutputStream().write("GET / HTTP/1.1\r\nHost: gateway\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        caller.getOutputStream()
+                .write(("GET " + path + " HTTP/1.1\r\nHost: gateway\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
         return caller;
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
@@ -31,6 +31,9 @@
     /** The maximum time for which the rest of a body is discarded after its request was rejected. */
     private static final long DISCARD_MILLIS = 2_000;
 
+    /** The time in which a caller may read what waits for it before a response that was broken off, in milliseconds. */
+    private static final long ABORT_MILLIS = 1_000;
+
     /** The maximum size of one write of a complete response. Reading is noticed by the writes that are done. */
     private static final int SLICE_BYTES = 64 << 10;
 
@@ -262,9 +265,9 @@
         endWith(Buffer.buffer()).onComplete(written -> finishWrite());
     }
 
-    /** Closes the connection before the end of the response. */
+    /** Closes the connection before the end of the response, also if the caller has stopped reading. */
     public void abort() {
-        request.connection().close();
+        ConnectionChannel.closeWithin(request.connection(), ABORT_MILLIS);
     }
 
     /** Closes the connection at once; what the caller has not read is dropped. */
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionChannel.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionChannel.java
@@ -6,6 +6,8 @@
 import io.netty.channel.nio.AbstractNioChannel;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The channel below a connection.
@@ -55,6 +57,19 @@
         });
     }
 
+    /**
+     * Closes a connection after what is queued for it is written, or after a time if the peer doesn't read that. Called on the
+     * event loop of the connection.
+     */
+    public static void closeWithin(HttpConnection connection, long millis) {
+        Channel channel = ((ConnectionBase) connection).channel();
+        connection.close();
+        if (channel.isOpen()) {
+            Future<?> timer = channel.eventLoop().schedule(() -> closeNow(connection), millis, TimeUnit.MILLISECONDS);
+            channel.closeFuture().addListener(closed -> timer.cancel(false));
+        }
+    }
+
     /** Handles what the peer has sent by now, and then runs an action on the event loop of the connection. May be called on any thread. */
     static void afterPending(HttpConnection connection, Runnable action) {
         ((ConnectionBase) connection).channel().eventLoop().execute(() -> {
