Close idle connections of callers, and keep their number below the descriptors

Cause: idle_timeout_ms was read and not used, header_timeout_ms and max_fds not read. The timeout alone would not do: at 143 new callers a second and 15 s there are 2,145 idle connections. Change: AcceptedConnections closes connections that are idle, whose head does not come in time or whose response nobody reads, for the three ports of a host and the callers of a gateway, whose own class it replaces. A request in progress is never interrupted. DescriptorBudget bounds connections and requests; the connection that has waited longest for a request gives way. An event and two metrics tell why a connection was closed.

--- /dev/null
+++ b/cranberrygauge-decision/src/main/java/org/cranberrygauge/decision/connection/package-info.java
@@ -0,0 +1,2 @@
+/** Which connections of callers a process keeps open. */
+package org.cranberrygauge.decision.connection;
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/Gateway.java
@@ -32,7 +32,6 @@
 import org.cranberrygauge.gateway.http.AdmissionGate;
 import org.cranberrygauge.gateway.http.CallerHandler;
 import org.cranberrygauge.gateway.http.GatewayServers;
-import org.cranberrygauge.gateway.http.IdleConnections;
 import org.cranberrygauge.gateway.http.OperationsHandler;
 import org.cranberrygauge.gateway.metrics.GatewayMetrics;
 import org.cranberrygauge.gateway.reservation.ReservationManager;
@@ -47,6 +46,7 @@
 import org.cranberrygauge.runtime.blackboard.Blackboard;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.event.EventRingBuffer;
+import org.cranberrygauge.runtime.http.ConnectionMetrics;
 import org.cranberrygauge.runtime.lifecycle.Program;
 import org.cranberrygauge.runtime.log.LogAppender;
 import org.cranberrygauge.runtime.log.LogFollower;
@@ -64,8 +64,8 @@
     private static final long TICK_MILLIS = 20;
 
     /**
-     * The interval at which the platform's list of backend servers is read, and at which idle connections and this
-     * gateway's membership are checked, in milliseconds.
+     * The interval at which the platform's list of backend servers is read, and at which this gateway's
+     * membership is checked, in milliseconds.
      */
     private static final long REFRESH_MILLIS = 500;
 
@@ -108,8 +108,6 @@
 
     private final Scheduler scheduler;
 
-    private final IdleConnections callerConnections;
-
     private final ActiveCalls activeCalls = new ActiveCalls();
 
     private final UsageCounter usage;
@@ -149,8 +147,7 @@
                 .setEventLoopPoolSize(settings.eventLoops() + 1)
                 .setWorkerPoolSize(1));
         Program.reportUnhandled(vertx, this.events);
-        callerConnections = new IdleConnections(time, settings.callerIdleTimeoutMillis());
-        servers = new GatewayServers(vertx, settings, callerConnections, this.events);
+        servers = new GatewayServers(vertx, settings, new ConnectionMetrics(registry), time, this.events);
         incarnation = Program.incarnation(settings.hostName(), time.wallMillis());
         blackboard = new Blackboard(time.monotonicMillis());
         platform = new HttpPlatform(vertx, settings.platformAddress(), settings.platformTimeoutMillis());
@@ -225,7 +222,7 @@
         follower.stop();
         peerExchange.stop();
         exchangeServer.stop();
-        callerConnections.closeAll();
+        servers.closeCallerConnections();
         pause(DRAIN_POLL_MILLIS);
         Program.close(vertx);
         events.emit(new GatewayEvents.DrainFinished(incarnation, aborted));
@@ -280,7 +277,6 @@
     private void startTimers() {
         vertx.setPeriodic(REFRESH_MILLIS, timer -> joinIfMissing());
         vertx.setPeriodic(TICK_MILLIS, timer -> scheduler.tick());
-        vertx.setPeriodic(REFRESH_MILLIS, timer -> callerConnections.closeIdle());
         vertx.setPeriodic(REFRESH_MILLIS, timer -> platform.backendServers().thenAccept(blackboard::publish));
         vertx.setPeriodic(settings.usageIntervalMillis(), timer -> {
             usageAppender.appendIfDue();
@@ -311,7 +307,7 @@
                 time,
                 gate::stop,
                 incarnation);
-        callers = new CallerHandler(vertx, settings, dependencies, blackboard, gate, callerConnections);
+        callers = new CallerHandler(vertx, settings, dependencies, blackboard, gate);
         OperationsHandler operations =
                 new OperationsHandler(registry, gate, blackboard, recentEvents, usageReplicator, incarnation);
         return servers.listen(callers, operations)
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/GatewaySettings.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/GatewaySettings.java
@@ -5,7 +5,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.cranberrygauge.decision.connection.DescriptorBudget;
 import org.cranberrygauge.model.backend.NetworkAddress;
+import org.cranberrygauge.runtime.lifecycle.DescriptorLimit;
 import org.cranberrygauge.runtime.setting.AddressConverter;
 import org.cranberrygauge.runtime.setting.PositiveNumber;
 import org.cranberrygauge.runtime.setting.ProcessSettings;
@@ -87,6 +89,19 @@
             description = "Milliseconds without a request after which a caller's connection is closed")
     private long callerIdleTimeoutMillis = 60_000;
 
+    @Parameter(
+            names = "--caller-header-timeout-millis",
+            validateWith = PositiveNumber.class,
+            description = "Milliseconds in which the header of a request must arrive once it has begun")
+    private long callerHeaderTimeoutMillis = 10_000;
+
+    @Parameter(
+            names = "--caller-connection-limit",
+            validateWith = PositiveNumber.class,
+            description = "Number of callers' connections above which the one that has waited longest for a request is"
+                    + " closed; without it, a part of the file descriptors that the process may open")
+    private Integer callerConnectionLimit;
+
     @Parameter(
             names = "--backend-timeout-millis",
             validateWith = PositiveNumber.class,
@@ -172,6 +187,18 @@
         return callerIdleTimeoutMillis;
     }
 
+    /** Returns the time in which the header of a request must arrive once it has begun, in milliseconds. */
+    public long callerHeaderTimeoutMillis() {
+        return callerHeaderTimeoutMillis;
+    }
+
+    /** Returns the number of callers' connections above which one is closed. */
+    public int callerConnectionLimit() {
+        return callerConnectionLimit != null
+                ? callerConnectionLimit
+                : DescriptorBudget.of(DescriptorLimit.ofProcess()).callerConnections();
+    }
+
     /** Returns the time without a byte after which an attempt fails in milliseconds. */
     public long backendTimeoutMillis() {
         return backendTimeoutMillis;
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/CallerHandler.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/CallerHandler.java
@@ -74,8 +74,6 @@
 
     private final Authenticator authenticator;
 
-    private final IdleConnections connections;
-
     private final BodyReader bodies;
 
     /** The number of requests received so far. */
@@ -86,9 +84,7 @@
             GatewaySettings settings,
             CallDependencies dependencies,
             Blackboard blackboard,
-            AdmissionGate gate,
-            IdleConnections connections) {
-        this.connections = connections;
+            AdmissionGate gate) {
         this.vertx = vertx;
         this.settings = settings;
         this.bodies = new BodyReader(settings.bodyLimitBytes(), settings.bodyTimeoutMillis());
@@ -100,7 +96,6 @@
 
     @Override
     public void handle(HttpServerRequest request) {
-        connections.requestStarted(request);
         Context context = vertx.getOrCreateContext();
         long requestNumber = requestCount.incrementAndGet();
         CallerReply reply = new CallerReply(request, context, dependencies.gateway() + "." + requestNumber);
--- a/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/GatewayServers.java
+++ b/cranberrygauge-gateway/src/main/java/org/cranberrygauge/gateway/http/GatewayServers.java
@@ -4,11 +4,17 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.cranberrygauge.decision.connection.ConnectionLimits;
 import org.cranberrygauge.gateway.GatewaySettings;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.runtime.event.EventLog;
+import org.cranberrygauge.runtime.http.AcceptedConnections;
+import org.cranberrygauge.runtime.http.ConnectionMetrics;
 import org.cranberrygauge.runtime.setting.SettingException;
+import org.cranberrygauge.runtime.time.TimeSource;
 import org.cranberrygauge.runtime.tls.CertificateFiles;
 import org.cranberrygauge.runtime.tls.CertificateReloader;
 
@@ -26,10 +32,15 @@
 
     private final GatewaySettings settings;
 
-    private final IdleConnections connections;
+    private final ConnectionMetrics metrics;
+
+    private final TimeSource time;
 
     private final EventLog events;
 
+    /** The servers for callers that listen. */
+    private final List<CallerVerticle> callerServers = new CopyOnWriteArrayList<>();
+
     /** The certificate the servers were started with; null without TLS. */
     private CertificateFiles.Content certificate;
 
@@ -38,8 +49,10 @@
 
     private HttpServer operationsServer;
 
-    public GatewayServers(Vertx vertx, GatewaySettings settings, IdleConnections connections, EventLog events) {
-        this.connections = connections;
+    public GatewayServers(
+            Vertx vertx, GatewaySettings settings, ConnectionMetrics metrics, TimeSource time, EventLog events) {
+        this.metrics = metrics;
+        this.time = time;
         this.vertx = vertx;
         this.settings = settings;
         this.events = events;
@@ -76,15 +89,36 @@
 
     /** Starts one server per event loop. */
     private Future<Void> listenToCallers(CallerHandler callers) {
+        ConnectionLimits limits = limitsOfOneLoop();
         Future<Void> all = Future.succeededFuture();
         for (int loop = 0; loop < settings.eventLoops(); loop++) {
-            all = all.compose(done -> vertx.deployVerticle(new CallerVerticle(
-                            callerOptions(), callers, connections, listening -> callerServer = listening))
-                    .mapEmpty());
+            all = all.compose(done -> listenOnOneLoop(callers, limits));
         }
         return all;
     }
 
+    private Future<Void> listenOnOneLoop(CallerHandler callers, ConnectionLimits limits) {
+        AcceptedConnections connections = new AcceptedConnections("callers", time, () -> limits, metrics, events);
+        CallerVerticle server =
+                new CallerVerticle(callerOptions(), callers, connections, listening -> callerServer = listening);
+        return vertx.deployVerticle(server)
+                .onSuccess(deployed -> callerServers.add(server))
+                .mapEmpty();
+    }
+
+    /** Returns the limits on the connections of one event loop. */
+    private ConnectionLimits limitsOfOneLoop() {
+        return new ConnectionLimits(
+                settings.callerIdleTimeoutMillis(),
+                settings.callerHeaderTimeoutMillis(),
+                Math.max(1, settings.callerConnectionLimit() / settings.eventLoops()));
+    }
+
+    /** Handles what callers have sent by now, and closes their connections. */
+    public void closeCallerConnections() {
+        callerServers.forEach(CallerVerticle::closeConnections);
+    }
+
     /** Starts the periodic check for replaced certificates. */
     private void startReloading(CertificateFiles files) {
         new CertificateReloader(vertx, files, certificate, callerServer, events)
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -45,6 +45,7 @@
 import org.cranberrygauge.proxy.exchange.ExchangeContext;
 import org.cranberrygauge.proxy.exchange.ExchangeMetrics;
 import org.cranberrygauge.proxy.exchange.HostMetrics;
+import org.cranberrygauge.proxy.exchange.HostServers;
 import org.cranberrygauge.proxy.exchange.IngressServer;
 import org.cranberrygauge.proxy.exchange.LoadShedding;
 import org.cranberrygauge.proxy.exchange.OpenRequests;
@@ -53,7 +54,6 @@
 import org.cranberrygauge.proxy.exchange.ProxyBlackboard;
 import org.cranberrygauge.proxy.exchange.RequestMemory;
 import org.cranberrygauge.proxy.exchange.SpeedReporter;
-import org.cranberrygauge.proxy.exchange.StatusServer;
 import org.cranberrygauge.proxy.leader.JumpTolerantTimeSource;
 import org.cranberrygauge.proxy.leader.UsageCounter;
 import org.cranberrygauge.proxy.routing.BackendChooser;
@@ -411,14 +411,17 @@
         });
         LoadShedding shedding = new LoadShedding(vertx, time, blackboard, events, new SplittableRandom());
         shedding.start();
-        CallerHandler handler = new CallerHandler(context, admission, shedding);
-        IngressServer peers = new IngressServer(vertx, handler::handleForwarded, handler::handleInvalidForwarded);
-        IngressServer front = new IngressServer(vertx, handler, handler::handleInvalid);
-        ingress = List.of(front, peers);
-        return peers.listen(settings.peers())
-                .compose(listening -> front.listen(settings.front()))
-                .compose(listening ->
-                        new StatusServer(vertx, settings.readyPath(), this::ready, registry).listen(settings.status()));
+        HostServers servers = new HostServers(
+                vertx,
+                settings,
+                time,
+                events,
+                registry,
+                () -> blackboard.configuration().configuration());
+        ingress = servers.ingress();
+        return servers.listen(
+                new CallerHandler(context, admission, shedding, servers.maximumRequests(), servers::isCrowded),
+                this::ready);
     }
 
     /** Updates the metrics of the host's state. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxySettings.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxySettings.java
@@ -14,6 +14,7 @@
  * @param peers The address for messages of other hosts.
  * @param readyPath The path of the readiness endpoint.
  * @param firstStart Whether the whole system starts for the first time, so that no request was served before.
+ * @param maximumDescriptors The number of file descriptors that the process may have open.
  * @param times The time limits and bounds.
  */
 public record ProxySettings(
@@ -25,6 +26,7 @@
         NetworkAddress peers,
         String readyPath,
         boolean firstStart,
+        long maximumDescriptors,
         Times times) {
 
     public ProxySettings {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RejectReason.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/admission/RejectReason.java
@@ -29,6 +29,8 @@
     DRAINING(503, 50),
     /** The host is overloaded; another host can serve the request. */
     HOST_OVERLOADED(503, 50),
+    /** The host has as many requests in progress as its file descriptors allow; another host can serve the request. */
+    HOST_FULL(503, 50),
     /** No backend server of the pool accepts new requests. */
     NO_BACKEND(503, 500),
     /** All backend servers that were tried reported that they are at capacity. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendClient.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/BackendClient.java
@@ -30,7 +30,7 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
 
     /** The time after which an idle connection is closed. */
-    private static final int KEEP_ALIVE_SECONDS = 4;
+    static final int KEEP_ALIVE_SECONDS = 4;
 
     /** The maximum number of connections to one backend server. */
     private static final int MAXIMUM_CONNECTIONS = 120;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerHandler.java
@@ -4,6 +4,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.cranberrygauge.decision.memory.Reservation;
 import org.cranberrygauge.proxy.admission.RejectReason;
@@ -41,12 +42,27 @@
 
     private final LoadShedding shedding;
 
+    private final int maximumRequests;
+
+    private final BooleanSupplier crowded;
+
     private final RequestStarter starter;
 
-    public CallerHandler(ExchangeContext context, RequestAdmission admission, LoadShedding shedding) {
+    /**
+     * @param maximumRequests The maximum number of requests in progress.
+     * @param crowded Tells whether callers should close their connections after a response.
+     */
+    public CallerHandler(
+            ExchangeContext context,
+            RequestAdmission admission,
+            LoadShedding shedding,
+            int maximumRequests,
+            BooleanSupplier crowded) {
         this.context = context;
         this.admission = admission;
         this.shedding = shedding;
+        this.maximumRequests = maximumRequests;
+        this.crowded = crowded;
         this.starter = new RequestStarter(context.vertx(), context.time());
     }
 
@@ -89,11 +105,7 @@
     }
 
     private void process(HttpServerRequest request, Forwarding forwarding, long now) {
-        CallerResponse response = new CallerResponse(
-                request,
-                context.memory(),
-                context.blackboard()::draining,
-                forwarding.from().isPresent());
+        CallerResponse response = response(request, forwarding.from().isPresent());
         CallerHeaders callerHeaders = context.codec().decodeCaller(request.headers());
         callerHeaders.requestId().ifPresent(response::setRequestId);
         ConfigurationView view = context.blackboard().configuration();
@@ -109,6 +121,10 @@
             rejectUnread(now, request, response, callerHeaders, RejectReason.DRAINING);
             return;
         }
+        if (context.open().count() >= maximumRequests) {
+            rejectUnread(now, request, response, callerHeaders, RejectReason.HOST_FULL);
+            return;
+        }
         Decision decision =
                 admission.decide(now, context.time().wallMillis(), view, host, path(request), callerHeaders.key());
         if (decision.rejection().isPresent()) {
@@ -159,6 +175,13 @@
                 .read(request, response, deadlineMillis - context.time().monotonicMillis());
     }
 
+    /** @param forwarded Whether another host passes the request on. */
+    private CallerResponse response(HttpServerRequest request, boolean forwarded) {
+        BooleanSupplier draining = context.blackboard()::draining;
+        BooleanSupplier closing = forwarded ? draining : () -> draining.getAsBoolean() || crowded.getAsBoolean();
+        return new CallerResponse(request, context.memory(), closing, forwarded);
+    }
+
     /** Rejects a malformed request. The connection is closed, since the start of the next request on it is unknown. */
     public void handleInvalid(HttpServerRequest request) {
         rejectInvalid(request, false);
@@ -170,8 +193,7 @@
     }
 
     private void rejectInvalid(HttpServerRequest request, boolean forwarded) {
-        CallerResponse response =
-                new CallerResponse(request, context.memory(), context.blackboard()::draining, forwarded);
+        CallerResponse response = response(request, forwarded);
         response.closeAfterResponse();
         CallerHeaders callerHeaders = context.codec().decodeCaller(request.headers());
         reject(context.time().monotonicMillis(), request, response, callerHeaders, RejectReason.BAD_REQUEST);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/CallerResponse.java
@@ -22,7 +22,7 @@
  *
  * <p>Invariants: exactly one response is written; a stream that breaks off is never terminated properly; the response has no
  * framing where that of the backend server has none; while the host
- * drains, the connection is closed after the response; bytes are reserved until the caller's connection has taken them. Not thread-safe.
+ * drains or has many connections, the connection is closed after the response; bytes are reserved until the caller's connection has taken them. Not thread-safe.
  */
 public final class CallerResponse {
 
@@ -54,7 +54,8 @@
 
     private final HttpServerResponse response;
 
-    private final BooleanSupplier draining;
+    /** Tells whether the connection is closed after the response for the sake of this host. */
+    private final BooleanSupplier closing;
 
     /** Whether the caller is another host that forwards the request. */
     private final boolean forwarded;
@@ -79,14 +80,16 @@
 
     private long stallMillis = MINIMUM_STALL_MILLIS;
 
-    /** @param forwarded Whether the caller is another host that forwards the request. */
-    public CallerResponse(
-            HttpServerRequest request, RequestMemory memory, BooleanSupplier draining, boolean forwarded) {
+    /**
+     * @param closing Tells whether the connection is closed after the response, since this host drains or has many connections.
+     * @param forwarded Whether the caller is another host that forwards the request.
+     */
+    public CallerResponse(HttpServerRequest request, RequestMemory memory, BooleanSupplier closing, boolean forwarded) {
         this.request = request;
         this.memory = memory;
         this.unread = memory.open();
         this.response = request.response();
-        this.draining = draining;
+        this.closing = closing;
         this.forwarded = forwarded;
     }
 
@@ -354,7 +357,7 @@
     }
 
     private void announceClose() {
-        closeAfter = closeAfter || draining.getAsBoolean();
+        closeAfter = closeAfter || closing.getAsBoolean();
         if (closeAfter) {
             response.putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
         }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/IngressServer.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/IngressServer.java
@@ -5,22 +5,18 @@
 import io.vertx.core.Handler;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Set;
 import org.cranberrygauge.model.backend.NetworkAddress;
-import org.cranberrygauge.runtime.http.ConnectionChannel;
+import org.cranberrygauge.runtime.http.AcceptedConnections;
 import org.cranberrygauge.runtime.http.ExhaustiveReads;
-import org.cranberrygauge.runtime.http.StrictRequestDecoder;
 
 /**
  * The HTTP server for callers, or for requests that other hosts pass on.
  *
- * <p>Invariant: it is closed only after what callers have sent was read and answered. Thread-safe.
+ * <p>Invariant: it is closed only after what callers have sent was read and answered. Thread-safe, except for
+ * {@link #closeOverdue()}.
  */
 public final class IngressServer {
 
@@ -34,18 +30,21 @@
 
     private final Vertx vertx;
 
+    private final HttpServerOptions options;
+
     private final HttpServer server;
 
-    /** The open connections; used on the event loop of the server. */
-    private final Set<HttpConnection> connections = new HashSet<>();
+    /** Used on the event loop of the server. */
+    private final AcceptedConnections connections;
 
     /** The event loop of the server; null before it listens. */
     private volatile Context context;
 
-    /** @param invalid Handles requests that can't be decoded. */
-    public IngressServer(Vertx vertx, Handler<HttpServerRequest> handler, Handler<HttpServerRequest> invalid) {
+    /** @param connections The connections of this server alone. */
+    IngressServer(Vertx vertx, AcceptedConnections connections) {
         this.vertx = vertx;
-        HttpServerOptions options = new HttpServerOptions()
+        this.connections = connections;
+        this.options = new HttpServerOptions()
                 .setHttp2ClearTextEnabled(false)
                 .setPerFrameWebSocketCompressionSupported(false)
                 .setPerMessageWebSocketCompressionSupported(false)
@@ -54,29 +53,31 @@
                 .setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
                 .setMaxInitialLineLength(MAXIMUM_REQUEST_LINE_BYTES)
                 .setHandle100ContinueAutomatically(true);
-        server = vertx.createHttpServer(options)
-                .connectionHandler(connection -> {
-                    StrictRequestDecoder.install(connection, options);
-                    ExhaustiveReads.enable(connection);
-                    connections.add(connection);
-                    connection.closeHandler(closed -> connections.remove(connection));
-                })
-                .invalidRequestHandler(invalid)
-                .requestHandler(handler);
+        server = vertx.createHttpServer(options);
     }
 
-    /** Starts to listen; completes when the socket is bound. */
-    public Future<Void> listen(NetworkAddress address) {
+    /**
+     * Starts to listen; completes when the socket is bound.
+     *
+     * @param invalid Handles requests that can't be decoded.
+     */
+    Future<Void> listen(
+            NetworkAddress address, Handler<HttpServerRequest> handler, Handler<HttpServerRequest> invalid) {
+        connections.serve(server, options, ExhaustiveReads::enable, handler, invalid);
         context = vertx.getOrCreateContext();
         return server.listen(address.port(), address.host()).mapEmpty();
     }
 
+    /** Closes the connections that are kept open for too long without use; called on the event loop of the server. */
+    void closeOverdue() {
+        connections.closeOverdue();
+    }
+
     /** Handles what callers have sent by now, then closes their connections and stops to listen; completes when that is done. */
     public Future<Void> close() {
         Promise<Void> closed = Promise.promise();
         context.runOnContext(run -> {
-            List.copyOf(connections).forEach(ConnectionChannel::readPending);
-            List.copyOf(connections).forEach(HttpConnection::close);
+            connections.closeAll();
             server.close().onComplete(closed);
         });
         return closed.future();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/StatusServer.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/StatusServer.java
@@ -3,12 +3,15 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.function.BooleanSupplier;
 import org.cranberrygauge.model.backend.NetworkAddress;
+import org.cranberrygauge.runtime.http.AcceptedConnections;
 import org.cranberrygauge.runtime.metrics.MetricsEndpoint;
 
-/** Tells the load balancer whether this host accepts requests, and serves metrics. Thread-safe. */
+/** Tells the load balancer whether this host accepts requests, and serves metrics. Thread-safe, except for {@link #closeOverdue()}. */
 public final class StatusServer {
 
     private static final int OK = 200;
@@ -19,7 +22,12 @@
 
     private static final String METRICS_PATH = "/metrics";
 
-    private final Vertx vertx;
+    private static final int BAD_REQUEST = 400;
+
+    private final HttpServer server;
+
+    /** Used on the event loop of the server. */
+    private final AcceptedConnections connections;
 
     /** The path of the readiness endpoint. */
     private final String readyPath;
@@ -28,19 +36,30 @@
 
     private final MetricsEndpoint metrics;
 
-    public StatusServer(Vertx vertx, String readyPath, BooleanSupplier ready, PrometheusRegistry registry) {
-        this.vertx = vertx;
+    /** @param connections The connections of this server alone. */
+    public StatusServer(
+            Vertx vertx,
+            AcceptedConnections connections,
+            String readyPath,
+            BooleanSupplier ready,
+            PrometheusRegistry registry) {
+        this.connections = connections;
         this.readyPath = readyPath;
         this.ready = ready;
         this.metrics = new MetricsEndpoint(registry);
+        HttpServerOptions options = new HttpServerOptions().setHttp2ClearTextEnabled(false);
+        server = vertx.createHttpServer(options);
+        connections.serve(server, options, opened -> {}, this::handle, this::handleInvalid);
+    }
+
+    /** Closes the connections that are kept open for too long without use; called on the event loop of the server. */
+    public void closeOverdue() {
+        connections.closeOverdue();
     }
 
     /** Starts to listen; completes when the socket is bound. */
     public Future<Void> listen(NetworkAddress address) {
-        return vertx.createHttpServer()
-                .requestHandler(this::handle)
-                .listen(address.port(), address.host())
-                .mapEmpty();
+        return server.listen(address.port(), address.host()).mapEmpty();
     }
 
     private void handle(HttpServerRequest request) {
@@ -56,4 +75,9 @@
                 .setStatusCode(ready.getAsBoolean() ? OK : UNAVAILABLE)
                 .end();
     }
+
+    private void handleInvalid(HttpServerRequest request) {
+        request.response().setStatusCode(BAD_REQUEST).end();
+        request.connection().close();
+    }
 }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/ProxyFixtures.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/ProxyFixtures.java
@@ -63,7 +63,7 @@
                 version,
                 List.of(routes),
                 Map.of("engines", ENGINES, "ledger", LEDGER),
-                new CallerLimits(1_000, 15_000),
+                new CallerLimits(1_000, 15_000, 3_000),
                 Map.of("key-1", new KeyOwner("customer-1", OptionalInt.of(0), Set.of())),
                 true);
     }
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionChannel.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionChannel.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.vertx.core.http.HttpConnection;
@@ -49,14 +50,6 @@
         }
     }
 
-    /** Handles what the peer has sent by now, and closes the connection after what is queued for it. May be called on any thread. */
-    public static void closeInOrder(HttpConnection connection) {
-        ((ConnectionBase) connection).channel().eventLoop().execute(() -> {
-            readPending(connection);
-            connection.close();
-        });
-    }
-
     /**
      * Closes a connection after what is queued for it is written, or after a time if the peer doesn't read that. Called on the
      * event loop of the connection.
@@ -70,6 +63,13 @@
         }
     }
 
+    /** Returns the bytes that are queued for the peer, on the event loop of the connection. */
+    static long unwrittenBytes(HttpConnection connection) {
+        ChannelOutboundBuffer queued =
+                ((ConnectionBase) connection).channel().unsafe().outboundBuffer();
+        return queued == null ? 0 : queued.totalPendingWriteBytes();
+    }
+
     /** Handles what the peer has sent by now, and then runs an action on the event loop of the connection. May be called on any thread. */
     static void afterPending(HttpConnection connection, Runnable action) {
         ((ConnectionBase) connection).channel().eventLoop().execute(() -> {
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionEvents.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionEvents.java
@@ -2,7 +2,7 @@
 
 import org.cranberrygauge.runtime.event.Event;
 
-/** The events of connections to servers. */
+/** The events of connections. */
 public final class ConnectionEvents {
 
     private ConnectionEvents() {}
@@ -27,4 +27,17 @@
      * @param responses The number of responses on the connection before it.
      */
     public record SecondStatusLine(String server, int status, int responses) implements Event {}
+
+    /**
+     * A connection that this process had accepted was closed by it while no request was in progress there.
+     *
+     * @param listener The listener that accepted it: callers, hosts or status.
+     * @param peer The address of the other side.
+     * @param reason IDLE, HEAD_TIMEOUT, NOT_READING, DISPLACED or REFUSED.
+     * @param waitedMillis The time since the last request, or since the head began, in milliseconds.
+     * @param requests The number of requests on the connection before.
+     * @param open The number of connections that stay open.
+     */
+    public record AcceptedConnectionClosed(
+            String listener, String peer, String reason, long waitedMillis, int requests, int open) implements Event {}
 }
--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/StrictRequestDecoder.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/StrictRequestDecoder.java
@@ -7,6 +7,8 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ByteProcessor;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.impl.VertxHttpRequestDecoder;
@@ -27,30 +29,61 @@
     /** The name of the Vert.x decoder in the channel pipeline. */
     private static final String DECODER = "httpDecoder";
 
-    private StrictRequestDecoder(HttpServerOptions options) {
+    private final HeadListener heads;
+
+    /** Whether the head of a request has begun and is not complete. */
+    private boolean withinHead;
+
+    /** Whether the body of a request has begun and is not complete. */
+    private boolean withinBody;
+
+    private StrictRequestDecoder(HttpServerOptions options, HeadListener heads) {
         super(options);
+        this.heads = heads;
     }
 
     /** Replaces the decoder of a connection that has just been opened. */
-    public static void install(HttpConnection connection, HttpServerOptions options) {
+    static void install(HttpConnection connection, HttpServerOptions options, HeadListener heads) {
         ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
         if (pipeline.get(DECODER) != null) {
-            pipeline.replace(DECODER, DECODER, new StrictRequestDecoder(options));
+            pipeline.replace(DECODER, DECODER, new StrictRequestDecoder(options, heads));
         }
     }
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages) throws Exception {
+        if (!withinHead && !withinBody && holdsText(bytes)) {
+            withinHead = true;
+            heads.onHeadBegun();
+        }
         int earlier = messages.size();
         super.decode(context, bytes, messages);
         for (Object message : messages.subList(earlier, messages.size())) {
-            if (message instanceof HttpRequest request
-                    && request.decoderResult().isSuccess()) {
-                examine(request);
+            if (message instanceof HttpRequest request) {
+                endHead();
+                if (request.decoderResult().isSuccess()) {
+                    examine(request);
+                }
+            }
+            if (message instanceof LastHttpContent) {
+                withinBody = false;
             }
         }
     }
 
+    private void endHead() {
+        withinBody = true;
+        if (withinHead) {
+            withinHead = false;
+            heads.onHeadEnded();
+        }
+    }
+
+    /** Tells whether there is more than the empty lines that may precede a request. */
+    private static boolean holdsText(ByteBuf bytes) {
+        return bytes.forEachByte(ByteProcessor.FIND_NON_CRLF) >= 0;
+    }
+
     private static void examine(HttpRequest request) {
         if (request.headers().getAll(HttpHeaderNames.HOST).size() > 1) {
             reject(request, "several Host headers");
