--- a/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionEvents.java
+++ b/cranberrygauge-runtime/src/main/java/org/cranberrygauge/runtime/http/ConnectionEvents.java
@@ -2,7 +2,7 @@
 
 import org.cranberrygauge.runtime.event.Event;
 
-/** The events of connections. */
+/** What is logged of connections to servers, and of those that this process has accepted. */
 public final class ConnectionEvents {
 
     private ConnectionEvents() {}
