Report all windows of usage that are due at once

What callers saw: after two hosts were killed one after the other, the report of a window came later than 10 s after its end. Cause: a new leader repeats the reports of the newest windows first, and made one report in each half second, so that the due windows waited for up to 3 s. Change: the due windows are reported one after the other without a pause, up to the first one that is not accepted.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -307,6 +307,7 @@
         usageWriter.start();
         new UsageReportController(
                         context,
+                        this::runAfter,
                         election,
                         dependencies.controlPlane(),
                         settings.times().usageWindowMillis())
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/LeaderElection.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/LeaderElection.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalLong;
 import org.cranberrygauge.proxy.leader.LeaderLease;
+import org.cranberrygauge.proxy.leader.Leadership;
 
 /**
  * Elects one host as the leader through membership in a group of the shared log: the member that is assigned the first
@@ -9,7 +10,7 @@
  *
  * <p>Only hosts that read the shared log for their data centre are candidates, and the current leader. Not thread-safe.
  */
-public final class LeaderElection {
+public final class LeaderElection implements Leadership {
 
     /** The group, and the topic whose first partition stands for leadership. */
     private static final String GROUP = "cranberrygauge-duty";
@@ -110,7 +111,7 @@
         context.log().leave(GROUP, member);
     }
 
-    /** Returns the fencing token while this host may act as the leader, or empty. */
+    @Override
     public OptionalLong fencingToken() {
         return left
                 ? OptionalLong.empty()
@@ -118,12 +119,12 @@
                         context.time().monotonicMillis(), context.time().wallMillis());
     }
 
-    /** Records that this host acts as the leader. */
+    @Override
     public void recordAction() {
         lease.recordAction(context.time().monotonicMillis());
     }
 
-    /** Records that a token was rejected since a higher one had been used. */
+    @Override
     public void recordFenced(long fencedToken) {
         lease.recordFenced(fencedToken);
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageReportController.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageReportController.java
@@ -7,8 +7,10 @@
 import org.apache.thrift.TException;
 import org.cranberrygauge.protocol.generated.UsageBatch;
 import org.cranberrygauge.protocol.generated.UsageDecided;
+import org.cranberrygauge.proxy.control.StreamOriginExchange.Timers;
 import org.cranberrygauge.proxy.leader.ControlPlaneClient;
 import org.cranberrygauge.proxy.leader.ControlPlaneClient.ControlPlaneOutcome;
+import org.cranberrygauge.proxy.leader.Leadership;
 import org.cranberrygauge.proxy.leader.LostDecisions;
 import org.cranberrygauge.proxy.leader.UsageLedger;
 import org.cranberrygauge.proxy.store.SharedLog.LogSlice;
@@ -38,7 +40,9 @@
 
     private final ControllerContext context;
 
-    private final LeaderElection election;
+    private final Timers timers;
+
+    private final Leadership leadership;
 
     private final ControlPlaneClient controlPlane;
 
@@ -65,9 +69,14 @@
     private boolean busy;
 
     public UsageReportController(
-            ControllerContext context, LeaderElection election, ControlPlaneClient controlPlane, long windowMillis) {
+            ControllerContext context,
+            Timers timers,
+            Leadership leadership,
+            ControlPlaneClient controlPlane,
+            long windowMillis) {
         this.context = context;
-        this.election = election;
+        this.timers = timers;
+        this.leadership = leadership;
         this.controlPlane = controlPlane;
         this.windowMillis = windowMillis;
         this.lost = new LostDecisions(windowMillis, SETTLING_MILLIS);
@@ -75,17 +84,22 @@
 
     public void start() {
         context.log().era().onChange((previous, current) -> recordRollback());
-        context.vertx().setPeriodic(TICK_MILLIS, fired -> tick());
+        timers.after(TICK_MILLIS, this::tickAndSchedule);
         readFirst();
     }
 
+    private void tickAndSchedule() {
+        timers.after(TICK_MILLIS, this::tickAndSchedule);
+        tick();
+    }
+
     /** Reads the decided figures before this host leads, so that few windows end before the first read. */
     private void readFirst() {
         busy = true;
         readDecided().onFailure(this::logFailure).onComplete(done -> busy = false);
     }
 
-    /** Reports the oldest due window, unless a report is still in progress. */
+    /** Reports the windows that are due, unless a report is still in progress. */
     private void tick() {
         if (busy) {
             return;
@@ -94,7 +108,7 @@
             readFirst();
             return;
         }
-        if (election.fencingToken().isEmpty()) {
+        if (leadership.fencingToken().isEmpty()) {
             return;
         }
         long newest = Math.floorDiv(context.time().wallMillis() - SETTLING_MILLIS, windowMillis) - 1;
@@ -105,7 +119,7 @@
         readDecided()
                 .compose(read -> writeLostDecided())
                 .compose(read -> readCounted())
-                .compose(read -> reportNext(newest))
+                .compose(read -> reportDue(newest))
                 .onFailure(this::logFailure)
                 .onComplete(done -> busy = false);
     }
@@ -131,13 +145,19 @@
         return window;
     }
 
-    /** Decides the figures of the oldest due window, unless that is done, and reports them. */
-    private Future<Void> reportNext(long newest) {
+    /** Reports the due windows one after the other, up to the first one whose report is not accepted. */
+    private Future<Void> reportDue(long newest) {
         long window = nextWindow(newest);
         if (window > newest) {
             reported.add(newest);
             return Future.succeededFuture();
         }
+        return complete(window)
+                .compose(done -> reported.contains(window) ? reportDue(newest) : Future.succeededFuture());
+    }
+
+    /** Decides the figures of a window, unless that is done, and reports them, or gives the window up. */
+    private Future<Void> complete(long window) {
         Map<String, Long> decided = ledger.decidedFigures(window);
         if (decided != null) {
             return report(window, decided);
@@ -178,19 +198,19 @@
     }
 
     private Future<Void> report(long window, Map<String, Long> figures) {
-        OptionalLong token = election.fencingToken();
+        OptionalLong token = leadership.fencingToken();
         if (token.isEmpty()) {
             return Future.succeededFuture();
         }
         long fencingToken = token.getAsLong();
-        election.recordAction();
+        leadership.recordAction();
         return controlPlane.reportUsage(fencingToken, window, figures).map(outcome -> {
             context.events().emit(new ControlEvents.UsageReported(window, figures, fencingToken, outcome.name()));
             if (outcome == ControlPlaneOutcome.ACCEPTED) {
                 reported.add(window);
             }
             if (outcome == ControlPlaneOutcome.FENCED) {
-                election.recordFenced(fencingToken);
+                leadership.recordFenced(fencingToken);
             }
             return null;
         });
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/UsageReportControllerTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/UsageReportControllerTest.java
@@ -62,7 +62,13 @@
             LeaderElection election = new LeaderElection(context, relay, "host-1@1", LEASE_MILLIS);
             time.now = 100 * WINDOW_MILLIS + 1;
             election.start();
-            new UsageReportController(context, election, report, WINDOW_MILLIS).start();
+            new UsageReportController(
+                            context,
+                            (millis, action) -> vertx.setTimer(millis, fired -> action.run()),
+                            election,
+                            report,
+                            WINDOW_MILLIS)
+                    .start();
             time.now = 101 * WINDOW_MILLIS + LEASE_MILLIS;
         });
         return report.figures.get(10, TimeUnit.SECONDS);
