--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -38,7 +38,9 @@
 import org.cranberrygauge.proxy.control.PermitExchange;
 import org.cranberrygauge.proxy.control.StreamOriginExchange;
 import org.cranberrygauge.proxy.control.UsageCountWriter;
+import org.cranberrygauge.proxy.control.UsageMetrics;
 import org.cranberrygauge.proxy.control.UsageReportController;
+import org.cranberrygauge.proxy.control.UsageTimes;
 import org.cranberrygauge.proxy.exchange.BackendClient;
 import org.cranberrygauge.proxy.exchange.CallerHandler;
 import org.cranberrygauge.proxy.exchange.CrashWatch;
@@ -310,7 +312,9 @@
                         this::runAfter,
                         election,
                         dependencies.controlPlane(),
-                        settings.times().usageWindowMillis())
+                        dependencies.decidedUsageTopic(),
+                        new UsageMetrics(registry),
+                        UsageTimes.of(settings.times()))
                 .start();
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxyDependencies.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxyDependencies.java
@@ -17,6 +17,7 @@
  * @param backendTopic The topic in which backend servers register.
  * @param originTopic The topic in which hosts store at which versions of backend servers streams may have begun.
  * @param crashTopic The topic in which hosts store the crashes for which parts of prompts are blocked.
+ * @param decidedUsageTopic The topic in which the leader stores the decided figures of usage windows.
  * @param controlPlane The control-plane calls of the leader.
  */
 public record ProxyDependencies(
@@ -30,5 +31,6 @@
         RecordReader<Backend> backends,
         String originTopic,
         String crashTopic,
+        String decidedUsageTopic,
         ControlPlaneClient controlPlane,
         HeaderCodec codec) {}
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxySettings.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxySettings.java
@@ -42,6 +42,7 @@
      * @param graceMillis The time for a graceful shutdown in milliseconds.
      * @param leaseMillis The time after which a previous leader has certainly stopped, in milliseconds.
      * @param usageWindowMillis The length of a usage window in milliseconds.
+     * @param logRetentionMillis The time for which the shared log retains records, in milliseconds; 0 if it is not stated.
      * @param retryWindowMillis The length of the window of the retry budget in milliseconds.
      * @param retryRatio The retries allowed for each request.
      * @param retryAllowance The retries allowed in addition in each window, for all hosts together.
@@ -53,6 +54,7 @@
             long graceMillis,
             long leaseMillis,
             long usageWindowMillis,
+            long logRetentionMillis,
             long retryWindowMillis,
             double retryRatio,
             double retryAllowance) {}
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
@@ -101,11 +101,23 @@
     public record StreamOriginRemoved(String pool, String version) implements Event {}
 
     /**
-     * The usage of a window is not reported, since a lost record may have decided its figures.
+     * The usage of windows is not reported.
      *
-     * @param window The number of the window.
+     * @param window The number of the first window.
+     * @param windows The number of consecutive windows.
+     * @param reason DECISION_LOST: a record that the log lost by coming back from an older copy may have decided the window;
+     *     DECISION_FORGOTTEN: a later window is decided, and the figures of this one are no longer retained; COUNTS_FORGOTTEN:
+     *     no counts are known, and records with counts may have expired unread; TOO_OLD: no host could report it in time.
      */
-    public record UsageWindowGivenUp(long window) implements Event {}
+    public record UsageWindowGivenUp(long window, long windows, String reason) implements Event {}
+
+    /**
+     * Records with usage counts have expired before this host read them, as when it becomes the leader.
+     *
+     * @param from The offset from which it read.
+     * @param first The offset of the first record that was retained.
+     */
+    public record UsageCountsSkipped(long from, long first) implements Event {}
 
     /**
      * A dependency became unavailable.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/LeaderElection.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/LeaderElection.java
@@ -82,7 +82,7 @@
         if (relay.reader().isEmpty()) {
             standbyUntilMillis = sentMillis + STANDBY_MILLIS;
         }
-        if (sentMillis >= standbyUntilMillis && fencingToken().isEmpty()) {
+        if (!isCandidate()) {
             logChange();
             context.vertx().setTimer(JOIN_INTERVAL_MILLIS, fired -> joinOrStandBy());
             return;
@@ -119,6 +119,12 @@
                         context.time().monotonicMillis(), context.time().wallMillis());
     }
 
+    @Override
+    public boolean isCandidate() {
+        return context.time().monotonicMillis() < standbyUntilMillis
+                || fencingToken().isPresent();
+    }
+
     @Override
     public void recordAction() {
         lease.recordAction(context.time().monotonicMillis());
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageReportController.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageReportController.java
@@ -2,33 +2,29 @@
 
 import io.vertx.core.Future;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeSet;
-import org.apache.thrift.TException;
-import org.cranberrygauge.protocol.generated.UsageBatch;
-import org.cranberrygauge.protocol.generated.UsageDecided;
 import org.cranberrygauge.proxy.control.StreamOriginExchange.Timers;
 import org.cranberrygauge.proxy.leader.ControlPlaneClient;
 import org.cranberrygauge.proxy.leader.ControlPlaneClient.ControlPlaneOutcome;
 import org.cranberrygauge.proxy.leader.Leadership;
-import org.cranberrygauge.proxy.leader.LostDecisions;
-import org.cranberrygauge.proxy.leader.UsageLedger;
-import org.cranberrygauge.proxy.store.SharedLog.LogSlice;
+import org.cranberrygauge.proxy.leader.UsageDecision;
+import org.cranberrygauge.proxy.leader.UsageDecisions;
 import org.cranberrygauge.proxy.store.SharedLogException;
 import org.cranberrygauge.proxy.store.SharedLogException.Kind;
+import org.cranberrygauge.proxy.store.StoreEra;
 
 /**
  * Reports the usage of each window while this host is the leader.
  *
- * <p>Invariant: the figures of a window are written to the shared log before they are reported, so that a later leader
- * repeats them exactly. After the log has come back from an older copy, decided figures that it lacks are written again,
- * and a window whose figures another leader may have reported from a lost record is given up. Not thread-safe.
+ * <p>Invariants: the figures of a window are written to the shared log before they are reported, so that a later leader
+ * repeats them exactly; all decisions that the log holds are read before each new one, which is written only if none was
+ * written since, so that it does not matter how long this host has not read the log. After the log has come back from an
+ * older copy, decided figures that it lacks are written again. Not thread-safe.
  */
 public final class UsageReportController {
 
-    /** The topic with the decided figures. */
-    private static final String DECIDED_TOPIC = "usage-decided";
-
     /** The interval between checks for a due window. */
     private static final long TICK_MILLIS = 500;
 
@@ -38,6 +34,9 @@
     /** The number of windows after which a report is given up. */
     private static final int MAXIMUM_LATE_WINDOWS = 6;
 
+    /** The time after the loss of the leader within which another host decides the windows that are due. */
+    private static final long TAKEOVER_MILLIS = 8_000;
+
     private final ControllerContext context;
 
     private final Timers timers;
@@ -46,40 +45,46 @@
 
     private final ControlPlaneClient controlPlane;
 
-    private final long windowMillis;
+    private final DecidedUsageTopic decidedTopic;
 
-    private final UsageLedger ledger = new UsageLedger();
+    private final UsageMetrics metrics;
 
-    /** The windows whose reports were accepted. */
-    private final TreeSet<Long> reported = new TreeSet<>();
+    private final UsageTimes times;
 
-    /** The windows whose decided figures the log holds. */
-    private final TreeSet<Long> logged = new TreeSet<>();
+    private final UsageCountReader counts;
 
-    /** Tells of which windows the log may have lost the figures. */
-    private final LostDecisions lost;
+    private final UsageDecisions decisions;
 
-    /** The offset of the next record with counts. */
-    private long nextCounted;
+    /** The windows that need no report any more: theirs were accepted, or they are given up. */
+    private final TreeSet<Long> completed = new TreeSet<>();
 
-    /** The offset of the next record with decided figures. */
-    private long nextDecided;
+    /** The oldest window that was not given up for its age. */
+    private long oldestReportable = Long.MIN_VALUE;
+
+    /** The offset at which the topic with the decisions ended when it was read; empty if it has to be read. */
+    private OptionalLong decidedEnd = OptionalLong.empty();
 
     /** Whether a report is in progress. */
     private boolean busy;
 
+    /** @param decidedTopic The topic with the decided figures, which retains the newest record of each key. */
     public UsageReportController(
             ControllerContext context,
             Timers timers,
             Leadership leadership,
             ControlPlaneClient controlPlane,
-            long windowMillis) {
+            String decidedTopic,
+            UsageMetrics metrics,
+            UsageTimes times) {
         this.context = context;
         this.timers = timers;
         this.leadership = leadership;
         this.controlPlane = controlPlane;
-        this.windowMillis = windowMillis;
-        this.lost = new LostDecisions(windowMillis, SETTLING_MILLIS);
+        this.decidedTopic = new DecidedUsageTopic(context.log(), decidedTopic, context.events());
+        this.metrics = metrics;
+        this.times = times;
+        this.counts = new UsageCountReader(context, times);
+        this.decisions = new UsageDecisions(times.windowMillis(), SETTLING_MILLIS);
     }
 
     public void start() {
@@ -93,10 +98,9 @@
         tick();
     }
 
-    /** Reads the decided figures before this host leads, so that few windows end before the first read. */
+    /** Reads the decisions before this host leads, so that few windows end before the first read. */
     private void readFirst() {
-        busy = true;
-        readDecided().onFailure(this::logFailure).onComplete(done -> busy = false);
+        perform(readDecided());
     }
 
     /** Reports the windows that are due, unless a report is still in progress. */
@@ -104,42 +108,53 @@
         if (busy) {
             return;
         }
-        if (!lost.isKnown()) {
+        if (!decisions.isInitialized()) {
             readFirst();
             return;
         }
-        if (leadership.fencingToken().isEmpty()) {
+        long newest = Math.floorDiv(now() - SETTLING_MILLIS, times.windowMillis()) - 1;
+        boolean due = nextWindow(newest) <= newest || !completed.contains(newest);
+        if (due && leadership.fencingToken().isPresent()) {
+            perform(readDecided()
+                    .compose(read -> restoreDecisions())
+                    .compose(restored -> counts.read())
+                    .compose(read -> reportDue(newest)));
             return;
         }
-        long newest = Math.floorDiv(context.time().wallMillis() - SETTLING_MILLIS, windowMillis) - 1;
-        if (reported.contains(newest) && !hasEarlierUnreported(newest)) {
-            return;
+        if (needsCounts() && counts.isReadDue()) {
+            perform(counts.read());
         }
+    }
+
+    /** Blocks further actions until one has ended, and logs its failure; the next tick tries again. */
+    private void perform(Future<Void> action) {
         busy = true;
-        readDecided()
-                .compose(read -> writeLostDecided())
-                .compose(read -> readCounted())
-                .compose(read -> reportDue(newest))
-                .onFailure(this::logFailure)
+        action.onFailure(failure -> context.events()
+                        .emit(new ControlEvents.DependencyLost("usage report", String.valueOf(failure.getMessage()))))
                 .onComplete(done -> busy = false);
     }
 
-    /** Reads both topics anew, since their offsets are not valid any longer. */
-    private void recordRollback() {
-        nextCounted = 0;
-        nextDecided = 0;
-        logged.clear();
-        lost.recordRollback(context.time().wallMillis());
+    /** Tells whether this host needs all counts, now or as soon as the leader is lost. */
+    private boolean needsCounts() {
+        if (leadership.fencingToken().isPresent()) {
+            return true;
+        }
+        long windowAndTakeover = times.windowMillis() + SETTLING_MILLIS + TAKEOVER_MILLIS;
+        return leadership.isCandidate() && times.retentionMillis() < windowAndTakeover;
     }
 
-    private boolean hasEarlierUnreported(long newest) {
-        return nextWindow(newest) < newest;
+    /** Reads both topics anew, since their offsets are not valid any longer. */
+    private void recordRollback() {
+        counts.recordRollback();
+        decidedEnd = OptionalLong.empty();
+        decisions.recordRollback(now());
     }
 
-    /** Returns the oldest window that is due and not reported, or the one after the newest due window. */
+    /** Returns the oldest window that is due and not completed, or the one after the newest due window. */
     private long nextWindow(long newest) {
-        long window = Math.max(ledger.firstWindow(), newest - MAXIMUM_LATE_WINDOWS);
-        while (window <= newest && reported.contains(window)) {
+        long first = Math.min(counts.ledger().firstWindow(), decisions.firstWindow());
+        long window = Math.max(first, newest - MAXIMUM_LATE_WINDOWS);
+        while (window <= newest && completed.contains(window)) {
             window++;
         }
         return window;
@@ -147,134 +162,135 @@
 
     /** Reports the due windows one after the other, up to the first one whose report is not accepted. */
     private Future<Void> reportDue(long newest) {
+        giveUpOld(newest - MAXIMUM_LATE_WINDOWS);
         long window = nextWindow(newest);
         if (window > newest) {
-            reported.add(newest);
+            completed.add(newest);
             return Future.succeededFuture();
         }
         return complete(window)
-                .compose(done -> reported.contains(window) ? reportDue(newest) : Future.succeededFuture());
+                .compose(done -> completed.contains(window) ? reportDue(newest) : Future.succeededFuture());
     }
 
     /** Decides the figures of a window, unless that is done, and reports them, or gives the window up. */
     private Future<Void> complete(long window) {
-        Map<String, Long> decided = ledger.decidedFigures(window);
-        if (decided != null) {
-            return report(window, decided);
-        }
-        if (lost.mayHaveBeenReported(window)) {
-            reported.add(window);
-            context.events().emit(new ControlEvents.UsageWindowGivenUp(window));
-            return Future.succeededFuture();
+        return switch (decisions.status(window)) {
+            case DECIDED -> report(decisions.decision(window).orElseThrow());
+            case FORGOTTEN -> giveUp(window, GiveUpReason.DECISION_FORGOTTEN);
+            case LOST -> giveUp(window, GiveUpReason.DECISION_LOST);
+            case UNDECIDED -> decide(window);
+        };
+    }
+
+    /** Gives up the windows before the oldest one that is still reported, as far as no host has decided them. */
+    private void giveUpOld(long oldest) {
+        completed.headSet(oldest).clear();
+        long newestDecided = decisions.newestWindow();
+        long first = Math.max(newestDecided + 1, oldestReportable);
+        oldestReportable = Math.max(oldest, oldestReportable);
+        if (newestDecided != Long.MIN_VALUE && first < oldest) {
+            recordGivenUp(first, oldest - first, GiveUpReason.TOO_OLD);
         }
-        Map<String, Long> total = ledger.total(window);
-        return writeDecided(window, total).compose(written -> {
-            ledger.recordDecided(window, total);
-            return report(window, total);
-        });
     }
 
-    /** Writes decided figures that the log has lost, one after the other. */
-    private Future<Void> writeLostDecided() {
-        logged.retainAll(ledger.decided().keySet());
-        for (Map.Entry<Long, Map<String, Long>> decided : ledger.decided().entrySet()) {
-            if (!logged.contains(decided.getKey())) {
-                return writeDecided(decided.getKey(), decided.getValue()).compose(written -> writeLostDecided());
-            }
+    private Future<Void> decide(long window) {
+        Optional<Map<String, Long>> total = counts.ledger().total(window);
+        if (total.isEmpty()) {
+            return giveUp(window, GiveUpReason.COUNTS_FORGOTTEN);
         }
-        return Future.succeededFuture();
+        UsageDecision decision = new UsageDecision(window, total.get(), era());
+        return write(decision).compose(written -> report(decision));
     }
 
-    /** Writes decided figures if the log has not grown since it was read. */
-    private Future<Void> writeDecided(long window, Map<String, Long> figures) {
-        byte[] record = MessageCodec.write(new UsageDecided(window, figures).setEra(era()));
-        return context.log()
-                .append(DECIDED_TOPIC, record, OptionalLong.of(nextDecided))
-                .map(offset -> {
-                    nextDecided = offset + 1;
-                    logged.add(window);
-                    return null;
-                });
+    private Future<Void> giveUp(long window, GiveUpReason reason) {
+        completed.add(window);
+        recordGivenUp(window, 1, reason);
+        return Future.succeededFuture();
     }
 
-    private Future<Void> report(long window, Map<String, Long> figures) {
-        OptionalLong token = leadership.fencingToken();
-        if (token.isEmpty()) {
-            return Future.succeededFuture();
-        }
-        long fencingToken = token.getAsLong();
-        leadership.recordAction();
-        return controlPlane.reportUsage(fencingToken, window, figures).map(outcome -> {
-            context.events().emit(new ControlEvents.UsageReported(window, figures, fencingToken, outcome.name()));
-            if (outcome == ControlPlaneOutcome.ACCEPTED) {
-                reported.add(window);
-            }
-            if (outcome == ControlPlaneOutcome.FENCED) {
-                leadership.recordFenced(fencingToken);
-            }
-            return null;
-        });
+    private void recordGivenUp(long first, long windows, GiveUpReason reason) {
+        metrics.recordGivenUp(reason.name(), windows);
+        context.events().emit(new ControlEvents.UsageWindowGivenUp(first, windows, reason.name()));
     }
 
-    private Future<Void> readCounted() {
-        return read(UsageCountWriter.TOPIC, nextCounted).map(slice -> {
-            for (byte[] record : slice.records()) {
-                applyCounted(record);
-            }
-            nextCounted = slice.next();
-            return null;
-        });
+    /** Writes the decisions that the log has lost, newest first, so that the newest one is never missing beside others. */
+    private Future<Void> restoreDecisions() {
+        Optional<UsageDecision> lost = decisions.newestLost();
+        return lost.isEmpty() ? Future.succeededFuture() : write(lost.get()).compose(written -> restoreDecisions());
     }
 
-    private Future<Void> readDecided() {
-        return read(DECIDED_TOPIC, nextDecided).map(slice -> {
-            for (byte[] record : slice.records()) {
-                applyDecided(record);
-            }
-            nextDecided = slice.next();
-            lost.recordRead(context.time().wallMillis());
+    /** Writes a decision if the log holds no other ones than were read. */
+    private Future<Void> write(UsageDecision decision) {
+        if (decidedEnd.isEmpty()) {
+            return Future.failedFuture(
+                    new SharedLogException(Kind.ERA_CHANGED, "the log has come back from an older copy"));
+        }
+        return decidedTopic.write(decision, decidedEnd.getAsLong()).map(end -> {
+            decidedEnd = OptionalLong.of(end);
+            decisions.recordStored(era(), decision);
             return null;
         });
     }
 
-    /** Reads all records, from the first retained one if earlier ones were trimmed. */
-    private Future<LogSlice> read(String topic, long from) {
-        return context.log().readToEnd(topic, from).recover(failure -> {
-            if (failure instanceof SharedLogException known && known.kind() == Kind.TRIMMED) {
-                return context.log().readToEnd(topic, known.firstOffset());
-            }
-            return Future.failedFuture(failure);
-        });
+    private Future<Void> report(UsageDecision decision) {
+        OptionalLong token = leadership.fencingToken();
+        if (token.isEmpty()) {
+            return Future.succeededFuture();
+        }
+        long fencingToken = token.getAsLong();
+        leadership.recordAction();
+        return controlPlane
+                .reportUsage(fencingToken, decision.window(), decision.byCustomer())
+                .map(outcome -> {
+                    recordReport(decision, fencingToken, outcome);
+                    return null;
+                });
     }
 
-    private void applyCounted(byte[] record) {
-        try {
-            UsageCountWriter.counts(MessageCodec.read(record, new UsageBatch())).forEach(ledger::recordCount);
-        } catch (TException exception) {
-            context.events()
-                    .emit(new ControlEvents.RecordUnreadable(UsageCountWriter.TOPIC, "", exception.getMessage()));
+    private void recordReport(UsageDecision decision, long fencingToken, ControlPlaneOutcome outcome) {
+        metrics.recordReport(outcome.name());
+        context.events()
+                .emit(new ControlEvents.UsageReported(
+                        decision.window(), decision.byCustomer(), fencingToken, outcome.name()));
+        if (outcome == ControlPlaneOutcome.ACCEPTED) {
+            completed.add(decision.window());
+        }
+        if (outcome == ControlPlaneOutcome.FENCED) {
+            leadership.recordFenced(fencingToken);
         }
     }
 
-    private void applyDecided(byte[] record) {
-        try {
-            UsageDecided decided = MessageCodec.read(record, new UsageDecided());
-            ledger.recordDecided(decided.getWindow(), decided.getByCustomer());
-            logged.add(decided.getWindow());
-            if (decided.isSetEra() && decided.getEra() == era()) {
-                lost.recordStored(decided.getWindow());
+    private Future<Void> readDecided() {
+        decidedEnd = OptionalLong.empty();
+        long era = era();
+        return decidedTopic.read().compose(held -> {
+            if (era != StoreEra.UNKNOWN && era != era()) {
+                return Future.failedFuture(
+                        new SharedLogException(Kind.ERA_CHANGED, "the log has come back from an older copy"));
             }
-        } catch (TException exception) {
-            context.events().emit(new ControlEvents.RecordUnreadable(DECIDED_TOPIC, "", exception.getMessage()));
-        }
+            decisions.recordRead(now(), era(), held.decisions());
+            decidedEnd = OptionalLong.of(held.end());
+            return Future.succeededFuture();
+        });
     }
 
     private long era() {
         return context.log().era().newest();
     }
 
-    /** Logs a failure; the next tick tries again. */
-    private void logFailure(Throwable failure) {
-        context.events().emit(new ControlEvents.DependencyLost("usage report", String.valueOf(failure.getMessage())));
+    private long now() {
+        return context.time().wallMillis();
+    }
+
+    /** Why a window is not reported. */
+    private enum GiveUpReason {
+        /** A record that the log lost by coming back from an older copy may have decided it. */
+        DECISION_LOST,
+        /** A later window is decided, and the figures of this one are no longer retained. */
+        DECISION_FORGOTTEN,
+        /** No counts are known, and records with counts may have expired unread. */
+        COUNTS_FORGOTTEN,
+        /** No host has decided it while its report was of use. */
+        TOO_OLD
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/leader/Leadership.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/leader/Leadership.java
@@ -8,6 +8,9 @@
     /** Returns the fencing token while this host may act as the leader, or empty. */
     OptionalLong fencingToken();
 
+    /** Tells whether this host may become the leader as soon as there is none. */
+    boolean isCandidate();
+
     /** Records that this host acts as the leader. */
     void recordAction();
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/leader/UsageLedger.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/leader/UsageLedger.java
@@ -1,26 +1,38 @@
 package org.cranberrygauge.proxy.leader;
 
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.SortedMap;
+import java.util.Optional;
 import java.util.TreeMap;
 
 /**
- * The usage counts of all hosts by window, and the figures decided for each window.
+ * The usage counts of all hosts by window.
  *
  * <p>Invariants: counts are cumulative for each host incarnation, so that the highest count is used and duplicates do
- * no harm; the first figures decided for a window are final. Not thread-safe.
+ * no harm; a window without counts has a total only if no record with counts of it can have been missed. Not thread-safe.
  */
 public final class UsageLedger {
 
     private static final int RETAINED_WINDOWS = 40;
 
+    private final long windowMillis;
+
+    private final long retentionMillis;
+
     /** By window, host incarnation and customer. */
     private final TreeMap<Long, Map<String, Map<String, Long>>> counted = new TreeMap<>();
 
-    /** By window and customer. */
-    private final TreeMap<Long, Map<String, Long>> decided = new TreeMap<>();
+    /** The wall-clock time since which each record of the log was read, in milliseconds since the epoch. */
+    private long completeSinceMillis = Long.MIN_VALUE;
+
+    /**
+     * @param windowMillis The length of a window in milliseconds.
+     * @param retentionMillis The time for which the log retains records, in milliseconds; 0 if it is not known.
+     */
+    public UsageLedger(long windowMillis, long retentionMillis) {
+        this.windowMillis = windowMillis;
+        this.retentionMillis = retentionMillis;
+    }
 
     /** Merges the counts of one window and host incarnation. */
     public void recordCount(UsageCount count) {
@@ -32,36 +44,33 @@
         }
     }
 
-    /** Records decided figures; ignored if the window has some already. */
-    public void recordDecided(long window, Map<String, Long> byCustomer) {
-        decided.putIfAbsent(window, Map.copyOf(byCustomer));
-        while (decided.size() > RETAINED_WINDOWS) {
-            decided.pollFirstEntry();
-        }
-    }
-
-    /** Returns the windows with decided figures, oldest first. */
-    public SortedMap<Long, Map<String, Long>> decided() {
-        return Collections.unmodifiableSortedMap(decided);
+    /**
+     * Records that a read began at the first record that the log retained, and not after the last one that was read.
+     *
+     * @param sentMillis The time in milliseconds since the epoch at which the read was sent.
+     */
+    public void recordSkipped(long sentMillis) {
+        completeSinceMillis = Math.max(completeSinceMillis, sentMillis - retentionMillis);
     }
 
-    /** Returns the decided figures of a window by customer, or null if there are none. */
-    public Map<String, Long> decidedFigures(long window) {
-        return decided.get(window);
-    }
-
-    /** Sums the counts of a window over all host incarnations, by customer. */
-    public Map<String, Long> total(long window) {
+    /**
+     * Sums the counts of a window over all host incarnations.
+     *
+     * @return The total by customer, or empty if there are no counts and some may have been missed.
+     */
+    public Optional<Map<String, Long>> total(long window) {
+        if (!counted.containsKey(window) && window * windowMillis < completeSinceMillis) {
+            return Optional.empty();
+        }
         Map<String, Long> total = new HashMap<>();
         counted.getOrDefault(window, Map.of())
                 .values()
                 .forEach(counts -> counts.forEach((customer, count) -> total.merge(customer, count, Long::sum)));
-        return total;
+        return Optional.of(total);
     }
 
     /** Returns the oldest retained window, or {@link Long#MAX_VALUE} if there is none. */
     public long firstWindow() {
-        long first = counted.isEmpty() ? Long.MAX_VALUE : counted.firstKey();
-        return decided.isEmpty() ? first : Math.min(first, decided.firstKey());
+        return counted.isEmpty() ? Long.MAX_VALUE : counted.firstKey();
     }
 }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/UsageFleet.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/UsageFleet.java
@@ -1,5 +1,6 @@
 package org.cranberrygauge.proxy.control;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vertx.core.Future;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -59,6 +60,8 @@
 
     private final SimulatedStore store;
 
+    private final long retentionMillis;
+
     private final List<Host> hosts = new ArrayList<>();
 
     /** The requests that began, by window and customer. */
@@ -72,6 +75,7 @@
     private Optional<Host> lastReporter = Optional.empty();
 
     UsageFleet(long retentionMillis, long seed) {
+        this.retentionMillis = retentionMillis;
         random = new SplittableRandom(seed);
         store = new SimulatedStore(timeline, random, retentionMillis);
         timeline.advance(random.nextInt((int) WINDOW_MILLIS));
@@ -212,7 +216,15 @@
             });
             ControllerContext context =
                     new ControllerContext(null, timeline, log, new ProxyBlackboard(), EventLog.NoOp.INSTANCE);
-            new UsageReportController(context, this::after, this, this, WINDOW_MILLIS).start();
+            new UsageReportController(
+                            context,
+                            this::after,
+                            this,
+                            this,
+                            "keyed.usage-decided",
+                            new UsageMetrics(new PrometheusRegistry()),
+                            new UsageTimes(WINDOW_MILLIS, retentionMillis))
+                    .start();
             repeat(REQUEST_MILLIS, this::request);
             repeat(WRITE_MILLIS, this::handOver);
             repeat(JOIN_MILLIS, this::join);
@@ -302,13 +314,18 @@
             if (writer().filter(first -> first == host).isPresent()) {
                 standbyUntilMillis = sentMillis + STANDBY_MILLIS;
             }
-            if (sentMillis >= standbyUntilMillis && fencingToken().isEmpty()) {
+            if (!isCandidate()) {
                 return;
             }
             log.join("duty", incarnation, "duty", LEASE_MILLIS, lease.generation())
                     .onSuccess(assignment -> lease.recordJoin(sentMillis, sentMillis, assignment));
         }
 
+        @Override
+        public boolean isCandidate() {
+            return now() < standbyUntilMillis || fencingToken().isPresent();
+        }
+
         @Override
         public OptionalLong fencingToken() {
             return lease.fencingToken(now(), now());
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/UsageFleetTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/UsageFleetTest.java
@@ -9,19 +9,22 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import org.cranberrygauge.proxy.control.SimulatedStore.Topic;
 import org.cranberrygauge.proxy.control.UsageFleet.Host;
 import org.cranberrygauge.proxy.control.UsageFleet.Report;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
-/** Guards against windows of usage that are reported late or wrongly after the loss of hosts. */
+/**
+ * Guards against windows of usage that are reported with two figures since a new leader does not know what was decided before
+ * the log forgot it, and against windows that are given up though they could be reported.
+ */
 class UsageFleetTest {
 
     /** The retention of the log in milliseconds, as in the deployments. */
     private static final long RETENTION_MILLIS = 20_000;
 
-    /** A retention longer than each run, in milliseconds. */
-    private static final long LONG_RETENTION_MILLIS = 300_000;
-
     private static final int SEEDS = 40;
 
     private static final long RESTART_MILLIS = 1_000;
@@ -49,10 +52,10 @@
         });
     }
 
-    /** Guards against a new leader that repeats earlier reports for so long that the due ones come late. */
-    @Test
-    void allWindowsAreReportedInTimeThoughHostsAreKilledOneAfterTheOther() {
-        forSeeds(LONG_RETENTION_MILLIS, fleet -> {
+    @ParameterizedTest
+    @ValueSource(longs = {5_000, 10_000, 20_000, 300_000})
+    void noWindowHasTwoFiguresThoughHostsAreKilledOneAfterTheOther(long retentionMillis) {
+        forSeeds(retentionMillis, fleet -> {
             kill(fleet, fleet.anyBut(List.of(fleet.leader())));
             fleet.advance(between(fleet, 12_000, 17_000));
             kill(fleet, fleet.leader());
@@ -63,6 +66,110 @@
         });
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {5_000, 10_000, 20_000, 300_000})
+    void noWindowHasTwoFiguresThoughTheLeaderIsKilledAgainAndAgain(long retentionMillis) {
+        forSeeds(retentionMillis, fleet -> {
+            for (int kill = 0; kill < 4; kill++) {
+                kill(fleet, kill % 2 == 0 ? fleet.leader() : fleet.anyBut(List.of(fleet.leader())));
+                fleet.advance(between(fleet, 4_000, 16_000));
+            }
+            fleet.advance(AFTERMATH_MILLIS);
+            assertOneFigure(fleet);
+            assertNoneWithoutCounts(fleet);
+        });
+    }
+
+    @Test
+    void noWindowHasTwoFiguresThoughTheLeaderIsPaused() {
+        forSeeds(RETENTION_MILLIS, fleet -> {
+            kill(fleet, fleet.anyBut(List.of(fleet.leader())));
+            fleet.advance(between(fleet, 11_000, 16_000));
+            stopMillis.add(fleet.now());
+            fleet.leader().pause(9_000);
+            fleet.advance(AFTERMATH_MILLIS);
+            assertAllReportedRightly(fleet);
+        });
+    }
+
+    @Test
+    void noWindowHasTwoFiguresThoughTheNewLeaderWasCutOffFromTheLog() {
+        forSeeds(RETENTION_MILLIS, fleet -> {
+            Host cut = fleet.anyBut(List.of(fleet.leader()));
+            cut.cut(true);
+            fleet.advance(between(fleet, 14_000, 23_000));
+            cut.cut(false);
+            fleet.hosts().stream().filter(host -> host != cut).forEach(host -> kill(fleet, host));
+            fleet.advance(AFTERMATH_MILLIS);
+            assertAllReportedRightly(fleet);
+        });
+    }
+
+    @Test
+    void noWindowHasTwoFiguresThoughADataCentreWasCutOffFromTheLog() {
+        forSeeds(RETENTION_MILLIS, fleet -> {
+            Host leader = fleet.leader();
+            List<Host> cut = fleet.hosts().stream()
+                    .filter(host -> !host.sharesDataCentre(leader))
+                    .toList();
+            cut.forEach(host -> host.cut(true));
+            fleet.advance(between(fleet, 16_000, 24_000));
+            cut.forEach(host -> host.cut(false));
+            fleet.hosts().stream().filter(host -> !cut.contains(host)).forEach(host -> kill(fleet, host));
+            fleet.advance(AFTERMATH_MILLIS);
+            assertAllReportedRightly(fleet);
+        });
+    }
+
+    @Test
+    void noWindowHasTwoFiguresThoughAllHostsAreKilledAtOnce() {
+        forSeeds(RETENTION_MILLIS, fleet -> {
+            long downMillis = between(fleet, 500, 12_000);
+            for (Host host : fleet.hosts()) {
+                stopMillis.add(fleet.now());
+                host.restart(downMillis);
+            }
+            fleet.advance(downMillis + AFTERMATH_MILLIS);
+            assertOneFigure(fleet);
+            assertNoneWithoutCounts(fleet);
+        });
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {5_000, 10_000, 20_000, 300_000})
+    void noWindowHasTwoFiguresInRandomHistories(long retentionMillis) {
+        forSeeds(retentionMillis, fleet -> {
+            for (int trouble = 0; trouble < 8; trouble++) {
+                disturb(fleet);
+                fleet.advance(between(fleet, 200, 16_000));
+            }
+            fleet.hosts().forEach(host -> host.cut(false));
+            fleet.advance(AFTERMATH_MILLIS);
+            assertOneFigure(fleet);
+            assertNoneWithoutCounts(fleet);
+        });
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {10_000, 20_000, 300_000})
+    void noWindowHasTwoFiguresThoughTheLogComesBackOlderInRandomHistories(long retentionMillis) {
+        forSeeds(retentionMillis, fleet -> {
+            for (int trouble = 0; trouble < 8; trouble++) {
+                Map<String, Topic> copy = fleet.store().copy();
+                fleet.advance(between(fleet, 200, 8_000));
+                disturb(fleet);
+                if (trouble % 3 == 1) {
+                    fleet.store().restore(copy);
+                }
+                fleet.advance(between(fleet, 200, 12_000));
+            }
+            fleet.hosts().forEach(host -> host.cut(false));
+            fleet.advance(AFTERMATH_MILLIS);
+            assertOneFigure(fleet);
+            assertNoneWithoutCounts(fleet);
+        });
+    }
+
     private void forSeeds(long retentionMillis, Consumer<UsageFleet> history) {
         for (long seed = 1; seed <= SEEDS; seed++) {
             stopMillis.clear();
@@ -76,6 +183,18 @@
         }
     }
 
+    private void disturb(UsageFleet fleet) {
+        Host leader = fleet.leader();
+        switch (fleet.random().nextInt(6)) {
+            case 0 -> kill(fleet, leader);
+            case 1 -> kill(fleet, fleet.anyBut(List.of(leader)));
+            case 2 -> leader.pause(between(fleet, 500, 12_000));
+            case 3 -> fleet.anyBut(List.of()).cut(true);
+            case 4 -> fleet.hosts().forEach(host -> host.cut(false));
+            default -> fleet.hosts().stream().filter(host -> host != leader).forEach(host -> kill(fleet, host));
+        }
+    }
+
     private void kill(UsageFleet fleet, Host host) {
         stopMillis.add(fleet.now());
         host.restart(RESTART_MILLIS);
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/UsageReportControllerTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/UsageReportControllerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
@@ -60,33 +61,40 @@
         vertx.runOnContext(run -> {
             TopicRelay relay = new TopicRelay(context, new PeerDirectory("host-1", "east"), new RecordingTransport());
             LeaderElection election = new LeaderElection(context, relay, "host-1@1", LEASE_MILLIS);
-            time.now = 100 * WINDOW_MILLIS + 1;
+            time.set(100 * WINDOW_MILLIS + 1);
             election.start();
             new UsageReportController(
                             context,
                             (millis, action) -> vertx.setTimer(millis, fired -> action.run()),
                             election,
                             report,
-                            WINDOW_MILLIS)
+                            "keyed.usage-decided",
+                            new UsageMetrics(new PrometheusRegistry()),
+                            new UsageTimes(WINDOW_MILLIS, 0))
                     .start();
-            time.now = 101 * WINDOW_MILLIS + LEASE_MILLIS;
+            time.set(101 * WINDOW_MILLIS + LEASE_MILLIS);
         });
         return report.figures.get(10, TimeUnit.SECONDS);
     }
 
-    /** A time that stands still. */
+    /** A time that begins at 0 and runs on from where it was set last. */
     private static final class SettableTime implements TimeSource {
 
-        private volatile long now;
+        /** The difference between this time and the monotonic time of the system. */
+        private volatile long offsetMillis = -System.INSTANCE.monotonicMillis();
+
+        void set(long millis) {
+            offsetMillis = millis - System.INSTANCE.monotonicMillis();
+        }
 
         @Override
         public long monotonicMillis() {
-            return now;
+            return System.INSTANCE.monotonicMillis() + offsetMillis;
         }
 
         @Override
         public long wallMillis() {
-            return now;
+            return monotonicMillis();
         }
     }
 
@@ -130,6 +138,12 @@
             return Future.succeededFuture(new LogSlice(all.size(), fromOffset + page.size(), page));
         }
 
+        @Override
+        public Future<KeyedValues> newest(String topic) {
+            return Future.succeededFuture(new KeyedValues(
+                    Map.of(), topics.getOrDefault(topic, List.of()).size()));
+        }
+
         @Override
         public Future<GroupAssignment> join(
                 String group, String member, String topic, long lifetimeMillis, long generation) {
