Decide windows of usage only once hosts have written the counts that they kept

What callers saw: after the store had been away, a window was reported with the counts of some hosts, with none, or not at all. Cause: hosts write the counts that they kept within some 2 s after the store is back; a new leader decided the windows of that time in its first half second. Change: a leader that has not joined the group for a whole lease, and so has not reached the store, waits for the settling time of 2.6 s from its next join before it decides. The leader of a store that was reached all the time does not wait.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/LeaderElection.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/LeaderElection.java
@@ -48,6 +48,12 @@
     /** The monotonic time until which this host is a candidate. */
     private long standbyUntilMillis = Long.MIN_VALUE;
 
+    /** The monotonic time of the last successful join. */
+    private long lastJoinMillis = Long.MIN_VALUE / 2;
+
+    /** The monotonic time of the first successful join after the last gap between them. */
+    private long reachesLogSinceMillis = Long.MAX_VALUE;
+
     /** Whether the host has left the group. */
     private boolean left;
 
@@ -91,7 +97,7 @@
         context.log()
                 .join(GROUP, member, GROUP, lifetimeMillis, lease.generation())
                 .onSuccess(assignment -> {
-                    monitor.recordSuccess(context.time().monotonicMillis());
+                    recordJoin(context.time().monotonicMillis());
                     if (assignment.era() != context.log().era().newest()) {
                         return;
                     }
@@ -105,6 +111,14 @@
                 });
     }
 
+    private void recordJoin(long nowMillis) {
+        monitor.recordSuccess(nowMillis);
+        if (nowMillis - lastJoinMillis >= lifetimeMillis) {
+            reachesLogSinceMillis = nowMillis;
+        }
+        lastJoinMillis = nowMillis;
+    }
+
     /** Leaves the group, so that another host becomes the leader at once. */
     public void leave() {
         left = true;
@@ -125,6 +139,11 @@
                 || fencingToken().isPresent();
     }
 
+    @Override
+    public long reachesLogSinceMillis() {
+        return reachesLogSinceMillis;
+    }
+
     @Override
     public void recordAction() {
         lease.recordAction(context.time().monotonicMillis());
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageReportController.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/UsageReportController.java
@@ -34,6 +34,9 @@
     /** The number of windows after which a report is given up. */
     private static final int MAXIMUM_LATE_WINDOWS = 6;
 
+    /** The time after which hosts that could not reach the log have written the counts that they kept. */
+    private static final long REWRITE_MILLIS = SETTLING_MILLIS;
+
     /** The time after the loss of the leader within which another host decides the windows that are due. */
     private static final long TAKEOVER_MILLIS = 8_000;
 
@@ -114,7 +117,7 @@
         }
         long newest = Math.floorDiv(now() - SETTLING_MILLIS, times.windowMillis()) - 1;
         boolean due = nextWindow(newest) <= newest || !completed.contains(newest);
-        if (due && leadership.fencingToken().isPresent()) {
+        if (due && mayDecide()) {
             perform(readDecided()
                     .compose(read -> restoreDecisions())
                     .compose(restored -> counts.read())
@@ -126,6 +129,12 @@
         }
     }
 
+    /** Tells whether this host leads, and all hosts have had the time to write counts that they kept while the log was away. */
+    private boolean mayDecide() {
+        return leadership.fencingToken().isPresent()
+                && context.time().monotonicMillis() - REWRITE_MILLIS >= leadership.reachesLogSinceMillis();
+    }
+
     /** Blocks further actions until one has ended, and logs its failure; the next tick tries again. */
     private void perform(Future<Void> action) {
         busy = true;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/leader/Leadership.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/leader/Leadership.java
@@ -11,6 +11,12 @@
     /** Tells whether this host may become the leader as soon as there is none. */
     boolean isCandidate();
 
+    /**
+     * Returns the monotonic time in milliseconds since which this host has reached the shared log without a gap in which a
+     * lease ends, or {@link Long#MAX_VALUE} if it has not reached it yet.
+     */
+    long reachesLogSinceMillis();
+
     /** Records that this host acts as the leader. */
     void recordAction();
 
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/UsageFleet.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/UsageFleet.java
@@ -203,6 +203,10 @@
 
         private long standbyUntilMillis = Long.MIN_VALUE;
 
+        private long lastJoinMillis = Long.MIN_VALUE / 2;
+
+        private long reachesLogSinceMillis = Long.MAX_VALUE;
+
         private long requests;
 
         Life(Host host) {
@@ -318,7 +322,11 @@
                 return;
             }
             log.join("duty", incarnation, "duty", LEASE_MILLIS, lease.generation())
-                    .onSuccess(assignment -> lease.recordJoin(sentMillis, sentMillis, assignment));
+                    .onSuccess(assignment -> {
+                        reachesLogSinceMillis = now() - lastJoinMillis >= LEASE_MILLIS ? now() : reachesLogSinceMillis;
+                        lastJoinMillis = now();
+                        lease.recordJoin(sentMillis, sentMillis, assignment);
+                    });
         }
 
         @Override
@@ -326,6 +334,11 @@
             return now() < standbyUntilMillis || fencingToken().isPresent();
         }
 
+        @Override
+        public long reachesLogSinceMillis() {
+            return reachesLogSinceMillis;
+        }
+
         @Override
         public OptionalLong fencingToken() {
             return lease.fencingToken(now(), now());
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/UsageFleetTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/UsageFleetTest.java
@@ -121,6 +121,22 @@
         });
     }
 
+    /** The report of a window that ends while the log is away comes late. */
+    @Test
+    void allWindowsAreReportedThoughTheLogIsAwayAndTheLeaderIsKilledMeanwhile() {
+        forSeeds(RETENTION_MILLIS, fleet -> {
+            fleet.store().down = true;
+            fleet.advance(between(fleet, 7_000, 12_000));
+            kill(fleet, fleet.leader());
+            fleet.advance(between(fleet, 7_000, 12_000));
+            fleet.store().down = false;
+            fleet.advance(AFTERMATH_MILLIS);
+            assertOneFigure(fleet);
+            assertNoneWithoutCounts(fleet);
+            assertThat(fleet.reports().keySet()).containsAll(expectedWindows(fleet));
+        });
+    }
+
     @Test
     void noWindowHasTwoFiguresThoughAllHostsAreKilledAtOnce() {
         forSeeds(RETENTION_MILLIS, fleet -> {
@@ -135,6 +151,22 @@
         });
     }
 
+    /** Guards against a leader that presumes no requests in windows whose counts have expired. */
+    @Test
+    void noWindowWithRequestsIsReportedWithoutAnyThoughNoHostReachedTheLogForLong() {
+        forSeeds(RETENTION_MILLIS, fleet -> {
+            fleet.hosts().forEach(host -> host.cut(true));
+            fleet.advance(between(fleet, 20_000, 60_000));
+            Host left = fleet.anyBut(List.of());
+            fleet.hosts().stream().filter(host -> host != left).forEach(host -> kill(fleet, host));
+            fleet.advance(2 * RESTART_MILLIS);
+            fleet.hosts().forEach(host -> host.cut(false));
+            fleet.advance(AFTERMATH_MILLIS);
+            assertOneFigure(fleet);
+            assertNoneWithoutCounts(fleet);
+        });
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {5_000, 10_000, 20_000, 300_000})
     void noWindowHasTwoFiguresInRandomHistories(long retentionMillis) {
