--- a/cranberrygauge-protocol/src/main/thrift/proxy.thrift
+++ b/cranberrygauge-protocol/src/main/thrift/proxy.thrift
@@ -60,6 +60,9 @@
   15: optional i32 loopDelayMillis
   // The recent prefill work of this host, by pool.
   16: optional map<string, PrefillWork> prefill
+  // The time for which the shared log has answered without an outage, as far as this host has read it by itself or through
+  // others; unset while it may be away.
+  17: optional i64 logAvailableMillis
 }
 
 // Requests the records of a topic, starting at an offset, from a host that reads the shared log.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/Proxy.java
@@ -37,6 +37,7 @@
 import org.cranberrygauge.proxy.control.PeerReportExchange;
 import org.cranberrygauge.proxy.control.PermitExchange;
 import org.cranberrygauge.proxy.control.StreamOriginExchange;
+import org.cranberrygauge.proxy.control.Timers;
 import org.cranberrygauge.proxy.control.UsageCountWriter;
 import org.cranberrygauge.proxy.control.UsageMetrics;
 import org.cranberrygauge.proxy.control.UsageReportController;
@@ -248,12 +249,12 @@
         new FleetController(context, election, dependencies.controlPlane(), ownWork).start();
         permitExchange =
                 new PermitExchange(time, network.peers(), network.channel(), limits, permits, this::dispatchQueued);
-        streams = new StreamOriginExchange(time, this::runAfter, network.peers(), network.channel());
+        Timers timers = context.timers();
+        streams = new StreamOriginExchange(time, timers, network.peers(), network.channel());
         crashExchange =
                 new CrashExchange(time, network.peers(), network.channel(), crashingParts, events, new Random());
         vertx.setPeriodic(CrashExchange.INTERVAL_MILLIS, fired -> crashExchange.update());
-        new CrashRecorder(
-                        context, this::runAfter, dependencies.crashTopic(), crashExchange, network.relay()::readsAlone)
+        new CrashRecorder(context, timers, dependencies.crashTopic(), crashExchange, network.relay()::readsAlone)
                 .start();
         return new PeerReportExchange(
                         context,
@@ -284,7 +285,7 @@
                 .start();
         origins = new OriginRecorder(
                 context,
-                this::runAfter,
+                context.timers(),
                 dependencies.originTopic(),
                 settings.host(),
                 settings.firstStart(),
@@ -298,7 +299,8 @@
                         statements::isLeaving,
                         cold,
                         origins::observe,
-                        times.leavingMillis())
+                        times.leavingMillis(),
+                        times.entryExpiryMillis())
                 .start();
     }
 
@@ -309,7 +311,7 @@
         usageWriter.start();
         new UsageReportController(
                         context,
-                        this::runAfter,
+                        context.timers(),
                         election,
                         dependencies.controlPlane(),
                         dependencies.decidedUsageTopic(),
@@ -318,10 +320,6 @@
                 .start();
     }
 
-    private void runAfter(long millis, Runnable action) {
-        vertx.setTimer(millis, fired -> action.run());
-    }
-
     /** Returns the requests per second that a cold server of a pool takes; 0 if it takes any rate or is unknown. */
     private double coldPerSecond(String pool) {
         return blackboard
@@ -441,6 +439,7 @@
                 ready());
         metrics.recordMemory(memory.reservedBytes());
         metrics.recordRestrictions(blackboard.evacuated().size(), cold.count(time.monotonicMillis()));
+        metrics.recordRetained(blackboard.backends().retained());
     }
 
     /** Returns the age of the configuration up to which keys are honoured. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxySettings.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/ProxySettings.java
@@ -46,6 +46,8 @@
      * @param retryWindowMillis The length of the window of the retry budget in milliseconds.
      * @param retryRatio The retries allowed for each request.
      * @param retryAllowance The retries allowed in addition in each window, for all hosts together.
+     * @param entryExpiryMillis The shortest outage of the shared log in which entries of running backend servers expire, in
+     *     milliseconds.
      */
     public record Times(
             long keyWithdrawalMillis,
@@ -57,5 +59,6 @@
             long logRetentionMillis,
             long retryWindowMillis,
             double retryRatio,
-            double retryAllowance) {}
+            double retryAllowance,
+            long entryExpiryMillis) {}
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendRegistry.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendRegistry.java
@@ -7,7 +7,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -21,12 +20,6 @@
  */
 public final class BackendRegistry {
 
-    /** The time without a successful read from which it counts as an outage. */
-    private static final long OUTAGE_THRESHOLD_MILLIS = 1_500;
-
-    /** The time after an outage within which running backend servers register again. */
-    private static final long REGISTRATION_MILLIS = 2_000;
-
     /** The number of removed incarnations that are remembered. */
     private static final int MAXIMUM_REMOVED = 1_000;
 
@@ -38,48 +31,22 @@
     /** Whether the next complete list comes from an older copy of the store. */
     private boolean rolledBack;
 
-    /** The monotonic times at which missing entries are removed, by identifier. */
-    private final Map<String, Long> expiryMillis = new HashMap<>();
+    /** The identifiers of the servers that are listed though the store no longer holds their entries. */
+    private final Set<String> retained = new HashSet<>();
 
     /** Whether the entries have been read at least once. */
     private boolean known;
 
-    /** The monotonic time of the last successful read. */
-    private long lastReadMillis;
-
-    /** The monotonic time at which the last outage ended. */
-    private long outageEndMillis = Long.MIN_VALUE / 2;
-
-    /**
-     * Records a successful read; called before its entries are applied.
-     *
-     * @param nowMillis The current monotonic time in milliseconds.
-     * @return The length of the outage that it ends, in milliseconds.
-     */
-    public OptionalLong recordRead(long nowMillis) {
-        long gapMillis = nowMillis - lastReadMillis;
-        boolean outage = known && gapMillis > OUTAGE_THRESHOLD_MILLIS;
-        if (outage) {
-            outageEndMillis = nowMillis;
-        }
-        lastReadMillis = nowMillis;
+    /** Records a successful read; called before its entries are applied. */
+    public void recordRead() {
         known = true;
-        return outage ? OptionalLong.of(gapMillis) : OptionalLong.empty();
-    }
-
-    /** Returns the identifiers of the backend servers that are retained though the store no longer holds their entries. */
-    public Set<String> retained() {
-        return Set.copyOf(expiryMillis.keySet());
     }
 
     /**
-     * Records that the store has come back from an older copy: entries that it lacks are retained for a time, and
-     * servers whose entries were removed before are not taken from it.
-     *
-     * @param nowMillis The current monotonic time in milliseconds.
+     * Records that the store has come back from an older copy: servers whose entries were removed before are not taken
+     * from it.
      */
-    public void recordRollback(long nowMillis) {
-        outageEndMillis = nowMillis;
+    public void recordRollback() {
         rolledBack = true;
     }
 
@@ -88,23 +55,21 @@
         Backend known = backends.get(backend.id());
         boolean leaves = known != null && known.leaving() && known.incarnation().equals(backend.incarnation());
         backends.put(backend.id(), leaves ? backend.withLeaving() : backend);
-        expiryMillis.remove(backend.id());
+        retained.remove(backend.id());
         removed.remove(backend.incarnation());
     }
 
     /**
-     * Removes an entry, after the registration time if the store was unavailable.
-     *
-     * @param nowMillis The current monotonic time in milliseconds.
+     * Records that the store no longer holds an entry. The server stays in the list until {@link #dropRetained()}, unless it
+     * leaves.
      */
-    public void remove(long nowMillis, String id) {
+    public void remove(String id) {
         Backend backend = backends.get(id);
-        long registrationEndMillis = outageEndMillis + REGISTRATION_MILLIS;
-        if (backend == null || backend.leaving() || nowMillis >= registrationEndMillis) {
+        if (backend == null || backend.leaving()) {
             discard(id);
-            return;
+        } else {
+            retained.add(id);
         }
-        expiryMillis.putIfAbsent(id, registrationEndMillis);
     }
 
     /** Removes an entry at once, for example because it can't be decoded. */
@@ -113,19 +78,18 @@
         if (known != null) {
             recordRemoved(known.incarnation());
         }
-        expiryMillis.remove(id);
+        retained.remove(id);
     }
 
     /**
      * Replaces all entries by a complete list.
      *
-     * @param nowMillis The current monotonic time in milliseconds.
      * @param listed The backend servers by identifier.
      */
-    public void replaceEntries(long nowMillis, Map<String, Backend> listed) {
+    public void replaceEntries(Map<String, Backend> listed) {
         Set<String> missing = new HashSet<>(backends.keySet());
         missing.removeAll(listed.keySet());
-        missing.forEach(id -> remove(nowMillis, id));
+        missing.forEach(this::remove);
         for (Backend backend : listed.values()) {
             if (!rolledBack || !removed.contains(backend.incarnation())) {
                 put(backend);
@@ -134,26 +98,28 @@
         rolledBack = false;
     }
 
+    /** Returns the identifiers of the servers that are listed though the store no longer holds their entries. */
+    public Set<String> retained() {
+        return Set.copyOf(retained);
+    }
+
+    /** Removes the servers whose entries the store no longer holds. */
+    public void dropRetained() {
+        retained().forEach(this::discard);
+    }
+
     /**
-     * Removes expired entries and returns the current snapshot.
+     * Returns the current snapshot.
      *
-     * @param nowMillis The current monotonic time in milliseconds.
+     * @param reading The last read of the list to its end.
      * @param statedLeaving Tells by incarnation whether a server leaves, whatever its entry says.
      */
-    public BackendSnapshot snapshot(long nowMillis, Predicate<String> statedLeaving) {
-        Iterator<Map.Entry<String, Long>> entries = expiryMillis.entrySet().iterator();
-        while (entries.hasNext()) {
-            Map.Entry<String, Long> entry = entries.next();
-            if (nowMillis >= entry.getValue()) {
-                recordRemoved(backends.remove(entry.getKey()).incarnation());
-                entries.remove();
-            }
-        }
+    public BackendSnapshot snapshot(ListReading reading, Predicate<String> statedLeaving) {
         List<Backend> listed = new ArrayList<>();
         backends.values()
                 .forEach(backend ->
                         listed.add(statedLeaving.test(backend.incarnation()) ? backend.withLeaving() : backend));
-        return new BackendSnapshot(listed, known);
+        return new BackendSnapshot(listed, known, reading, retained.size());
     }
 
     private void recordRemoved(String incarnation) {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendSnapshot.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/backend/BackendSnapshot.java
@@ -24,14 +24,27 @@
 
     private final ListReading reading;
 
+    private final int retained;
+
     /** @param known Whether the entries have been read at least once. */
     public BackendSnapshot(Collection<Backend> backends, boolean known) {
-        this(backends, known, ListReading.NONE, Set.of());
+        this(backends, known, ListReading.NONE, 0);
+    }
+
+    /**
+     * @param known Whether the entries have been read at least once.
+     * @param reading The last read of the list to its end.
+     * @param retained The number of backend servers whose entries the store no longer holds.
+     */
+    public BackendSnapshot(Collection<Backend> backends, boolean known, ListReading reading, int retained) {
+        this(backends, known, reading, retained, Set.of());
     }
 
-    private BackendSnapshot(Collection<Backend> backends, boolean known, ListReading reading, Set<String> evacuated) {
+    private BackendSnapshot(
+            Collection<Backend> backends, boolean known, ListReading reading, int retained, Set<String> evacuated) {
         this.known = known;
         this.reading = reading;
+        this.retained = retained;
         for (Backend backend : backends) {
             all.put(backend.incarnation(), backend);
             if (!backend.leaving() && !evacuated.contains(backend.dataCentre())) {
@@ -42,12 +55,7 @@
 
     /** Returns this snapshot, in which the backend servers of some data centres accept no new requests. */
     public BackendSnapshot withEvacuated(Set<String> dataCentres) {
-        return new BackendSnapshot(all.values(), known, reading, dataCentres);
-    }
-
-    /** Returns this snapshot as that of a list which was last read to its end by a read. */
-    public BackendSnapshot withReading(ListReading last) {
-        return new BackendSnapshot(all.values(), known, last, Set.of());
+        return new BackendSnapshot(all.values(), known, reading, retained, dataCentres);
     }
 
     /** Returns when, and through whom, the list was last read to its end. */
@@ -60,6 +68,11 @@
         return known;
     }
 
+    /** Returns the number of backend servers that are listed though the store no longer holds their entries. */
+    public int retained() {
+        return retained;
+    }
+
     /** Returns all backend servers, including those that drain. */
     public Collection<Backend> all() {
         return all.values();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/BackendFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/BackendFollower.java
@@ -12,7 +12,6 @@
 import org.cranberrygauge.proxy.backend.BackendSnapshot;
 import org.cranberrygauge.proxy.backend.ListReading;
 import org.cranberrygauge.proxy.backend.ListReading.Source;
-import org.cranberrygauge.proxy.control.TopicFollower.PollSettings;
 import org.cranberrygauge.proxy.store.Confirmation;
 import org.cranberrygauge.proxy.store.KeyedRecord;
 import org.cranberrygauge.proxy.store.RecordReader;
@@ -23,20 +22,11 @@
  */
 public final class BackendFollower implements TopicFollower.Listener {
 
-    /** The maximum time that a read waits for a record. */
-    private static final long READ_WAIT_MILLIS = 500;
-
     /** The number of keys with unreadable entries that are tracked, so that each is logged only once. */
     private static final int MAXIMUM_UNREADABLE_KEYS = 200;
 
-    /** The pause between reads as a fraction of the drain bound. */
-    private static final double PAUSE_FRACTION = 0.33;
-
-    /** The maximum age of a relayed read as a fraction of the drain bound. */
-    private static final double RELAYED_AGE_FRACTION = 0.6;
-
-    /** Why entries are retained, and what a gap between reads is taken for. */
-    private static final String STORE_AWAY = "STORE_AWAY";
+    /** The interval between checks whether servers whose entries are gone are still retained. */
+    private static final long RETENTION_CHECK_MILLIS = 100;
 
     private final ControllerContext context;
 
@@ -54,7 +44,7 @@
 
     private final TopicRelay relay;
 
-    private final long drainBoundMillis;
+    private final TopicFollower follower;
 
     private final BackendRegistry registry = new BackendRegistry();
 
@@ -67,6 +57,12 @@
     /** The identifiers of the servers that were retained at the last publication. */
     private Set<String> lastRetained = Set.of();
 
+    /** Whether a check of the retained servers is scheduled. */
+    private boolean checkScheduled;
+
+    /** Whether the list has been read for the servers that are retained. */
+    private boolean readForRetained;
+
     /** The backend servers as last logged, by identifier. */
     private Map<String, Backend> lastLogged = new HashMap<>();
 
@@ -76,6 +72,7 @@
      * @param observer Receives each snapshot that is published.
      * @param drainBoundMillis The time in milliseconds within which a draining backend server must receive no more
      *     requests.
+     * @param entryExpiryMillis The shortest outage of the log in which entries of running servers expire, in milliseconds.
      */
     public BackendFollower(
             ControllerContext context,
@@ -85,7 +82,8 @@
             Predicate<String> statedLeaving,
             ColdServers cold,
             Consumer<BackendSnapshot> observer,
-            long drainBoundMillis) {
+            long drainBoundMillis,
+            long entryExpiryMillis) {
         this.relay = relay;
         this.context = context;
         this.topic = topic;
@@ -93,23 +91,19 @@
         this.statedLeaving = statedLeaving;
         this.cold = cold;
         this.observer = observer;
-        this.drainBoundMillis = drainBoundMillis;
+        this.follower = new TopicFollower(
+                context, relay, topic, PollSettings.ofServers(drainBoundMillis, entryExpiryMillis), this);
     }
 
     /** Starts to follow the topic, also when the log comes back from an older copy. */
     public void start() {
-        context.log()
-                .era()
-                .onChange((previous, current) ->
-                        registry.recordRollback(context.time().monotonicMillis()));
-        PollSettings settings = new PollSettings(READ_WAIT_MILLIS, (long) (drainBoundMillis * PAUSE_FRACTION), (long)
-                (drainBoundMillis * RELAYED_AGE_FRACTION));
-        new TopicFollower(context, relay, topic, settings, this).poll();
+        context.log().era().onChange((previous, current) -> registry.recordRollback());
+        follower.poll();
     }
 
     @Override
     public void onSnapshot(Map<String, byte[]> values) {
-        recordRead(context.time().monotonicMillis());
+        registry.recordRead();
         Map<String, Backend> listed = new HashMap<>();
         values.forEach((key, value) -> {
             try {
@@ -121,15 +115,14 @@
                 logUnreadable(key, exception);
             }
         });
-        registry.replaceEntries(context.time().monotonicMillis(), listed);
+        registry.replaceEntries(listed);
     }
 
     @Override
     public void onRecord(KeyedRecord record, long offset) {
-        long now = context.time().monotonicMillis();
-        recordRead(now);
+        registry.recordRead();
         if (record.value().isEmpty()) {
-            registry.remove(now, record.key());
+            registry.remove(record.key());
             return;
         }
         try {
@@ -144,12 +137,11 @@
 
     @Override
     public void onConfirmed(Confirmation read, boolean relayed) {
-        long now = context.time().monotonicMillis();
-        recordRead(now);
+        registry.recordRead();
         if (read != Confirmation.NONE) {
             reading = new ListReading(relayed ? Source.OTHER_HOST : Source.LOG, read.monotonicMillis());
         }
-        publish(now);
+        publish(context.time().monotonicMillis());
     }
 
     @Override
@@ -157,14 +149,10 @@
         publish(context.time().monotonicMillis());
     }
 
-    private void recordRead(long now) {
-        registry.recordRead(now)
-                .ifPresent(millis -> context.events().emit(new ControlEvents.BackendListGap(millis, STORE_AWAY)));
-    }
-
     /** Publishes the snapshot and logs the changes. */
     private void publish(long now) {
-        BackendSnapshot snapshot = registry.snapshot(now, statedLeaving).withReading(reading);
+        checkRetained(now);
+        BackendSnapshot snapshot = registry.snapshot(reading, statedLeaving);
         context.blackboard().publish(snapshot);
         observer.accept(snapshot);
         Map<String, Backend> present = new HashMap<>();
@@ -187,19 +175,56 @@
             }
         }
         lastLogged = present;
-        logRetained();
         cold.retain(snapshot.incarnations());
     }
 
-    /** Logs the servers that are retained from now on. */
-    private void logRetained() {
+    /** Drops the servers whose entries are gone, or checks them again in a moment if they are retained. */
+    private void checkRetained(long now) {
         Set<String> retained = registry.retained();
-        for (String id : retained) {
-            if (!lastRetained.contains(id)) {
-                context.events().emit(new ControlEvents.BackendRetained(id, STORE_AWAY));
+        if (retained.isEmpty()) {
+            lastRetained = retained;
+            return;
+        }
+        RetentionDecision decision = relay.retention(now, reading.sentMillis());
+        if (decision == RetentionDecision.RETAIN) {
+            retained.stream()
+                    .filter(id -> !lastRetained.contains(id))
+                    .forEach(id -> context.events().emit(new ControlEvents.BackendRetained(id)));
+            lastRetained = retained;
+            scheduleCheck();
+            return;
+        }
+        registry.dropRetained();
+        if (!lastRetained.isEmpty()) {
+            context.events().emit(new ControlEvents.RetentionEnded(retained.size(), decision.name()));
+        }
+        lastRetained = Set.of();
+    }
+
+    private void scheduleCheck() {
+        if (checkScheduled || lastRetained.isEmpty()) {
+            return;
+        }
+        checkScheduled = true;
+        context.timers().after(RETENTION_CHECK_MILLIS, () -> {
+            checkScheduled = false;
+            long now = context.time().monotonicMillis();
+            if (relay.retention(now, reading.sentMillis()) != RetentionDecision.RETAIN) {
+                publish(now);
+                return;
             }
+            readForRetained(now);
+            scheduleCheck();
+        });
+    }
+
+    /** Reads the list once the retained servers must have registered again, without the pause before the next read. */
+    private void readForRetained(long now) {
+        boolean due = relay.retention(now, now) != RetentionDecision.RETAIN;
+        if (due && !readForRetained) {
+            follower.poll();
         }
-        lastRetained = retained;
+        readForRetained = due;
     }
 
     /** Records how long a backend server stays cold, and logs when that begins and ends. */
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ConfigurationFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ConfigurationFollower.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.function.LongSupplier;
 import org.cranberrygauge.proxy.configuration.ProxyConfiguration;
-import org.cranberrygauge.proxy.control.TopicFollower.PollSettings;
 import org.cranberrygauge.proxy.store.Confirmation;
 import org.cranberrygauge.proxy.store.KeyedRecord;
 import org.cranberrygauge.proxy.store.RecordReader;
@@ -19,12 +18,6 @@
  */
 public final class ConfigurationFollower implements TopicFollower.Listener {
 
-    /** The maximum wait of a read as a fraction of the apply bound; a confirmation is at most twice as old. */
-    private static final double WAIT_FRACTION = 0.4;
-
-    /** The maximum age of a relayed read as a fraction of the apply bound. */
-    private static final double RELAYED_AGE_FRACTION = 0.7;
-
     private final ControllerContext context;
 
     private final String topic;
@@ -73,10 +66,8 @@
 
     /** Starts to follow the topic, also on behalf of the evacuations. */
     public void start() {
-        PollSettings settings = new PollSettings(
-                (long) (applyBoundMillis * WAIT_FRACTION), 0, (long) (applyBoundMillis * RELAYED_AGE_FRACTION));
         TopicFollower.Listener both = new TopicFollower.Listener.Compound(List.of(this, evacuations));
-        new TopicFollower(context, relay, topic, settings, both).poll();
+        new TopicFollower(context, relay, topic, PollSettings.ofConfiguration(applyBoundMillis), both).poll();
     }
 
     @Override
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
@@ -45,20 +45,29 @@
     public record BackendGone(String backend) implements Event {}
 
     /**
-     * A backend server is retained in the list though the shared log no longer holds its entry.
+     * A backend server is retained in the list though the shared log no longer holds its entry, which may have expired
+     * because the log was away for all hosts.
      *
      * @param backend The identifier of the backend server.
-     * @param reason STORE_AWAY: its entry may have expired because the log was away for all hosts.
      */
-    public record BackendRetained(String backend, String reason) implements Event {}
+    public record BackendRetained(String backend) implements Event {}
 
     /**
-     * The list of backend servers was not read for longer than the entries of running servers last.
+     * The backend servers that were retained in the list and have not registered again are dropped.
      *
-     * @param forMillis The time between the reads in milliseconds.
-     * @param taken What it is taken for: STORE_AWAY if the log may have been away for all hosts.
+     * @param backends The number of servers that are dropped.
+     * @param reason REGISTRATION_OVER: running servers have had the time to register again; HOST_WAS_ALONE: other hosts have read
+     *     the log all the while.
      */
-    public record BackendListGap(long forMillis, String taken) implements Event {}
+    public record RetentionEnded(int backends, String reason) implements Event {}
+
+    /**
+     * The shared log has answered after a time without an answer that is long enough for entries of running backend servers to
+     * expire. Whether it was away for all hosts is not known at that moment.
+     *
+     * @param forMillis The time without an answer in milliseconds.
+     */
+    public record LogGapEnded(long forMillis) implements Event {}
 
     /**
      * The operator has evacuated a data centre: its backend servers get no requests.
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/HostNetwork.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/HostNetwork.java
@@ -1,6 +1,7 @@
 package org.cranberrygauge.proxy.control;
 
 import org.cranberrygauge.proxy.ProxySettings;
+import org.cranberrygauge.proxy.store.LogAvailability;
 
 /**
  * The connection of this host with the others.
@@ -14,6 +15,7 @@
     public static HostNetwork of(ControllerContext context, ProxySettings settings, String topic) {
         PeerDirectory peers = new PeerDirectory(settings.host(), settings.dataCentre());
         HostChannel channel = new HostChannel(context, settings.peers());
-        return new HostNetwork(peers, channel, new TopicRelay(context, peers, channel), topic);
+        LogAvailability availability = new LogAvailability(settings.times().entryExpiryMillis());
+        return new HostNetwork(peers, channel, new TopicRelay(context, peers, channel, availability), topic);
     }
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/LoadReports.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/LoadReports.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import org.cranberrygauge.decision.engine.PrefillTokens;
 import org.cranberrygauge.protocol.generated.BackendWork;
 import org.cranberrygauge.protocol.generated.HostReport;
@@ -65,6 +66,13 @@
         return Optional.of(speeds);
     }
 
+    /** Returns the time for which the log has answered without an outage in milliseconds; empty if the host reports none. */
+    static OptionalLong logAvailableMillis(HostReport report) {
+        return report.isSetLogAvailableMillis() && report.getLogAvailableMillis() >= 0
+                ? OptionalLong.of(report.getLogAvailableMillis())
+                : OptionalLong.empty();
+    }
+
     /** Returns the smoothed delay of the event loop in milliseconds; empty if the host reports none. */
     static OptionalInt loopDelay(HostReport report) {
         return report.isSetLoopDelayMillis() ? OptionalInt.of(report.getLoopDelayMillis()) : OptionalInt.empty();
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerDirectory.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
@@ -18,6 +19,7 @@
 import org.cranberrygauge.proxy.exchange.ForwardingTarget;
 import org.cranberrygauge.proxy.routing.PeerLoads;
 import org.cranberrygauge.proxy.routing.PeerLoads.Work;
+import org.cranberrygauge.proxy.store.StoreEra;
 
 /**
  * The other hosts, their addresses and their last reports.
@@ -86,6 +88,8 @@
                             false,
                             false,
                             OptionalInt.empty(),
+                            OptionalLong.empty(),
+                            StoreEra.UNKNOWN,
                             nowMillis,
                             Long.MIN_VALUE / 2));
             hostFound.accept(address);
@@ -121,6 +125,8 @@
                         report.isReadsLog(),
                         report.isReachesBackends(),
                         LoadReports.loopDelay(report),
+                        LoadReports.logAvailableMillis(report),
+                        report.getEra(),
                         nowMillis,
                         nowMillis));
         if (current == null) {
@@ -210,6 +216,23 @@
                 .map(name -> peers.get(name).address());
     }
 
+    /**
+     * Returns the earliest monotonic time in milliseconds since which another host has read the shared log without an outage;
+     * empty if none has reported that since a time.
+     *
+     * @param nowMillis The current monotonic time in milliseconds.
+     * @param reportedSinceMillis The monotonic time before which reports are not used, in milliseconds.
+     * @param era The era of the log that they must name.
+     */
+    OptionalLong logAvailableSinceMillis(long nowMillis, long reportedSinceMillis, long era) {
+        return peers.values().stream()
+                .filter(peer -> isHeard(nowMillis, peer) && peer.lastReportMillis() >= reportedSinceMillis)
+                .filter(peer -> peer.era() == era && peer.logAvailableMillis().isPresent())
+                .mapToLong(peer ->
+                        peer.lastReportMillis() - peer.logAvailableMillis().getAsLong())
+                .min();
+    }
+
     /**
      * Returns the host that issues the permits for a backend server: one of those heard recently, the same for all
      * hosts that hear of the same ones.
@@ -339,6 +362,9 @@
      * @param readsLog Whether it can read the shared log for others.
      * @param reachesBackends Whether it reaches backend servers.
      * @param loopDelay The smoothed delay of its event loop in milliseconds; empty if it reported none.
+     * @param logAvailableMillis The time for which it has read the shared log without an outage, in milliseconds; empty if it
+     *     reported none.
+     * @param era The era of the log that it knows.
      * @param lastSeenMillis The monotonic time of its last report or, before the first, of its discovery.
      * @param lastReportMillis The monotonic time of its last report.
      */
@@ -353,6 +379,8 @@
             boolean readsLog,
             boolean reachesBackends,
             OptionalInt loopDelay,
+            OptionalLong logAvailableMillis,
+            long era,
             long lastSeenMillis,
             long lastReportMillis) {}
 }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
@@ -221,6 +221,7 @@
                 .configuration()
                 .ifPresent(inForce -> report.setConfigurationVersion(inForce.version()));
         context.blackboard().loopDelay().ifPresent(report::setLoopDelayMillis);
+        network.relay().logAvailableMillis(now).ifPresent(report::setLogAvailableMillis);
         boolean draining = context.blackboard().draining();
         if (sequence % REPORTS_PER_SPEED_REPORT == 0) {
             report.setServerSpeedPercent(context.blackboard().serverSpeedPercent());
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import org.cranberrygauge.proxy.store.Confirmation;
 import org.cranberrygauge.proxy.store.KeyedRecord;
+import org.cranberrygauge.proxy.store.SharedLog.KeyedValues;
 import org.cranberrygauge.proxy.store.SharedLogException;
 import org.cranberrygauge.proxy.store.SharedLogException.Kind;
 import org.cranberrygauge.proxy.store.StoreEra;
@@ -12,19 +13,15 @@
 /**
  * Follows a topic in which the newest record of each key is authoritative.
  *
- * <p>It reads a snapshot at first and after a gap, and later records in between. Not thread-safe.
+ * <p>It reads a snapshot at first and after a gap, and later records in between. While no read is answered in time, further
+ * ones are begun beside it; the first answer is applied, and those of the others are dropped. Not thread-safe.
  */
 final class TopicFollower {
 
     /** The delay after a first failed read; it doubles with each consecutive failure. */
     private static final long INITIAL_RETRY_MILLIS = 100;
 
-    private static final long MAXIMUM_RETRY_MILLIS = 800;
-
-    /** The minimum pause after a read through another host. */
-    private static final long RELAYED_INTERVAL_MILLIS = 250;
-
-    /** The maximum random addition to that pause, so that hosts don't query the same one all at once. */
+    /** The maximum random addition to the pause after a read through another host, so that hosts don't query it all at once. */
     private static final long RELAYED_JITTER_MILLIS = 100;
 
     private final ControllerContext context;
@@ -45,9 +42,24 @@
     /** The era of the log in which that offset was read. */
     private long era = StoreEra.UNKNOWN;
 
+    /** The monotonic time of the last read to the end, in milliseconds. */
+    private long confirmedMillis;
+
+    /** The number of reads whose answers were applied; an answer to a read of an earlier round is dropped. */
+    private long round;
+
     /** The delay after the next failed read. */
     private long retryMillis = INITIAL_RETRY_MILLIS;
 
+    /** The delay after which an overdue read is repeated. */
+    private long repeatMillis;
+
+    /** The monotonic time of the next read in milliseconds; the maximum if none is scheduled. */
+    private long scheduledMillis = Long.MAX_VALUE;
+
+    /** The number of the timer that is in force. */
+    private long timer;
+
     TopicFollower(ControllerContext context, TopicRelay relay, String topic, PollSettings settings, Listener listener) {
         this.context = context;
         this.relay = relay;
@@ -55,40 +67,58 @@
         this.settings = settings;
         this.listener = listener;
         this.monitor = new DependencyMonitor("log topic " + topic, context.events());
+        this.confirmedMillis = context.time().monotonicMillis();
+        this.repeatMillis = settings.repeatMillis();
     }
 
     /** Reads the next records, or a snapshot, and schedules the following read. */
     void poll() {
-        if (next >= 0 && era == context.log().era().newest()) {
-            relay.read(topic, next, settings.waitMillis(), settings.maximumAgeMillis())
-                    .onSuccess(result -> applyOrFail(() -> apply(result)))
-                    .onFailure(this::failed);
+        long started = round;
+        long now = context.time().monotonicMillis();
+        boolean overdue = now - confirmedMillis >= settings.overdueMillis();
+        scheduleBy(overdue ? nextRepeatMillis() : settings.overdueMillis() - (now - confirmedMillis));
+        if (next < 0 || era != context.log().era().newest()) {
+            readSnapshot(started);
             return;
         }
+        (overdue
+                        ? relay.readAtOnce(topic, next, settings.maximumAgeMillis())
+                        : relay.read(topic, next, settings.waitMillis(), settings.maximumAgeMillis()))
+                .onSuccess(result -> applyOrFail(started, () -> apply(result)))
+                .onFailure(failure -> failed(started, failure));
+    }
+
+    private void readSnapshot(long started) {
         Confirmation sent = Confirmation.now(context.time());
         context.log()
                 .newest(topic)
-                .onSuccess(newest -> applyOrFail(() -> {
-                    next = newest.end();
-                    era = context.log().era().newest();
-                    listener.onSnapshot(newest.values());
-                    succeeded(sent, false, settings.pauseMillis());
-                }))
-                .onFailure(this::failed);
+                .onSuccess(newest -> applyOrFail(started, () -> apply(newest, sent)))
+                .onFailure(failure -> failed(started, failure));
     }
 
-    /** Applies what was read; if that fails, the topic is read again later. */
-    private void applyOrFail(Runnable application) {
+    /** Applies what was read unless another answer came first; if that fails, the topic is read again later. */
+    private void applyOrFail(long started, Runnable application) {
+        if (started != round) {
+            return;
+        }
         try {
             application.run();
         } catch (RuntimeException exception) {
-            failed(exception);
+            failed(started, exception);
         }
     }
 
+    private void apply(KeyedValues newest, Confirmation sent) {
+        long current = context.log().era().newest();
+        era = current;
+        next = newest.end();
+        listener.onSnapshot(newest.values());
+        succeeded(sent, false, settings.pauseMillis());
+    }
+
     private void apply(TopicReadResult result) {
         if (era != context.log().era().newest()) {
-            failed(new SharedLogException(Kind.ERA_CHANGED, "the log has come back from an older copy"));
+            failed(round, new SharedLogException(Kind.ERA_CHANGED, "the log has come back from an older copy"));
             return;
         }
         long offset = next;
@@ -118,39 +148,68 @@
         if (!result.relayed()) {
             return settings.pauseMillis();
         }
-        return RELAYED_INTERVAL_MILLIS + ThreadLocalRandom.current().nextLong(RELAYED_JITTER_MILLIS);
+        return settings.relayedIntervalMillis() + ThreadLocalRandom.current().nextLong(RELAYED_JITTER_MILLIS);
     }
 
     private void succeeded(Confirmation confirmation, boolean relayed, long pauseMillis) {
-        monitor.recordSuccess(context.time().monotonicMillis());
+        long now = context.time().monotonicMillis();
+        monitor.recordSuccess(now);
+        round++;
         retryMillis = INITIAL_RETRY_MILLIS;
+        repeatMillis = settings.repeatMillis();
+        confirmedMillis = Math.max(confirmedMillis, confirmation.monotonicMillis());
+        relay.recordAnswer(now, relayed ? Math.min(now, confirmation.monotonicMillis()) : now);
         listener.onConfirmed(confirmation, relayed);
+        cancelScheduled();
         if (pauseMillis == 0) {
             poll();
         } else {
-            context.timers().after(pauseMillis, this::poll);
+            scheduleBy(pauseMillis);
         }
     }
 
-    private void failed(Throwable failure) {
+    private void failed(long started, Throwable failure) {
+        if (started != round) {
+            return;
+        }
         monitor.recordFailure(context.time().monotonicMillis(), String.valueOf(failure.getMessage()));
         listener.onReadFailure();
         if (failure instanceof SharedLogException known
                 && (known.kind() == Kind.TRIMMED || known.kind() == Kind.ERA_CHANGED)) {
             next = -1;
         }
-        context.timers().after(retryMillis, this::poll);
-        retryMillis = Math.min(MAXIMUM_RETRY_MILLIS, retryMillis * 2);
+        scheduleBy(Math.min(retryMillis, settings.maximumRepeatMillis()));
+        retryMillis = Math.min(settings.maximumRepeatMillis(), retryMillis * 2);
     }
 
-    /**
-     * How a topic is polled.
-     *
-     * @param waitMillis The maximum time that a read of the log waits for a record, in milliseconds.
-     * @param pauseMillis The pause between reads of the log, in milliseconds.
-     * @param maximumAgeMillis The maximum age of a read through another host, in milliseconds.
-     */
-    record PollSettings(long waitMillis, long pauseMillis, long maximumAgeMillis) {}
+    /** Returns the time until the next read if this one, which is overdue, gets no answer. */
+    private long nextRepeatMillis() {
+        long delay = repeatMillis;
+        repeatMillis = Math.min(settings.maximumRepeatMillis(), repeatMillis * 2);
+        return delay;
+    }
+
+    /** Schedules the next read, unless one is due earlier. */
+    private void scheduleBy(long delayMillis) {
+        long delay = Math.max(1, delayMillis);
+        long at = context.time().monotonicMillis() + delay;
+        if (at >= scheduledMillis) {
+            return;
+        }
+        long number = ++timer;
+        scheduledMillis = at;
+        context.timers().after(delay, () -> {
+            if (number == timer) {
+                scheduledMillis = Long.MAX_VALUE;
+                poll();
+            }
+        });
+    }
+
+    private void cancelScheduled() {
+        timer++;
+        scheduledMillis = Long.MAX_VALUE;
+    }
 
     /** Receives what a follower reads. */
     interface Listener {
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicRelay.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicRelay.java
@@ -14,6 +14,7 @@
 import org.cranberrygauge.protocol.generated.TopicAnswer;
 import org.cranberrygauge.protocol.generated.TopicQuestion;
 import org.cranberrygauge.proxy.store.Confirmation;
+import org.cranberrygauge.proxy.store.LogAvailability;
 import org.cranberrygauge.proxy.store.RecentRecords;
 import org.cranberrygauge.proxy.store.RecentRecords.Part;
 import org.cranberrygauge.proxy.store.SharedLog.LogSlice;
@@ -57,6 +58,8 @@
 
     private final MessageTransport transport;
 
+    private final LogAvailability availability;
+
     /** The recent records by topic. */
     private final Map<String, TopicState> topics = new HashMap<>();
 
@@ -78,9 +81,16 @@
     /** The monotonic time of the last query of another host. */
     private long lastQueriedMillis = Long.MIN_VALUE / 2;
 
-    TopicRelay(ControllerContext context, PeerDirectory peers, MessageTransport transport) {
+    /** @param availability Receives when the log answered this host or one that it queried. */
+    TopicRelay(
+            ControllerContext context, PeerDirectory peers, MessageTransport transport, LogAvailability availability) {
         this.context = context;
         this.peers = peers;
+        this.availability = availability;
+        context.log()
+                .era()
+                .onChange((previous, current) ->
+                        availability.recordRollback(context.time().monotonicMillis()));
         this.transport = transport;
         this.readMonitor = new DependencyMonitor("reads of the log", context.events());
         this.relayMonitor = new DependencyMonitor("answers of other hosts", context.events());
@@ -120,6 +130,61 @@
                 .recover(failure -> readLog(topic, fromOffset, waitMillis, maximumAgeMillis));
     }
 
+    /**
+     * Reads records directly, and through another host beside that, and returns what is read first.
+     *
+     * @param fromOffset The offset of the first record.
+     * @param maximumAgeMillis The maximum age of a read by another host, in milliseconds.
+     */
+    Future<TopicReadResult> readAtOnce(String topic, long fromOffset, long maximumAgeMillis) {
+        Future<TopicReadResult> direct = readDirectly(topic, fromOffset, 0);
+        Optional<NetworkAddress> other = reader(false);
+        if (other.isEmpty()) {
+            return direct;
+        }
+        Future<TopicReadResult> relayed = query(other.get(), topic, fromOffset, maximumAgeMillis);
+        Promise<TopicReadResult> first = Promise.promise();
+        direct.onSuccess(first::tryComplete);
+        direct.onFailure(failure -> {
+            if (isPositionLost(failure)) {
+                first.tryFail(failure);
+            }
+        });
+        relayed.onSuccess(first::tryComplete);
+        Future.any(direct, relayed).onFailure(both -> first.tryFail(direct.cause()));
+        return first.future();
+    }
+
+    /**
+     * Records that a read of the log was answered.
+     *
+     * @param answeredMillis The monotonic time at which the log answered, in milliseconds; earlier if another host has read it.
+     */
+    void recordAnswer(long nowMillis, long answeredMillis) {
+        availability
+                .recordAnswer(nowMillis, answeredMillis)
+                .ifPresent(millis -> context.events().emit(new ControlEvents.LogGapEnded(millis)));
+    }
+
+    /** Returns the time since which the log has answered without an outage, in milliseconds; empty while it may be away. */
+    OptionalLong logAvailableMillis(long nowMillis) {
+        return availability.availableMillis(nowMillis);
+    }
+
+    /**
+     * Decides whether servers whose entries the log no longer holds stay in the list.
+     *
+     * @param readMillis The monotonic time at which the read was sent that does not find the entries, in milliseconds.
+     */
+    RetentionDecision retention(long nowMillis, long readMillis) {
+        OptionalLong outageEnd = availability.outageEndMillis();
+        OptionalLong elsewhere = outageEnd.isEmpty()
+                ? OptionalLong.empty()
+                : peers.logAvailableSinceMillis(
+                        nowMillis, outageEnd.getAsLong(), context.log().era().newest());
+        return RetentionDecision.decide(readMillis, outageEnd, elsewhere);
+    }
+
     private Optional<NetworkAddress> reader(boolean ownReads) {
         long now = context.time().monotonicMillis();
         return peers.reader(now, ownReads)
@@ -128,28 +193,36 @@
 
     /** Reads the log directly; if that fails, queries another host. */
     private Future<TopicReadResult> readLog(String topic, long fromOffset, long waitMillis, long maximumAgeMillis) {
+        return readDirectly(topic, fromOffset, waitMillis).recover(failure -> {
+            if (isPositionLost(failure)) {
+                return Future.failedFuture(failure);
+            }
+            return reader(false)
+                    .map(other -> query(other, topic, fromOffset, maximumAgeMillis)
+                            .recover(unanswered -> Future.failedFuture(failure)))
+                    .orElseGet(() -> Future.failedFuture(failure));
+        });
+    }
+
+    private Future<TopicReadResult> readDirectly(String topic, long fromOffset, long waitMillis) {
         Confirmation sent = Confirmation.now(context.time());
         boolean queried = sent.monotonicMillis() - lastQueriedMillis < QUERIED_MILLIS;
         return context.log()
                 .read(topic, fromOffset, queried ? (long) (waitMillis * QUERIED_WAIT_FACTOR) : waitMillis)
                 .onSuccess(slice -> readMonitor.recordSuccess(context.time().monotonicMillis()))
                 .map(slice -> cache(topic, fromOffset, toResult(slice, sent)))
-                .recover(failure -> {
-                    if (failure instanceof SharedLogException known && isPositionLost(known)) {
-                        return Future.failedFuture(failure);
+                .onFailure(failure -> {
+                    if (!isPositionLost(failure)) {
+                        lastFailureMillis = context.time().monotonicMillis();
+                        readMonitor.recordFailure(lastFailureMillis, topic + ": " + failure.getMessage());
                     }
-                    lastFailureMillis = context.time().monotonicMillis();
-                    readMonitor.recordFailure(lastFailureMillis, topic + ": " + failure.getMessage());
-                    return reader(false)
-                            .map(other -> query(other, topic, fromOffset, maximumAgeMillis)
-                                    .recover(unanswered -> Future.failedFuture(failure)))
-                            .orElseGet(() -> Future.failedFuture(failure));
                 });
     }
 
     /** Tells whether the offset of a read is not valid any longer, though the log can be read. */
-    private static boolean isPositionLost(SharedLogException failure) {
-        return failure.kind() == Kind.TRIMMED || failure.kind() == Kind.ERA_CHANGED;
+    private static boolean isPositionLost(Throwable failure) {
+        return failure instanceof SharedLogException known
+                && (known.kind() == Kind.TRIMMED || known.kind() == Kind.ERA_CHANGED);
     }
 
     /** Queries another host for records, and stops to query it for a time if it gives no usable response. */
@@ -206,11 +279,14 @@
         return new TopicReadResult(records, fromOffset + records.size(), read, true, answer.isComplete());
     }
 
-    /** Keeps a result for queries of other hosts, and returns it. */
+    /** Keeps a result for queries of other hosts unless a newer one is kept, and returns it. */
     private TopicReadResult cache(String topic, long fromOffset, TopicReadResult result) {
         long era = context.log().era().newest();
         TopicState state =
                 topics.compute(topic, (name, known) -> known == null || known.era != era ? new TopicState(era) : known);
+        if (era != StoreEra.UNKNOWN && result.next() < state.recent.end()) {
+            return result;
+        }
         state.recent.add(fromOffset, result.records());
         state.confirmation = state.confirmation.later(result.confirmation());
         return result;
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HostMetrics.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/exchange/HostMetrics.java
@@ -19,6 +19,9 @@
 
     private final Gauge backends;
 
+    /** The backend servers that are listed though the log no longer holds their entries. */
+    private final Gauge retained;
+
     /** The hosts that share retry budgets, including this one; 0 while their number is not known. */
     private final Gauge hosts;
 
@@ -42,6 +45,10 @@
         version = gauge(registry, "configuration_version", "Version of the configuration; -1 if none is known.");
         age = gauge(registry, "configuration_age_seconds", "Age of the last confirmation of the configuration.");
         backends = gauge(registry, "backends", "Backend servers that are listed.");
+        retained = gauge(
+                registry,
+                "retained_backends",
+                "Backend servers that are listed though their entries are gone, since the log may have been away.");
         hosts = gauge(
                 registry,
                 "hosts",
@@ -90,6 +97,11 @@
         cold.set(coldBackends);
     }
 
+    /** Updates the number of backend servers that are listed though their entries are gone. */
+    public void recordRetained(int retainedBackends) {
+        retained.set(retainedBackends);
+    }
+
     /** Updates the metrics of the speed of backend servers. */
     public void recordSpeeds(int slowBackends, int fastBackends) {
         slow.set(slowBackends);
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/store/RecentRecords.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/store/RecentRecords.java
@@ -23,18 +23,25 @@
 
     private int totalBytes;
 
+    /** Returns the offset after the last record; -1 before the first. */
+    public long end() {
+        return end;
+    }
+
     /**
-     * Adds records. If they don't continue at the end, all earlier records are discarded.
+     * Adds records. Those before the end are retained already, if the first of them is. If the records don't continue at
+     * the end, all earlier ones are discarded.
      *
      * @param first The offset of the first record.
      */
     public void add(long first, List<byte[]> added) {
-        if (first != end) {
+        boolean overlaps = first < end && first >= end - records.size() && first + added.size() >= end;
+        if (!overlaps && first != end) {
             records.clear();
             totalBytes = 0;
             end = first;
         }
-        for (byte[] record : added) {
+        for (byte[] record : added.subList((int) (end - first), added.size())) {
             records.addLast(record);
             totalBytes += record.length;
             end++;
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/backend/BackendRegistryTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/backend/BackendRegistryTest.java
@@ -3,8 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Map;
+import java.util.Set;
 import org.cranberrygauge.model.backend.Supply;
 import org.cranberrygauge.proxy.ProxyFixtures;
+import org.cranberrygauge.proxy.backend.ListReading.Source;
 import org.junit.jupiter.api.Test;
 
 class BackendRegistryTest {
@@ -14,112 +16,105 @@
     private final Backend first = ProxyFixtures.backend("first");
 
     @Test
-    void aRemovedEntryIsGoneAtOnceInNormalOperation() {
-        registry.recordRead(1_000);
+    void aRemovedEntryIsRetainedUntilItIsDropped() {
         registry.put(first);
-        registry.recordRead(1_500);
-        registry.remove(1_500, "first");
-        assertThat(registry.snapshot(1_500, incarnation -> false).all()).isEmpty();
+        registry.remove("first");
+        assertThat(snapshot().ready("engines")).containsExactly(first);
+        assertThat(registry.retained()).containsExactly("first");
+        registry.dropRetained();
+        assertThat(snapshot().all()).isEmpty();
+        assertThat(registry.retained()).isEmpty();
     }
 
     @Test
-    void anEntryThatExpiredInAnOutageIsRetainedForTheRegistrationTime() {
-        registry.recordRead(1_000);
+    void anEntryThatIsRegisteredAgainStays() {
         registry.put(first);
-        registry.recordRead(6_000);
-        registry.remove(6_000, "first");
-        assertThat(registry.snapshot(7_999, incarnation -> false).ready("engines"))
-                .containsExactly(first);
-        assertThat(registry.snapshot(8_000, incarnation -> false).all()).isEmpty();
-    }
-
-    @Test
-    void anEntryThatIsRegisteredAgainAfterAnOutageStays() {
-        registry.recordRead(1_000);
+        registry.remove("first");
         registry.put(first);
-        registry.recordRead(6_000);
-        registry.remove(6_000, "first");
-        registry.put(first);
-        assertThat(registry.snapshot(9_000, incarnation -> false).ready("engines"))
-                .containsExactly(first);
+        registry.dropRetained();
+        assertThat(snapshot().ready("engines")).containsExactly(first);
     }
 
     @Test
-    void anEntryMissingFromTheFirstListAfterAnOutageIsRetainedForTheRegistrationTime() {
-        registry.recordRead(1_000);
+    void anEntryMissingFromACompleteListIsRetainedUntilItIsDropped() {
         registry.put(first);
-        registry.recordRead(6_000);
-        registry.replaceEntries(6_000, Map.of());
-        assertThat(registry.snapshot(7_000, incarnation -> false).all()).containsExactly(first);
-        assertThat(registry.snapshot(8_000, incarnation -> false).all()).isEmpty();
+        registry.replaceEntries(Map.of());
+        assertThat(snapshot().all()).containsExactly(first);
+        registry.dropRetained();
+        assertThat(snapshot().all()).isEmpty();
     }
 
     @Test
     void anOlderCopyOfTheStoreBringsNeitherALeavingServerBackNorOneThatWasRemoved() {
         Backend second = ProxyFixtures.backend("second");
-        registry.recordRead(1_000);
         registry.put(first.withLeaving());
         registry.put(second);
-        registry.recordRead(1_500);
-        registry.remove(1_500, "second");
-        registry.recordRollback(2_000);
-        registry.replaceEntries(2_000, Map.of("first", first, "second", second));
-        assertThat(registry.snapshot(2_000, incarnation -> false).all()).containsExactly(first.withLeaving());
+        registry.remove("second");
+        registry.dropRetained();
+        registry.recordRollback();
+        registry.replaceEntries(Map.of("first", first, "second", second));
+        assertThat(snapshot().all()).containsExactly(first.withLeaving());
         registry.put(second);
-        assertThat(registry.snapshot(2_100, incarnation -> false).ready("engines"))
-                .containsExactly(second);
+        assertThat(snapshot().ready("engines")).containsExactly(second);
     }
 
     @Test
     void aServerThatRegisteredAgainAfterItsRemovalIsTakenFromAnOlderCopy() {
-        registry.recordRead(1_000);
         registry.put(first);
-        registry.remove(1_000, "first");
+        registry.remove("first");
+        registry.dropRetained();
         registry.put(first);
-        registry.recordRollback(2_000);
-        registry.replaceEntries(2_000, Map.of("first", first));
-        assertThat(registry.snapshot(2_000, incarnation -> false).ready("engines"))
-                .containsExactly(first);
+        registry.recordRollback();
+        registry.replaceEntries(Map.of("first", first));
+        assertThat(snapshot().ready("engines")).containsExactly(first);
     }
 
     @Test
-    void anEntryThatAnOlderCopyOfTheStoreLacksIsRetainedForTheRegistrationTime() {
-        registry.recordRead(1_000);
+    void anEntryThatAnOlderCopyOfTheStoreLacksIsRetainedUntilItIsDropped() {
         registry.put(first);
-        registry.recordRollback(1_500);
-        registry.replaceEntries(1_500, Map.of());
-        assertThat(registry.snapshot(3_499, incarnation -> false).all()).containsExactly(first);
-        assertThat(registry.snapshot(3_500, incarnation -> false).all()).isEmpty();
+        registry.recordRollback();
+        registry.replaceEntries(Map.of());
+        assertThat(snapshot().all()).containsExactly(first);
+        registry.dropRetained();
+        assertThat(snapshot().all()).isEmpty();
     }
 
     @Test
-    void aDrainingBackendServerGetsNoNewRequestsAndIsNotRetainedAfterAnOutage() {
+    void aDrainingBackendServerGetsNoNewRequestsAndIsNotRetained() {
         Backend leaving = ProxyFixtures.backend("first", "engines", "east-a", true, Supply.REGULAR);
-        registry.recordRead(1_000);
         registry.put(leaving);
-        assertThat(registry.snapshot(1_000, incarnation -> false).ready("engines"))
-                .isEmpty();
-        assertThat(registry.snapshot(1_000, incarnation -> false).lists(leaving.incarnation()))
-                .isTrue();
-        registry.recordRead(6_000);
-        registry.remove(6_000, "first");
-        assertThat(registry.snapshot(6_000, incarnation -> false).all()).isEmpty();
+        assertThat(snapshot().ready("engines")).isEmpty();
+        assertThat(snapshot().lists(leaving.incarnation())).isTrue();
+        registry.remove("first");
+        assertThat(snapshot().all()).isEmpty();
     }
 
     @Test
     void aDiscardedEntryDoesNotAffectTheOthers() {
         Backend second = ProxyFixtures.backend("second");
-        registry.recordRead(1_000);
         registry.put(first);
         registry.put(second);
         registry.discard("first");
-        assertThat(registry.snapshot(1_000, incarnation -> false).all()).containsExactly(second);
+        assertThat(snapshot().all()).containsExactly(second);
     }
 
     @Test
     void theListIsUnknownBeforeTheFirstRead() {
-        assertThat(registry.snapshot(0, incarnation -> false).known()).isFalse();
-        registry.recordRead(1);
-        assertThat(registry.snapshot(1, incarnation -> false).known()).isTrue();
+        assertThat(snapshot().known()).isFalse();
+        registry.recordRead();
+        assertThat(snapshot().known()).isTrue();
+    }
+
+    @Test
+    void aSnapshotTellsTheAgeOfTheListAlsoWhereADataCentreIsEvacuated() {
+        ListReading reading = new ListReading(Source.OTHER_HOST, 1_000);
+        BackendSnapshot snapshot =
+                registry.snapshot(reading, incarnation -> false).withEvacuated(Set.of("east-a"));
+        assertThat(snapshot.reading().ageMillis(1_700)).isEqualTo(700);
+        assertThat(snapshot().reading().ageMillis(1_700)).isEqualTo(-1);
+    }
+
+    private BackendSnapshot snapshot() {
+        return registry.snapshot(ListReading.NONE, incarnation -> false);
     }
 }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/ListingFleet.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/ListingFleet.java
@@ -20,6 +20,7 @@
 import org.cranberrygauge.proxy.backend.Backend;
 import org.cranberrygauge.proxy.exchange.ProxyBlackboard;
 import org.cranberrygauge.proxy.store.KeyedRecord;
+import org.cranberrygauge.proxy.store.LogAvailability;
 import org.cranberrygauge.runtime.event.EventLog;
 
 /**
@@ -38,6 +39,9 @@
     /** The time that a request may take from the host's last look at the list to the server. */
     private static final long DELIVERY_MILLIS = 100;
 
+    /** The shortest outage of the log in which entries of running servers expire, as in the deployments. */
+    private static final long ENTRY_EXPIRY_MILLIS = 2_400;
+
     private static final int DATA_CENTRES = 2;
 
     private static final long REPORT_MILLIS = 200;
@@ -250,7 +254,7 @@
             peers = new PeerDirectory(name(), dataCentre());
             ControllerContext context =
                     new ControllerContext(null, timers, timeline, log, blackboard, EventLog.NoOp.INSTANCE);
-            relay = new TopicRelay(context, peers, this);
+            relay = new TopicRelay(context, peers, this, new LogAvailability(ENTRY_EXPIRY_MILLIS));
             handlers.put(
                     HostMessage._Fields.REPORT, (message, sender) -> peers.update(now(), message.getReport(), sender));
             hosts.stream()
@@ -264,7 +268,8 @@
                             incarnation -> false,
                             new ColdServers(pool -> 0),
                             snapshot -> {},
-                            drainBoundMillis)
+                            drainBoundMillis,
+                            ENTRY_EXPIRY_MILLIS)
                     .start();
             timers.after(1 + random.nextInt((int) REPORT_MILLIS), () -> report(timers));
         }
@@ -319,6 +324,8 @@
         private void report(Timers timers) {
             HostReport report = new HostReport(
                     name(), startedMillis, ++sequence, Map.of(), List.of(), List.of(), dataCentre(), relay.readsLog());
+            report.setEra(log.era().newest());
+            relay.logAvailableMillis(now()).ifPresent(report::setLogAvailableMillis);
             hosts.stream().filter(other -> other != this).forEach(other -> sendTo(other, HostMessage.report(report)));
             timers.after(REPORT_MILLIS, () -> report(timers));
         }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/ListingFleetTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/ListingFleetTest.java
@@ -15,7 +15,7 @@
 
     private static final int HOSTS = 6;
 
-    private static final int SEEDS = 12;
+    private static final int SEEDS = Integer.getInteger("cranberrygauge.seeds", 12);
 
     private static final int SERVERS = 30;
 
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/PeerDirectoryTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/PeerDirectoryTest.java
@@ -63,6 +63,25 @@
         assertThat(peers.reader(1_200, true)).contains(FIRST);
     }
 
+    /** Guards against a host that takes its own absence for one of the log, and one of the log for its own. */
+    @Test
+    void theLogIsAvailableSinceTheEarliestTimeThatAnotherHostReportsInItsEra() {
+        assertThat(peers.logAvailableSinceMillis(1_100, 1_000, 7)).isEmpty();
+        reportsLogAvailable(1_000, "host-1", 300, 7);
+        reportsLogAvailable(1_050, "host-3", 500, 7);
+        reportsLogAvailable(1_050, "host-4", 900, 6);
+        assertThat(peers.logAvailableSinceMillis(1_100, 1_000, 7)).hasValue(550);
+        assertThat(peers.logAvailableSinceMillis(1_100, 1_060, 7)).isEmpty();
+        assertThat(peers.logAvailableSinceMillis(2_060, 1_000, 7)).isEmpty();
+    }
+
+    private void reportsLogAvailable(long now, String host, long availableMillis, long era) {
+        HostReport report = new HostReport(host, 1, now, Map.of(), List.of(), List.of(), "east", true)
+                .setLogAvailableMillis(availableMillis)
+                .setEra(era);
+        peers.update(now, report, FIRST);
+    }
+
     @Test
     void hostsThatHearOfEachOtherAgreeOnTheIssuerOfAServer() {
         PeerDirectory other = new PeerDirectory("host-1", "west");
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/ReportedFiguresTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/ReportedFiguresTest.java
@@ -47,6 +47,15 @@
                 .isEqualTo(NOW);
     }
 
+    @Test
+    void aLogIsNeverReadAsAvailableSinceTheFuture() {
+        PeerDirectory peers = new PeerDirectory("host-1", "east");
+        HostReport report = new HostReport("host-2", 1, 1, Map.of(), List.of(), List.of(), "east", true)
+                .setLogAvailableMillis(-1_000_000);
+        peers.update(NOW, report, new NetworkAddress("10.0.0.2", 1));
+        assertThat(peers.logAvailableSinceMillis(NOW, NOW, 0)).isEmpty();
+    }
+
     @Test
     void negativeWorkIsReadAsNone() {
         PeerDirectory peers = new PeerDirectory("host-1", "east");
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/SimulatedStore.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/SimulatedStore.java
@@ -184,7 +184,7 @@
                 carriedOut
                         .get()
                         .onComplete(result -> timers.after(1 + random.nextInt(maximumCallMillis), () -> {
-                            if (cut) {
+                            if (cut || down) {
                                 return;
                             }
                             if (!era().observe(answered) || (sentEra != 0 && sentEra != answered)) {
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicFollowerTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicFollowerTest.java
@@ -17,11 +17,12 @@
 import java.util.function.BiConsumer;
 import org.cranberrygauge.model.backend.NetworkAddress;
 import org.cranberrygauge.protocol.generated.HostMessage;
-import org.cranberrygauge.proxy.control.TopicFollower.PollSettings;
 import org.cranberrygauge.proxy.exchange.ProxyBlackboard;
 import org.cranberrygauge.proxy.store.Confirmation;
 import org.cranberrygauge.proxy.store.KeyedRecord;
+import org.cranberrygauge.proxy.store.LogAvailability;
 import org.cranberrygauge.proxy.store.PartialLog;
+import org.cranberrygauge.proxy.store.SharedLogException;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.time.TimeSource;
 import org.junit.jupiter.api.AfterEach;
@@ -81,8 +82,10 @@
     private TopicFollower follower() {
         ControllerContext context = new ControllerContext(
                 vertx, TimeSource.System.INSTANCE, log, new ProxyBlackboard(), EventLog.NoOp.INSTANCE);
-        TopicRelay relay = new TopicRelay(context, new PeerDirectory("host-1", "east"), new NoTransport());
-        return new TopicFollower(context, relay, TOPIC, new PollSettings(0, 600_000, 1_000), new Recorder());
+        TopicRelay relay = new TopicRelay(
+                context, new PeerDirectory("host-1", "east"), new NoTransport(), new LogAvailability(2_400));
+        return new TopicFollower(
+                context, relay, TOPIC, new PollSettings(0, 600_000, 1_000, 250, 600_000, 600_000, 800), new Recorder());
     }
 
     /** Polls on an event loop and waits until the result has been applied or dropped. */
@@ -131,6 +134,12 @@
 
         private final List<KeyedRecord> records = new ArrayList<>();
 
+        /** The number of records that a list lacks. */
+        private int stale;
+
+        /** Whether records can be read only by a list. */
+        private boolean trimmed;
+
         RewindingLog() {
             era().observe(1);
         }
@@ -158,12 +167,16 @@
         @Override
         public Future<KeyedValues> newest(String topic) {
             Map<String, byte[]> values = new HashMap<>();
-            records.forEach(record -> values.put(record.key(), record.value().orElseThrow()));
-            return Future.succeededFuture(new KeyedValues(values, records.size()));
+            List<KeyedRecord> listed = records.subList(0, records.size() - stale);
+            listed.forEach(record -> values.put(record.key(), record.value().orElseThrow()));
+            return Future.succeededFuture(new KeyedValues(values, listed.size()));
         }
 
         @Override
         public Future<LogSlice> read(String topic, long from, long waitMillis) {
+            if (trimmed) {
+                return Future.failedFuture(new SharedLogException(SharedLogException.Kind.TRIMMED, "trimmed"));
+            }
             List<byte[]> read =
                     records.stream().skip(from).map(KeyedRecord::bytes).toList();
             return Future.succeededFuture(new LogSlice(records.size(), from + read.size(), read));
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicRelayTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicRelayTest.java
@@ -19,6 +19,7 @@
 import org.cranberrygauge.protocol.generated.HostReport;
 import org.cranberrygauge.proxy.exchange.ProxyBlackboard;
 import org.cranberrygauge.proxy.store.Confirmation;
+import org.cranberrygauge.proxy.store.LogAvailability;
 import org.cranberrygauge.proxy.store.PartialLog;
 import org.cranberrygauge.proxy.store.SharedLogException;
 import org.cranberrygauge.runtime.event.EventLog;
@@ -175,6 +176,32 @@
         assertThat(result.next()).isEqualTo(6);
     }
 
+    /** Guards against hosts that are told that no records follow though a newer read has found some. */
+    @Test
+    void anOlderReadThatIsAnsweredLaterIsNotRelayed() throws Exception {
+        firstLog.era().observe(1);
+        secondLog.era().observe(1);
+        firstLog.records = List.of(new byte[] {1}, new byte[] {2});
+        read(first, 5);
+        firstLog.records = List.of(new byte[] {1});
+        read(first, 5);
+        TopicReadResult relayed = read(second, 6);
+        assertThat(relayed.records()).containsExactly(new byte[] {2});
+        assertThat(secondLog.reads).isZero();
+    }
+
+    @Test
+    void anOverdueReadIsSentToTheLogAndToTheOtherHost() throws Exception {
+        read(second, 5);
+        firstLog.failure = new SharedLogException(SharedLogException.Kind.TURNED_AWAY, "turned away");
+        TopicReadResult result = first.readAtOnce(TOPIC, 5, 800)
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(RESPONSE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        assertThat(result.relayed()).isTrue();
+        assertThat(firstLog.reads).isEqualTo(1);
+    }
+
     @Test
     void aHostReadsRecordsByItselfThatTheOtherNoLongerHas() throws Exception {
         read(first, 5);
@@ -218,7 +245,7 @@
         network.directories.put(name, peers);
         ControllerContext context =
                 new ControllerContext(vertx, clock, log, new ProxyBlackboard(), EventLog.NoOp.INSTANCE);
-        return new TopicRelay(context, peers, network.transport(name));
+        return new TopicRelay(context, peers, network.transport(name), new LogAvailability(2_400));
     }
 
     private static HostReport report(String host, long sequence) {
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/UsageReportControllerTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/UsageReportControllerTest.java
@@ -17,6 +17,7 @@
 import org.cranberrygauge.proxy.exchange.ProxyBlackboard;
 import org.cranberrygauge.proxy.leader.BackendOrder;
 import org.cranberrygauge.proxy.leader.ControlPlaneClient;
+import org.cranberrygauge.proxy.store.LogAvailability;
 import org.cranberrygauge.proxy.store.PartialLog;
 import org.cranberrygauge.runtime.event.EventLog;
 import org.cranberrygauge.runtime.time.TimeSource;
@@ -59,7 +60,8 @@
         ControllerContext context =
                 new ControllerContext(vertx, time, log, new ProxyBlackboard(), EventLog.NoOp.INSTANCE);
         vertx.runOnContext(run -> {
-            TopicRelay relay = new TopicRelay(context, new PeerDirectory("host-1", "east"), new RecordingTransport());
+            TopicRelay relay = new TopicRelay(
+                    context, new PeerDirectory("host-1", "east"), new RecordingTransport(), new LogAvailability(2_400));
             LeaderElection election = new LeaderElection(context, relay, "host-1@1", LEASE_MILLIS);
             time.set(100 * WINDOW_MILLIS + 1);
             election.start();
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/store/RecentRecordsTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/store/RecentRecordsTest.java
@@ -28,6 +28,15 @@
         assertThat(recent.since(12, 100)).contains(new Part(List.of(), true));
     }
 
+    /** Guards against records that are relayed twice, or no longer, after two reads that overlap. */
+    @Test
+    void retainsRecordsOnceThatTwoReadsReturned() {
+        recent.add(7, List.of(FIRST));
+        recent.add(7, List.of(FIRST, SECOND));
+        assertThat(recent.since(7, 100)).contains(new Part(List.of(FIRST, SECOND), true));
+        assertThat(recent.end()).isEqualTo(9);
+    }
+
     @Test
     void returnsNothingFromBeforeTheFirstRetainedRecord() {
         recent.add(7, List.of(FIRST));
