--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
@@ -14,7 +14,8 @@
  * Follows a topic in which the newest record of each key is authoritative.
  *
  * <p>It reads a snapshot at first and after a gap, and later records in between. While no read is answered in time, further
- * ones are begun beside it; the first answer is applied, and those of the others are dropped. Not thread-safe.
+ * ones are begun beside it; the first answer is applied, and those of the others are dropped. A snapshot that ends before
+ * what was read is never applied within an era of the log. Not thread-safe.
  */
 final class TopicFollower {
 
@@ -39,6 +40,9 @@
     /** The offset of the next record; -1 if a snapshot has to be read. */
     private long next = -1;
 
+    /** The end of what has been read in the current era. */
+    private long end;
+
     /** The era of the log in which that offset was read. */
     private long era = StoreEra.UNKNOWN;
 
@@ -110,7 +114,12 @@
 
     private void apply(KeyedValues newest, Confirmation sent) {
         long current = context.log().era().newest();
+        if (current == era && current != StoreEra.UNKNOWN && newest.end() < end) {
+            failed(round, new SharedLogException(Kind.NO_ANSWER, "ends at " + newest.end() + ", was read to " + end));
+            return;
+        }
         era = current;
+        end = newest.end();
         next = newest.end();
         listener.onSnapshot(newest.values());
         succeeded(sent, false, settings.pauseMillis());
@@ -128,6 +137,7 @@
             offset++;
         }
         next = result.next();
+        end = next;
         succeeded(result.confirmation(), result.relayed(), pauseMillis(result));
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicRelay.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicRelay.java
@@ -209,6 +209,7 @@
         boolean queried = sent.monotonicMillis() - lastQueriedMillis < QUERIED_MILLIS;
         return context.log()
                 .read(topic, fromOffset, queried ? (long) (waitMillis * QUERIED_WAIT_FACTOR) : waitMillis)
+                .compose(slice -> requireNotOlder(slice, fromOffset))
                 .onSuccess(slice -> readMonitor.recordSuccess(context.time().monotonicMillis()))
                 .map(slice -> cache(topic, fromOffset, toResult(slice, sent)))
                 .onFailure(failure -> {
@@ -219,6 +220,16 @@
                 });
     }
 
+    /** Rejects a response that ends before what was read; only in another era may the topic have become shorter. */
+    private Future<LogSlice> requireNotOlder(LogSlice slice, long fromOffset) {
+        if (slice.end() >= fromOffset) {
+            return Future.succeededFuture(slice);
+        }
+        Kind kind = context.log().era().newest() == StoreEra.UNKNOWN ? Kind.TRIMMED : Kind.NO_ANSWER;
+        return Future.failedFuture(
+                new SharedLogException(kind, "ends at " + slice.end() + ", was read to " + fromOffset));
+    }
+
     /** Tells whether the offset of a read is not valid any longer, though the log can be read. */
     private static boolean isPositionLost(Throwable failure) {
         return failure instanceof SharedLogException known
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicFollowerTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicFollowerTest.java
@@ -79,6 +79,25 @@
         assertThat(known.keySet()).containsExactlyInAnyOrder("0", "1", "2", "3", "4", "6", "7", "8", "9");
     }
 
+    /** Guards against removed servers that a list brings back which is older than what the host has read. */
+    @Test
+    void aListThatEndsBeforeWhatWasReadBringsNothingBack() throws Exception {
+        log.appendNumbered("old", 0, 5);
+        TopicFollower follower = follower();
+        poll(follower);
+        log.appendNumbered("new", 0, 5);
+        poll(follower);
+        log.trimmed = true;
+        log.stale = 5;
+        poll(follower);
+        poll(follower);
+        assertThat(known).isEqualTo(log.newestValues());
+        log.stale = 0;
+        log.appendNumbered("newer", 0, 1);
+        poll(follower);
+        assertThat(known).isEqualTo(log.newestValues());
+    }
+
     private TopicFollower follower() {
         ControllerContext context = new ControllerContext(
                 vertx, TimeSource.System.INSTANCE, log, new ProxyBlackboard(), EventLog.NoOp.INSTANCE);
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicRelayTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicRelayTest.java
@@ -176,6 +176,14 @@
         assertThat(result.next()).isEqualTo(6);
     }
 
+    /** Guards against a list that counts as confirmed by a response from before what was read. */
+    @Test
+    void aResponseThatEndsBeforeWhatWasReadConfirmsNothing() {
+        firstLog.era().observe(1);
+        firstLog.unread = -2;
+        assertThatThrownBy(() -> read(first, 5)).hasRootCauseMessage("ends at 3, was read to 5");
+    }
+
     /** Guards against hosts that are told that no records follow though a newer read has found some. */
     @Test
     void anOlderReadThatIsAnsweredLaterIsNotRelayed() throws Exception {
