Read the log directly once, not for each part of a reply, when a host is overdue

Change: only the first read of an overdue host is sent to both; the following parts are asked for as usual. A reply to a read that began elsewhere in the topic is dropped, as while a list is being read.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
@@ -77,18 +77,27 @@
 
     /** Reads the next records, or a snapshot, and schedules the following read. */
     void poll() {
+        read(isOverdue());
+    }
+
+    private boolean isOverdue() {
+        return context.time().monotonicMillis() - confirmedMillis >= settings.overdueMillis();
+    }
+
+    /** @param atOnce Whether the log is read directly, and another host queried beside that. */
+    private void read(boolean atOnce) {
+        long ageMillis = context.time().monotonicMillis() - confirmedMillis;
+        scheduleBy(isOverdue() ? nextRepeatMillis() : settings.overdueMillis() - ageMillis);
         long started = round;
-        long now = context.time().monotonicMillis();
-        boolean overdue = now - confirmedMillis >= settings.overdueMillis();
-        scheduleBy(overdue ? nextRepeatMillis() : settings.overdueMillis() - (now - confirmedMillis));
         if (next < 0 || era != context.log().era().newest()) {
             readSnapshot(started);
             return;
         }
-        (overdue
-                        ? relay.readAtOnce(topic, next, settings.maximumAgeMillis())
-                        : relay.read(topic, next, settings.waitMillis(), settings.maximumAgeMillis()))
-                .onSuccess(result -> applyOrFail(started, () -> apply(result)))
+        long from = next;
+        (atOnce
+                        ? relay.readAtOnce(topic, from, settings.maximumAgeMillis())
+                        : relay.read(topic, from, settings.waitMillis(), settings.maximumAgeMillis()))
+                .onSuccess(result -> applyOrFail(started, () -> apply(from, result)))
                 .onFailure(failure -> failed(started, failure));
     }
 
@@ -125,12 +134,15 @@
         succeeded(sent, false, settings.pauseMillis());
     }
 
-    private void apply(TopicReadResult result) {
+    private void apply(long from, TopicReadResult result) {
+        if (from != next) {
+            return;
+        }
         if (era != context.log().era().newest()) {
             failed(round, new SharedLogException(Kind.ERA_CHANGED, "the log has come back from an older copy"));
             return;
         }
-        long offset = next;
+        long offset = from;
         for (byte[] record : result.records()) {
             long at = offset;
             KeyedRecord.parse(record).ifPresent(keyed -> deliver(keyed, at));
@@ -172,7 +184,7 @@
         listener.onConfirmed(confirmation, relayed);
         cancelScheduled();
         if (pauseMillis == 0) {
-            poll();
+            read(false);
         } else {
             scheduleBy(pauseMillis);
         }
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/SimulatedStore.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/SimulatedStore.java
@@ -93,6 +93,9 @@
         /** The time between two calls without an answer, in milliseconds; 0 if all get one. */
         long lossIntervalMillis;
 
+        /** The number of reads. */
+        int reads;
+
         /** The time of the last call that was to get no answer. */
         private long lastLossMillis;
 
@@ -114,6 +117,7 @@
 
         @Override
         public Future<LogSlice> read(String topic, long fromOffset, long waitMillis) {
+            reads++;
             return call(CALL_TIMEOUT_MILLIS + waitMillis, () -> {
                 if (waitMillis == 0 || fromOffset < topic(topic).end()) {
                     return readNow(topic, fromOffset);
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicFollowerTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/TopicFollowerTest.java
@@ -98,6 +98,24 @@
         assertThat(known).isEqualTo(log.newestValues());
     }
 
+    /** Guards against direct reads of all records, once for each part that another host passes on. */
+    @Test
+    void anOverdueHostReadsTheLogOnceWhileItReceivesManyRecordsOfAnother() {
+        ListingFleet fleet = new ListingFleet(2, 3_000, 1);
+        fleet.advance(3_000);
+        fleet.hosts().get(1).cutOff(6_000);
+        fleet.after(5_000, () -> {
+            for (int server = 0; server < 200; server++) {
+                fleet.list("server-" + server + "-" + "x".repeat(200));
+            }
+        });
+        fleet.advance(6_000);
+        int before = fleet.hosts().get(1).log().reads;
+        fleet.advance(1_000);
+        assertThat(fleet.hosts().get(1).lists("server-199-" + "x".repeat(200))).isTrue();
+        assertThat(fleet.hosts().get(1).log().reads - before).isLessThanOrEqualTo(2);
+    }
+
     private TopicFollower follower() {
         ControllerContext context = new ControllerContext(
                 vertx, TimeSource.System.INSTANCE, log, new ProxyBlackboard(), EventLog.NoOp.INSTANCE);
