--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/ListingFleet.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/ListingFleet.java
@@ -25,7 +25,7 @@
 
 /**
  * A simulated fleet whose hosts follow the list of backend servers, with virtual time and a seed. Hosts are cut off, turned
- * away by the store, paused and restarted; servers are listed, leave and are removed. Not thread-safe.
+ * away by the store and restarted; servers are listed, leave and are removed. Not thread-safe.
  */
 final class ListingFleet {
 
