--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/ControlEvents.java
@@ -56,8 +56,8 @@
      * The backend servers that were retained in the list and have not registered again are dropped.
      *
      * @param backends The number of servers that are dropped.
-     * @param reason REGISTRATION_OVER: running servers have had the time to register again; HOST_WAS_ALONE: other hosts have read
-     *     the log all the while.
+     * @param reason REGISTRATION_OVER: running servers have had the time to register again; HOST_WAS_ALONE: another host has read
+     *     the log all the while, or was the first to read it after its return.
      */
     public record RetentionEnded(int backends, String reason) implements Event {}
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/RetentionDecision.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/RetentionDecision.java
@@ -15,7 +15,7 @@
     RETAIN,
     /** Servers have had the time to register again, or the log was never away. */
     REGISTRATION_OVER,
-    /** The log was away for this host only. */
+    /** Another host has read the log for long enough, all the while or since before this one. */
     HOST_WAS_ALONE;
 
     /** The time after the return of the log within which running servers have registered again. */
