Let no answer of another host that is overdue itself take the place of the store's

Cause: an overdue read asks the store and another host at once and uses what comes first. Answers of other hosts were used up to an age of 0.6 of the bound: 2,400 ms, while the read is overdue at 2,250 ms. Such an answer came before the store's, which was then dropped, and the next read began 250 ms later. The time without an answer became longer than an outage in which entries expire, at all hosts, so that each kept the removed servers for 2.2 s more. Also, the pause after an answer of another host was not shortened where the list was overdue before its end.

Change: the maximum age is 150 ms less than that of an overdue read, and the next read begins no later than the overdue one.

Result: PollSettingsTest and ListingFleetTest, of the age of lists at hosts that the store answers, failed before.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PeerReportExchange.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.thrift.TException;
 import org.cranberrygauge.decision.backend.BackendStatements;
@@ -160,9 +159,7 @@
     /** Writes the address again after the log has come back from an older copy, unless any copy must hold it. */
     private void publishAddressAgain() {
         if (context.time().wallMillis() - startedAtMillis < REWRITTEN_MILLIS) {
-            context.vertx()
-                    .setTimer(
-                            1 + ThreadLocalRandom.current().nextLong(REWRITE_JITTER_MILLIS), fired -> publishAddress());
+            context.vertx().setTimer(1 + context.random().nextLong(REWRITE_JITTER_MILLIS), fired -> publishAddress());
         }
     }
 
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PollSettings.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PollSettings.java
@@ -4,9 +4,9 @@
  * How a topic is read, so that what a host knows of it is never older than a bound while the log answers.
  *
  * <p>The delays add up as follows, each as a part of the bound. A host that reads the log has read it to its end at most
- * one pause and two waits ago. Another host queries it at intervals, and uses no read older than the maximum age. Whatever
- * has failed or is late, a host reads the log itself when its last read to the end is as old as {@code overdueMillis},
- * and reads again after {@code repeatMillis} without waiting for an answer. One read may thus get no answer at all, and the
+ * one pause and two waits ago. Another host queries it at intervals, and uses no read older than the maximum age, which
+ * is not overdue by itself before the log has answered. Whatever has failed or is late, a host reads the log itself when
+ * its last read to the end is as old as {@code overdueMillis}, and reads again after {@code repeatMillis} without waiting for an answer. One read may thus get no answer at all, and the
  * next one is still in time: a fifth of the bound is left for the list of servers, and a twelfth for the configuration.
  *
  * @param waitMillis The maximum time that a read of the log waits for a record, in milliseconds.
@@ -47,8 +47,6 @@
 
     private static final double LIST_PAUSE_FRACTION = 0.33;
 
-    private static final double LIST_AGE_FRACTION = 0.6;
-
     /** The records of a configuration arrive while a read waits, which therefore waits for long and without a pause. */
     private static final double CONFIGURATION_WAIT_FRACTION = 0.4;
 
@@ -65,12 +63,13 @@
      * @param entryExpiryMillis The shortest outage of the log in which entries of running servers expire, in milliseconds.
      */
     static PollSettings ofServers(long boundMillis, long entryExpiryMillis) {
+        long overdueMillis = Math.min(entryExpiryMillis - ANSWER_MILLIS, (long) (boundMillis * OVERDUE_FRACTION));
         return new PollSettings(
                 (long) (boundMillis * LIST_WAIT_FRACTION),
                 (long) (boundMillis * LIST_PAUSE_FRACTION),
-                (long) (boundMillis * LIST_AGE_FRACTION),
+                overdueMillis - ANSWER_MILLIS,
                 Math.min(RELAYED_INTERVAL_MILLIS, (long) (boundMillis * RELAYED_INTERVAL_FRACTION)),
-                Math.min(entryExpiryMillis - ANSWER_MILLIS, (long) (boundMillis * OVERDUE_FRACTION)),
+                overdueMillis,
                 (long) (boundMillis * REPEAT_FRACTION),
                 Math.min(MAXIMUM_REPEAT_MILLIS, (long) (boundMillis * MAXIMUM_REPEAT_FRACTION)));
     }
--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/TopicFollower.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ThreadLocalRandom;
 import org.cranberrygauge.proxy.store.Confirmation;
 import org.cranberrygauge.proxy.store.KeyedRecord;
 import org.cranberrygauge.proxy.store.SharedLog.KeyedValues;
@@ -170,7 +169,7 @@
         if (!result.relayed()) {
             return settings.pauseMillis();
         }
-        return settings.relayedIntervalMillis() + ThreadLocalRandom.current().nextLong(RELAYED_JITTER_MILLIS);
+        return settings.relayedIntervalMillis() + context.random().nextLong(RELAYED_JITTER_MILLIS);
     }
 
     private void succeeded(Confirmation confirmation, boolean relayed, long pauseMillis) {
@@ -186,7 +185,7 @@
         if (pauseMillis == 0) {
             read(false);
         } else {
-            scheduleBy(pauseMillis);
+            scheduleBy(Math.min(pauseMillis, settings.overdueMillis() - (now - confirmedMillis)));
         }
     }
 
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/ListingFleet.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/ListingFleet.java
@@ -39,8 +39,8 @@
     /** The time that a request may take from the host's last look at the list to the server. */
     private static final long DELIVERY_MILLIS = 100;
 
-    /** The shortest outage of the log in which entries of running servers expire, as in the deployments. */
-    private static final long ENTRY_EXPIRY_MILLIS = 2_400;
+    /** The shortest outage of the store in which entries of running servers expire, as in the deployments. */
+    static final long ENTRY_EXPIRY_MILLIS = 2_400;
 
     private static final int DATA_CENTRES = 2;
 
@@ -253,7 +253,7 @@
             blackboard = new ProxyBlackboard();
             peers = new PeerDirectory(name(), dataCentre());
             ControllerContext context =
-                    new ControllerContext(null, timers, timeline, log, blackboard, EventLog.NoOp.INSTANCE);
+                    new ControllerContext(null, timers, timeline, random, log, blackboard, EventLog.NoOp.INSTANCE);
             relay = new TopicRelay(context, peers, this, new LogAvailability(ENTRY_EXPIRY_MILLIS));
             handlers.put(
                     HostMessage._Fields.REPORT, (message, sender) -> peers.update(now(), message.getReport(), sender));
@@ -305,6 +305,15 @@
             });
         }
 
+        long faultEndMillis() {
+            return faultEndMillis;
+        }
+
+        /** Returns the time since the read was sent by which the host knows its list, in milliseconds. */
+        long listAgeMillis() {
+            return blackboard.backends().reading().ageMillis(now());
+        }
+
         /** Tells whether the host sends requests to a server. */
         boolean lists(String server) {
             return blackboard.backends().ready(POOL).stream()
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/ListingFleetTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/ListingFleetTest.java
@@ -31,6 +31,9 @@
     /** The time after its return within which servers register again at a store that was away. */
     private static final long REGISTRATION_MILLIS = 1_900;
 
+    /** The time that an answer of the store may take while it is not busy. */
+    private static final long ANSWER_MILLIS = 60;
+
     private static final long MINIMUM_FAULT_MILLIS = 300;
 
     private static final long MAXIMUM_FAULT_MILLIS = 9_000;
@@ -83,6 +86,25 @@
         });
     }
 
+    /** Guards against an older answer of another host that takes the place of what the store answers meanwhile. */
+    @ParameterizedTest
+    @ValueSource(longs = {2_000, 3_000, 4_000})
+    void aHostThatTheStoreAnswersWaitsForNoHostThatTheStoreDoesNotAnswer(long drainBoundMillis) {
+        long latestMillis = PollSettings.ofServers(drainBoundMillis, ListingFleet.ENTRY_EXPIRY_MILLIS)
+                        .overdueMillis()
+                + ANSWER_MILLIS;
+        forSeeds(drainBoundMillis, HOSTS, fleet -> {
+            ListingFleet.Host turnedAway = any(fleet);
+            turnedAway.turnAway(AFTERMATH_MILLIS, true);
+            while (fleet.now() < turnedAway.faultEndMillis()) {
+                fleet.advance(1);
+                fleet.hosts().stream()
+                        .filter(host -> host != turnedAway)
+                        .forEach(host -> assertThat(host.listAgeMillis()).isLessThanOrEqualTo(latestMillis));
+            }
+        });
+    }
+
     /** Guards against ordinary pauses between reads that are taken for an outage. */
     @ParameterizedTest
     @ValueSource(longs = {2_000, 3_000, 4_000})
--- a/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/PollSettingsTest.java
+++ b/cranberrygauge-proxy/src/test/java/org/cranberrygauge/proxy/control/PollSettingsTest.java
@@ -49,6 +49,16 @@
         assertThat(relayed).isLessThanOrEqualTo(settings.overdueMillis());
     }
 
+    /** Guards against an answer of another host that ends an overdue read, and is overdue itself. */
+    @ParameterizedTest
+    @ValueSource(longs = {2_000, 3_000, 4_000})
+    void anAnswerOfAnotherHostThatIsUsedIsNotOverdue(long bound) {
+        PollSettings servers = PollSettings.ofServers(bound, ENTRY_EXPIRY_MILLIS);
+        assertThat(servers.maximumAgeMillis() + ANSWER_MILLIS).isLessThanOrEqualTo(servers.overdueMillis());
+        PollSettings configuration = PollSettings.ofConfiguration(bound);
+        assertThat(configuration.maximumAgeMillis() + ANSWER_MILLIS).isLessThanOrEqualTo(configuration.overdueMillis());
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {2_000, 3_000, 4_000})
     void theOnlyHostHasDroppedServersThatWereRemovedMeanwhileWhenItIsAnswerableAgain(long bound) {
