Never date the list of servers earlier than before

The logged age of the list grew by up to some 25 ms when another host answered with a read that was older than what this host had read: its time took the place of the later one. A flag no longer has the name of a method.

--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/BackendFollower.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/BackendFollower.java
@@ -60,8 +60,8 @@
     /** Whether a check of the retained servers is scheduled. */
     private boolean checkScheduled;
 
-    /** Whether the list has been read for the servers that are retained. */
-    private boolean readForRetained;
+    /** Whether the list has been read since the retained servers must have registered again. */
+    private boolean readAfterRegistration;
 
     /** The backend servers as last logged, by identifier. */
     private Map<String, Backend> lastLogged = new HashMap<>();
@@ -138,7 +138,8 @@
     @Override
     public void onConfirmed(Confirmation read, boolean relayed) {
         registry.recordRead();
-        if (read != Confirmation.NONE) {
+        if (read != Confirmation.NONE
+                && (reading == ListReading.NONE || read.monotonicMillis() > reading.sentMillis())) {
             reading = new ListReading(relayed ? Source.OTHER_HOST : Source.LOG, read.monotonicMillis());
         }
         publish(context.time().monotonicMillis());
@@ -221,10 +222,10 @@
     /** Reads the list once the retained servers must have registered again, without the pause before the next read. */
     private void readForRetained(long now) {
         boolean due = relay.retention(now, now) != RetentionDecision.RETAIN;
-        if (due && !readForRetained) {
+        if (due && !readAfterRegistration) {
             follower.poll();
         }
-        readForRetained = due;
+        readAfterRegistration = due;
     }
 
     /** Records how long a backend server stays cold, and logs when that begins and ends. */
