--- a/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PollSettings.java
+++ b/cranberrygauge-proxy/src/main/java/org/cranberrygauge/proxy/control/PollSettings.java
@@ -4,10 +4,11 @@
  * How a topic is read, so that what a host knows of it is never older than a bound while the log answers.
  *
  * <p>The delays add up as follows, each as a part of the bound. A host that reads the log has read it to its end at most
- * one pause and two waits ago. Another host queries it at intervals, and uses no read older than the maximum age, which
- * is not overdue by itself before the log has answered. Whatever has failed or is late, a host reads the log itself when
- * its last read to the end is as old as {@code overdueMillis}, and reads again after {@code repeatMillis} without waiting for an answer. One read may thus get no answer at all, and the
- * next one is still in time: a fifth of the bound is left for the list of servers, and a twelfth for the configuration.
+ * one pause and two waits ago. Another host queries it at intervals, and uses no read older than the maximum age, so that
+ * what it uses is not overdue before the log itself could have answered. Whatever has failed or is late, a host reads the
+ * log itself when its last read to the end is as old as {@code overdueMillis}, and reads again after
+ * {@code repeatMillis} without waiting for an answer. One read may thus get no answer at all, and the next one is still in
+ * time: a fifth of the bound is left for the list of servers, and a twelfth for the configuration.
  *
  * @param waitMillis The maximum time that a read of the log waits for a record, in milliseconds.
  * @param pauseMillis The pause between reads of the log, in milliseconds.
